--- /dev/null
+++ b/include/marigoldstep/configuration.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "marigoldstep/types.h"
+#include "marigoldstep/yaml_reader.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marigoldstep {
+
+// A workspace: a customer with its own share of the fleet.
+struct workspace_settings {
+  std::string name;
+  std::uint32_t weight = 1; // share relative to other workspaces
+  std::vector<std::string> models;
+  priority default_priority = priority::short_call;
+  duration short_deadline{10'000};
+  duration patient_deadline{120'000};
+  // How many servers of a pool its chats spread over; 0 means all of them.
+  std::uint32_t spread = 0;
+
+  friend bool operator==(const workspace_settings&, const workspace_settings&) = default;
+};
+
+// A pool of model engines.
+struct pool_settings {
+  std::string name;
+  std::vector<std::string> models;
+  bool checks_fencing = false; // whether its engines refuse stale fencing tokens
+
+  friend bool operator==(const pool_settings&, const pool_settings&) = default;
+};
+
+// Whether calls of one method below a path prefix may be repeated.
+struct call_rule {
+  std::string method; // upper case; "*" matches every method
+  std::string path_prefix;
+  bool repeatable = false;
+
+  friend bool operator==(const call_rule&, const call_rule&) = default;
+};
+
+// A plain service beside the model engines. The first matching rule decides;
+// without a match only GET and HEAD are repeatable.
+struct service_settings {
+  std::string name;
+  duration deadline{10'000};
+  std::vector<call_rule> rules;
+
+  friend bool operator==(const service_settings&, const service_settings&) = default;
+};
+
+enum class control_loss_policy { stop, keep_serving };
+
+struct limit_settings {
+  double load_multiple = 1.25;  // bound on load over the pool's mean load
+  std::uint32_t load_floor = 4; // attempts a server may always carry
+  std::uint32_t engine_slots = 16;
+  double reuse_bias = 0.5; // 0 favours even load, 1 favours cache reuse
+  std::uint32_t max_body_bytes = 1U << 20U;
+  std::uint32_t max_answer_bytes = 8U << 20U;
+  std::uint32_t retry_budget_percent = 20; // retries per 100 first attempts
+  duration resume_window{10'000};
+  duration drain_limit{60'000};
+  duration claim_retention{24L * 3600 * 1000};
+  control_loss_policy on_control_loss = control_loss_policy::stop;
+
+  friend bool operator==(const limit_settings&, const limit_settings&) = default;
+};
+
+// The whole configuration of a fleet. Its version is given by the control group
+// and is not part of the text.
+struct configuration {
+  std::uint64_t version = 0;
+  std::string fleet;
+  std::vector<pool_settings> pools;
+  std::vector<service_settings> services;
+  std::vector<workspace_settings> workspaces;
+  limit_settings limits;
+
+  friend bool operator==(const configuration&, const configuration&) = default;
+};
+
+// Parses the YAML text of a configuration. Problems go to report; the result is
+// only meaningful when there are none.
+configuration parse_configuration(std::string_view text, std::uint64_t version,
+                                  yaml_report& report);
+
+// Null when there is no such entry. The pointer lives as long as config.
+const workspace_settings* find_workspace(const configuration& config,
+                                         std::string_view name);
+const service_settings* find_service(const configuration& config, std::string_view name);
+// The pool that serves a model.
+const pool_settings* find_pool(const configuration& config, std::string_view model);
+
+bool is_repeatable(const service_settings& service, std::string_view method,
+                   std::string_view path);
+
+} // namespace marigoldstep
--- /dev/null
+++ b/include/marigoldstep/io/clock.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "marigoldstep/types.h"
+
+#include <random>
+
+namespace marigoldstep::io {
+
+// Monotonic time of this process for the core.
+time_point now();
+
+// Wall clock in seconds since the Unix epoch.
+unix_seconds wall_clock();
+
+// Incarnation of this process: wall clock in microseconds when it was first
+// asked for.
+incarnation process_incarnation();
+
+// Generator seeded once from the system's entropy source.
+std::mt19937_64& random_engine();
+
+// Unguessable id, drawn from the system's entropy source.
+attempt_id make_attempt_id();
+
+} // namespace marigoldstep::io
--- /dev/null
+++ b/include/marigoldstep/io/framed_connection.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "marigoldstep/types.h"
+
+#include <QObject>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <functional>
+#include <system_error>
+
+namespace marigoldstep::io {
+
+// A TCP connection that carries size-prefixed frames. Frames longer than
+// wire::max_frame_size close it. Callbacks run on the thread that owns it and
+// may destroy the connection with deleteLater().
+class framed_connection : public QObject {
+public:
+  // Starts connecting; on_open or on_closed follows.
+  framed_connection(const QString& host, std::uint16_t port, QObject* parent);
+  // Takes over an accepted socket.
+  framed_connection(QTcpSocket* accepted, QObject* parent);
+
+  // Called with each whole frame, prefix included. The view ends with the call.
+  std::function<void(byte_view)> on_frame;
+  std::function<void()> on_open;
+  // Called once, when the connection failed, was closed by the peer or sent a
+  // frame over the size limit.
+  std::function<void(std::error_code)> on_closed;
+  // Called when queued output went out.
+  std::function<void()> on_drained;
+
+  // Queues a frame. Returns false when the connection is not open; nothing of
+  // the frame was written then.
+  bool send(const bytes& frame);
+  [[nodiscard]] bool is_open() const;
+  // Bytes queued and not yet handed to the operating system.
+  [[nodiscard]] std::size_t queued_bytes() const;
+  // Sends what is queued and closes.
+  void close();
+  // Bytes sent and received since the connection began.
+  [[nodiscard]] std::uint64_t bytes_sent() const { return sent_; }
+  [[nodiscard]] std::uint64_t bytes_received() const { return received_; }
+
+private:
+  void connect_signals();
+  void read_frames();
+  void fail(std::error_code ec);
+
+  QTcpSocket* socket_;
+  QByteArray input_;
+  std::uint64_t sent_ = 0;
+  std::uint64_t received_ = 0;
+  bool closed_ = false;
+};
+
+// Listens for framed connections. Port 0 picks a free one; port() tells which.
+class framed_listener : public QObject {
+public:
+  explicit framed_listener(QObject* parent);
+
+  // The connection's parent is the listener until somebody else takes it.
+  std::function<void(framed_connection*)> on_connection;
+
+  // Returns an error when the address cannot be bound.
+  std::error_code listen(const QString& host, std::uint16_t port);
+  [[nodiscard]] std::uint16_t port() const;
+  void close();
+
+private:
+  QTcpServer* server_;
+};
+
+} // namespace marigoldstep::io
--- /dev/null
+++ b/include/marigoldstep/wire.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "marigoldstep/error.h"
+#include "marigoldstep/generated/control_messages.h"
+#include "marigoldstep/generated/data_messages.h"
+#include "marigoldstep/generated/raft_messages.h"
+#include "marigoldstep/types.h"
+
+#include <memory>
+
+namespace marigoldstep::wire {
+
+// Bytes of the length prefix in front of every frame.
+inline constexpr std::size_t prefix_size = 4;
+
+// Largest accepted frame, prefix included. Bounds the memory a peer can make us
+// allocate before its message has been verified.
+inline constexpr std::size_t max_frame_size = 16U << 20U;
+
+// Size of the first whole frame in buf, prefix included; 0 when more bytes are
+// needed. Sets ec to errc::message_too_large for a frame over max_frame_size.
+std::size_t frame_size(byte_view buf, std::error_code& ec);
+
+// Encodes a frame with its length prefix.
+bytes encode(const DataFrameT& frame);
+bytes encode(const ControlFrameT& frame);
+bytes encode(const RaftFrameT& frame);
+
+// Verifies and unpacks one whole frame. On malformed input returns null and
+// sets ec to errc::malformed_message. A frame without a body is malformed.
+std::unique_ptr<DataFrameT> decode_data(byte_view buf, std::error_code& ec);
+std::unique_ptr<ControlFrameT> decode_control(byte_view buf, std::error_code& ec);
+std::unique_ptr<RaftFrameT> decode_raft(byte_view buf, std::error_code& ec);
+
+// Wraps a body in a frame.
+template <typename Body> DataFrameT data_frame(Body body, std::uint64_t config_version) {
+  DataFrameT frame;
+  frame.config_version = config_version;
+  frame.body.Set(std::move(body));
+  return frame;
+}
+
+template <typename Body>
+ControlFrameT control_frame(Body body, std::uint64_t correlation) {
+  ControlFrameT frame;
+  frame.correlation = correlation;
+  frame.body.Set(std::move(body));
+  return frame;
+}
+
+inline AttemptId to_wire(const attempt_id& id) {
+  return {id.hi, id.lo};
+}
+inline attempt_id from_wire(const AttemptId& id) {
+  return {id.hi(), id.lo()};
+}
+
+} // namespace marigoldstep::wire
--- /dev/null
+++ b/src/configuration.cpp
@@ -0,0 +1,151 @@
+#include "marigoldstep/configuration.h"
+
+#include <algorithm>
+
+namespace marigoldstep {
+
+namespace {
+
+constexpr auto shortest_deadline = duration(10);
+constexpr auto longest_deadline = duration(24L * 3600 * 1000);
+constexpr std::int64_t largest_count = 1'000'000;
+
+std::uint32_t read_count(yaml_mapping& map, const std::string& key,
+                         std::uint32_t fallback, std::int64_t low, std::int64_t high) {
+  return static_cast<std::uint32_t>(read_integer(map, key, fallback, low, high));
+}
+
+pool_settings parse_pool(yaml_mapping& map) {
+  pool_settings out;
+  out.name = read_string(map, "name");
+  out.models = read_strings(map, "models");
+  out.checks_fencing = read_bool(map, "checks_fencing", out.checks_fencing);
+  finish(map);
+  return out;
+}
+
+call_rule parse_rule(yaml_mapping& map) {
+  call_rule out;
+  out.method = read_string(map, "method");
+  out.path_prefix = read_string(map, "path", "/");
+  out.repeatable = read_bool(map, "repeatable", false);
+  finish(map);
+  return out;
+}
+
+service_settings parse_service(yaml_mapping& map) {
+  service_settings out;
+  out.name = read_string(map, "name");
+  out.deadline = read_duration_ms(map, "deadline_ms", out.deadline, shortest_deadline,
+                                  longest_deadline);
+  for (auto& it : read_mappings(map, "rules")) {
+    out.rules.push_back(parse_rule(it));
+  }
+  finish(map);
+  return out;
+}
+
+workspace_settings parse_workspace(yaml_mapping& map) {
+  workspace_settings out;
+  out.name = read_string(map, "name");
+  out.weight = read_count(map, "weight", out.weight, 1, largest_count);
+  out.models = read_strings(map, "models");
+  out.default_priority =
+      read_choice(map, "priority", "short", {"short", "patient"}) == "short"
+          ? priority::short_call
+          : priority::patient;
+  out.short_deadline = read_duration_ms(map, "short_deadline_ms", out.short_deadline,
+                                        shortest_deadline, longest_deadline);
+  out.patient_deadline =
+      read_duration_ms(map, "patient_deadline_ms", out.patient_deadline,
+                       shortest_deadline, longest_deadline);
+  out.spread = read_count(map, "spread", out.spread, 0, largest_count);
+  finish(map);
+  return out;
+}
+
+limit_settings parse_limits(yaml_mapping map) {
+  limit_settings out;
+  constexpr std::int64_t largest_message = 12U << 20U;
+  out.load_multiple = read_number(map, "load_multiple", out.load_multiple, 1.01, 10.0);
+  out.load_floor = read_count(map, "load_floor", out.load_floor, 1, largest_count);
+  out.engine_slots = read_count(map, "engine_slots", out.engine_slots, 1, largest_count);
+  out.reuse_bias = read_number(map, "reuse_bias", out.reuse_bias, 0.0, 1.0);
+  out.max_body_bytes =
+      read_count(map, "max_body_bytes", out.max_body_bytes, 1024, largest_message);
+  out.max_answer_bytes =
+      read_count(map, "max_answer_bytes", out.max_answer_bytes, 1024, largest_message);
+  out.retry_budget_percent =
+      read_count(map, "retry_budget_percent", out.retry_budget_percent, 0, 100);
+  out.resume_window = read_duration_ms(map, "resume_window_ms", out.resume_window,
+                                       duration(0), duration(600'000));
+  out.drain_limit = read_duration_ms(map, "drain_limit_ms", out.drain_limit,
+                                     duration(100), longest_deadline);
+  out.claim_retention = read_duration_ms(map, "claim_retention_ms", out.claim_retention,
+                                         duration(60'000), 7 * longest_deadline);
+  out.on_control_loss =
+      read_choice(map, "on_control_loss", "stop", {"stop", "keep_serving"}) == "stop"
+          ? control_loss_policy::stop
+          : control_loss_policy::keep_serving;
+  finish(map);
+  return out;
+}
+
+template <typename Entry>
+const Entry* find_by_name(const std::vector<Entry>& entries, std::string_view name) {
+  auto it = std::find_if(entries.begin(), entries.end(),
+                         [name](const Entry& entry) { return entry.name == name; });
+  return it == entries.end() ? nullptr : &*it;
+}
+
+} // namespace
+
+configuration parse_configuration(std::string_view text, std::uint64_t version,
+                                  yaml_report& report) {
+  configuration out;
+  out.version = version;
+  auto map = parse_yaml(text, report);
+  out.fleet = read_string(map, "fleet");
+  for (auto& it : read_mappings(map, "pools")) {
+    out.pools.push_back(parse_pool(it));
+  }
+  for (auto& it : read_mappings(map, "services")) {
+    out.services.push_back(parse_service(it));
+  }
+  for (auto& it : read_mappings(map, "workspaces")) {
+    out.workspaces.push_back(parse_workspace(it));
+  }
+  out.limits = parse_limits(read_mapping(map, "limits"));
+  finish(map);
+  return out;
+}
+
+const workspace_settings* find_workspace(const configuration& config,
+                                         std::string_view name) {
+  return find_by_name(config.workspaces, name);
+}
+
+const service_settings* find_service(const configuration& config, std::string_view name) {
+  return find_by_name(config.services, name);
+}
+
+const pool_settings* find_pool(const configuration& config, std::string_view model) {
+  auto it = std::find_if(config.pools.begin(), config.pools.end(),
+                         [model](const pool_settings& pool) {
+                           return std::find(pool.models.begin(), pool.models.end(),
+                                            model) != pool.models.end();
+                         });
+  return it == config.pools.end() ? nullptr : &*it;
+}
+
+bool is_repeatable(const service_settings& service, std::string_view method,
+                   std::string_view path) {
+  for (const auto& it : service.rules) {
+    if ((it.method == "*" || it.method == method) && path.starts_with(it.path_prefix)) {
+      return it.repeatable;
+    }
+  }
+  return method == "GET" || method == "HEAD";
+}
+
+} // namespace marigoldstep
--- /dev/null
+++ b/tests/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
