Add the router: relay of whole and streamed answers

Callers need one address in front of the agents. Adds the pure parts (request checks, retry budget, circuit breaker, relay state) and the daemon around them: caller server, links to agents, placement view, metrics and settings.

The test relays one answer that is not streamed and one that is, over the messages of schemas/data.fbs, with a fake agent and control group.

--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -1,6 +1,7 @@
 #pragma once
 
 // Includes the whole public interface of the core library.
+#include "marigoldstep/attempt.h"
 #include "marigoldstep/configuration.h"
 #include "marigoldstep/error.h"
 #include "marigoldstep/fleet_state.h"
@@ -8,6 +9,8 @@
 #include "marigoldstep/load_limit.h"
 #include "marigoldstep/membership.h"
 #include "marigoldstep/placement.h"
+#include "marigoldstep/request.h"
+#include "marigoldstep/retry.h"
 #include "marigoldstep/types.h"
 #include "marigoldstep/verdict.h"
 #include "marigoldstep/wire.h"
--- /dev/null
+++ b/include/marigoldstep/request.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "marigoldstep/configuration.h"
+#include "marigoldstep/placement.h"
+#include "marigoldstep/verdict.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace marigoldstep {
+
+// What a caller's request says, as plain text from its path, headers and body.
+struct request_facts {
+  std::string workspace;
+  std::string chat_id;
+  std::string model;   // empty for a plain service
+  std::string service; // empty for a chat
+  std::string method;  // upper case
+  std::string path;    // percent-decoded, without the query
+  std::string deadline_ms;
+  std::string priority;
+  std::string idempotency_key;
+  bool stream = false;
+  std::size_t body_bytes = 0;
+};
+
+// A request that the configuration allows, with its defaults filled in.
+struct checked_request {
+  std::string workspace;
+  std::string chat_id;
+  std::string model;
+  std::string service; // name of the pool or plain service
+  std::string idempotency_key;
+  duration deadline{0};
+  marigoldstep::priority priority = priority::short_call;
+  bool repeatable = true;
+  bool stream = false;
+  placement_key placement;
+
+  friend bool operator==(const checked_request&, const checked_request&) = default;
+};
+
+// request is only meaningful when error is clear.
+struct request_check {
+  checked_request request;
+  std::error_code error;
+};
+
+// Longest name, chat id or idempotency key a caller may send, in bytes.
+inline constexpr std::size_t max_request_field_bytes = 256;
+inline constexpr auto longest_request_deadline = duration(24L * 3600 * 1000);
+
+// Checks a request against the configuration. now is the wall clock, against
+// which the age of an idempotency key is checked. Errors: bad_request,
+// body_too_large, unknown_workspace, unknown_model, unknown_service and the
+// idempotency key codes.
+request_check check_request(const configuration& config, const request_facts& facts,
+                            unix_seconds now);
+
+// Time in an idempotency key: a UUID version 7 or "<unix seconds>-<token>".
+std::optional<unix_seconds> idempotency_key_time(std::string_view key);
+
+// How the caller learns that a key's time is not accepted. A key older than the
+// retention may have run, so its verdict is may_have_run.
+outcome check_idempotency_key(std::string_view key, unix_seconds now,
+                              duration claim_retention);
+
+// Splits "<agent id>.<attempt id>"; agent ids may contain dots.
+struct resume_token {
+  std::string agent;
+  attempt_id attempt;
+};
+std::optional<resume_token> parse_resume_token(std::string_view text);
+std::string to_string(const resume_token& token);
+
+} // namespace marigoldstep
--- /dev/null
+++ b/src/attempt.cpp
@@ -0,0 +1,152 @@
+#include "marigoldstep/attempt.h"
+
+namespace marigoldstep {
+
+namespace {
+
+bool may_have_started(const relay_state& state) {
+  return state.start_written || state.earlier_may_have_run;
+}
+
+relay_decision end_with(relay_state& state, relay_action action, outcome result) {
+  state.ended = true;
+  return {action, result};
+}
+
+relay_decision cut_off(relay_state& state, std::error_code error) {
+  return end_with(state, relay_action::cut_off, {verdict::may_have_run, error, {}});
+}
+
+// The attempt failed and may have run.
+relay_decision after_failure(relay_state& state, const outcome& why) {
+  if (state.passed_on) {
+    return cut_off(state, why.error);
+  }
+  if (state.repeatable) {
+    return {relay_action::retry, why};
+  }
+  return give_up(state, why);
+}
+
+bool agent_forgot(std::error_code error) {
+  return error == errc::unknown_attempt || error == errc::attempt_expired;
+}
+
+} // namespace
+
+void begin_attempt(relay_state& state, const attempt_id& id) {
+  state.earlier_may_have_run = may_have_started(state);
+  state.current = id;
+  state.start_written = false;
+  state.head_seen = false;
+  state.next_offset = 0;
+  ++state.attempts;
+}
+
+void note_start_written(relay_state& state) {
+  state.start_written = true;
+}
+
+bool accept_head(relay_state& state, const attempt_id& id) {
+  // After a resume the head may come again.
+  if (state.ended || id != state.current || state.head_seen) {
+    return false;
+  }
+  state.head_seen = true;
+  return true;
+}
+
+data_check accept_data(relay_state& state, const attempt_id& id, std::uint64_t offset,
+                       std::uint64_t size) {
+  if (state.ended || id != state.current || offset < state.next_offset) {
+    return data_check::stale;
+  }
+  if (offset > state.next_offset) {
+    return data_check::gap;
+  }
+  state.next_offset += size;
+  return data_check::accept;
+}
+
+relay_decision after_end(relay_state& state, const attempt_id& id,
+                         const attempt_result& result) {
+  if (state.ended || id != state.current) {
+    return {};
+  }
+  if (agent_forgot(result.how.error)) {
+    const auto code = errc_from_number(static_cast<unsigned>(result.how.error.value()));
+    return after_agent_loss(state, code);
+  }
+  if (result.how.result == verdict::completed) {
+    if (state.head_seen && result.total_length == state.next_offset) {
+      return end_with(state, relay_action::finish, completed());
+    }
+    return after_failure(state, may_have_run(errc::answer_truncated));
+  }
+  // An agent that sent part of an answer cannot have refused the attempt.
+  if (result.how.result == verdict::not_run && !state.head_seen && !state.passed_on) {
+    state.start_written = false;
+    return {relay_action::retry, result.how};
+  }
+  return after_failure(state, result.how);
+}
+
+relay_decision after_connection_loss(relay_state& state) {
+  if (state.ended) {
+    return {};
+  }
+  if (state.start_written) {
+    return {relay_action::resume, may_have_run(errc::agent_unreachable)};
+  }
+  return {relay_action::retry, not_run(errc::agent_unreachable)};
+}
+
+relay_decision after_agent_loss(relay_state& state, errc code) {
+  if (state.ended) {
+    return {};
+  }
+  if (!state.start_written) {
+    return {relay_action::retry, not_run(code)};
+  }
+  return after_failure(state, may_have_run(code));
+}
+
+relay_decision give_up(relay_state& state, const outcome& why) {
+  if (state.ended) {
+    return {};
+  }
+  if (state.passed_on) {
+    return cut_off(state, why.error);
+  }
+  if (!may_have_started(state)) {
+    return end_with(state, relay_action::answer_error,
+                    {verdict::not_run, why.error, why.retry_after});
+  }
+  // Only a call that needs a claim can be cancelled for certain.
+  if (!state.repeatable && !state.cancel_asked) {
+    state.cancel_asked = true;
+    return {relay_action::ask_cancel, {verdict::may_have_run, why.error, {}}};
+  }
+  return end_with(state, relay_action::answer_error,
+                  {verdict::may_have_run, why.error, why.retry_after});
+}
+
+relay_decision after_cancel(relay_state& state, cancel_result result,
+                            const outcome& why) {
+  if (state.ended) {
+    return {};
+  }
+  switch (result) {
+  case cancel_result::cancelled:
+    return end_with(state, relay_action::answer_error,
+                    {verdict::not_run, why.error, why.retry_after});
+  case cancel_result::completed_whole:
+    return end_with(state, relay_action::finish, completed());
+  case cancel_result::undecided:
+    break;
+  }
+  return end_with(state, relay_action::answer_error,
+                  {verdict::may_have_run, why.error, why.retry_after});
+}
+
+} // namespace marigoldstep
--- /dev/null
+++ b/src/request.cpp
@@ -0,0 +1,213 @@
+#include "marigoldstep/request.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace marigoldstep {
+
+namespace {
+
+constexpr std::size_t uuid_size = 36;
+constexpr std::size_t uuid_version_at = 14;
+// Clocks of callers may run ahead of ours by this much.
+constexpr unix_seconds largest_clock_lead = 300;
+
+template <typename Number>
+std::optional<Number> parse_number(std::string_view text, int base = 10) {
+  Number value = 0;
+  const auto* end = text.data() + text.size();
+  auto [rest, ec] = std::from_chars(text.data(), end, value, base);
+  if (text.empty() || ec != std::errc{} || rest != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+bool is_field(std::string_view text) {
+  return text.size() <= max_request_field_bytes &&
+         std::all_of(text.begin(), text.end(),
+                     [](unsigned char c) { return c > ' ' && c < 0x7f; });
+}
+
+bool is_hex(char c) {
+  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+}
+
+std::optional<unix_seconds> uuid_time(std::string_view key) {
+  if (key.size() != uuid_size || key[uuid_version_at] != '7') {
+    return std::nullopt;
+  }
+  for (std::size_t i = 0; i < key.size(); ++i) {
+    const bool dash = i == 8 || i == 13 || i == 18 || i == 23;
+    if (dash ? key[i] != '-' : !is_hex(key[i])) {
+      return std::nullopt;
+    }
+  }
+  const auto digits = std::string(key.substr(0, 8)) + std::string(key.substr(9, 4));
+  const auto milliseconds = parse_number<std::uint64_t>(digits, 16);
+  return *milliseconds / 1000;
+}
+
+// A segment ".." could carry a call past a rule on its path prefix.
+bool has_parent_segment(std::string_view path) {
+  std::size_t at = 0;
+  while (at <= path.size()) {
+    const auto end = std::min(path.find('/', at), path.size());
+    if (path.substr(at, end - at) == "..") {
+      return true;
+    }
+    at = end + 1;
+  }
+  return false;
+}
+
+std::error_code set_priority(checked_request& out, const workspace_settings& workspace,
+                             std::string_view text) {
+  out.priority = workspace.default_priority;
+  if (text == "short") {
+    out.priority = priority::short_call;
+  } else if (text == "patient") {
+    out.priority = priority::patient;
+  } else if (!text.empty()) {
+    return errc::bad_request;
+  }
+  return {};
+}
+
+std::error_code set_deadline(checked_request& out, duration fallback,
+                             std::string_view text) {
+  out.deadline = fallback;
+  if (text.empty()) {
+    return {};
+  }
+  const auto n = parse_number<std::uint64_t>(text);
+  const auto longest = static_cast<std::uint64_t>(longest_request_deadline.count());
+  if (!n || *n == 0 || *n > longest) {
+    return errc::bad_request;
+  }
+  out.deadline = duration(*n);
+  return {};
+}
+
+std::error_code set_target(checked_request& out, const configuration& config,
+                           const workspace_settings& workspace,
+                           const request_facts& facts) {
+  if (facts.service.empty()) {
+    const auto& allowed = workspace.models;
+    const auto* pool = find_pool(config, facts.model);
+    if (pool == nullptr ||
+        std::find(allowed.begin(), allowed.end(), facts.model) == allowed.end()) {
+      return errc::unknown_model;
+    }
+    out.model = facts.model;
+    out.service = pool->name;
+    return set_deadline(out,
+                        out.priority == priority::short_call ? workspace.short_deadline
+                                                             : workspace.patient_deadline,
+                        facts.deadline_ms);
+  }
+  const auto* service = find_service(config, facts.service);
+  if (service == nullptr) {
+    return errc::unknown_service;
+  }
+  if (has_parent_segment(facts.path)) {
+    return errc::bad_request;
+  }
+  out.service = facts.service;
+  out.repeatable = is_repeatable(*service, facts.method, facts.path);
+  return set_deadline(out, service->deadline, facts.deadline_ms);
+}
+
+std::error_code check(checked_request& out, const configuration& config,
+                      const request_facts& facts, unix_seconds now) {
+  const bool fields_ok = is_field(facts.workspace) && is_field(facts.chat_id) &&
+                         is_field(facts.model) && is_field(facts.service) &&
+                         is_field(facts.idempotency_key);
+  if (!fields_ok || facts.workspace.empty()) {
+    return errc::bad_request;
+  }
+  const auto* workspace = find_workspace(config, facts.workspace);
+  if (workspace == nullptr) {
+    return errc::unknown_workspace;
+  }
+  if (facts.body_bytes > config.limits.max_body_bytes) {
+    return errc::body_too_large;
+  }
+  if (auto ec = set_priority(out, *workspace, facts.priority)) {
+    return ec;
+  }
+  if (auto ec = set_target(out, config, *workspace, facts)) {
+    return ec;
+  }
+  if (!out.repeatable) {
+    const auto result =
+        check_idempotency_key(facts.idempotency_key, now, config.limits.claim_retention);
+    if (result.error) {
+      return result.error;
+    }
+  }
+  out.workspace = facts.workspace;
+  out.chat_id = facts.chat_id;
+  out.idempotency_key = facts.idempotency_key;
+  out.stream = facts.stream;
+  out.placement = make_placement_key(facts.workspace, facts.chat_id, workspace->spread);
+  return {};
+}
+
+} // namespace
+
+request_check check_request(const configuration& config, const request_facts& facts,
+                            unix_seconds now) {
+  request_check out;
+  out.error = check(out.request, config, facts, now);
+  return out;
+}
+
+std::optional<unix_seconds> idempotency_key_time(std::string_view key) {
+  if (auto time = uuid_time(key)) {
+    return time;
+  }
+  const auto dash = key.find('-');
+  if (dash == std::string_view::npos || dash + 1 == key.size()) {
+    return std::nullopt;
+  }
+  return parse_number<unix_seconds>(key.substr(0, dash));
+}
+
+outcome check_idempotency_key(std::string_view key, unix_seconds now,
+                              duration claim_retention) {
+  if (key.empty()) {
+    return not_run(errc::missing_idempotency_key);
+  }
+  const auto time = is_field(key) ? idempotency_key_time(key) : std::nullopt;
+  if (!time) {
+    return not_run(errc::bad_idempotency_key);
+  }
+  // Subtraction on the side of now: a time near the largest value can't wrap.
+  if (*time > now && *time - now > largest_clock_lead) {
+    return not_run(errc::idempotency_key_in_future);
+  }
+  const auto retention = static_cast<unix_seconds>(claim_retention.count() / 1000);
+  if (now > *time && now - *time > retention) {
+    return may_have_run(errc::idempotency_key_expired);
+  }
+  return completed();
+}
+
+std::optional<resume_token> parse_resume_token(std::string_view text) {
+  const auto dot = text.rfind('.');
+  if (dot == std::string_view::npos || dot == 0) {
+    return std::nullopt;
+  }
+  const auto id = parse_attempt_id(text.substr(dot + 1));
+  if (!id) {
+    return std::nullopt;
+  }
+  return resume_token{std::string(text.substr(0, dot)), *id};
+}
+
+std::string to_string(const resume_token& token) {
+  return token.agent + "." + to_string(token.attempt);
+}
+
+} // namespace marigoldstep
--- /dev/null
+++ b/tools/router/agent_link.cpp
@@ -0,0 +1,208 @@
+#include "router/agent_link.h"
+
+#include "marigoldstep/io/clock.h"
+
+#include <algorithm>
+
+namespace marigoldstep::router {
+
+namespace {
+
+constexpr std::uint32_t data_protocol = 1;
+// One-way latency within a region is about 1 ms, so a connect or Hello that
+// takes this long is lost.
+constexpr auto connect_timeout = duration(500);
+constexpr auto first_reconnect_delay = duration(10);
+constexpr auto longest_reconnect_delay = duration(200);
+// Running attempts wait this long for their agent. A repeatable request must
+// have time for another server, and the agent's resume window must not be over.
+constexpr auto reconnect_limit = duration(2000);
+
+} // namespace
+
+agent_link::agent_link(agent_address address, std::string router_id, QObject* parent)
+    : QObject(parent), address_(std::move(address)), router_id_(std::move(router_id)) {
+  timer_.setSingleShot(true);
+  connect(&timer_, &QTimer::timeout, this, [this] {
+    if (connection_ == nullptr) {
+      connect_now();
+    } else if (!ready_) {
+      drop_connection();
+      handle_closed();
+    }
+  });
+}
+
+std::uint64_t agent_link::version() const {
+  return config_version ? config_version() : 0;
+}
+
+std::vector<attempt_id> agent_link::attached() const {
+  std::vector<attempt_id> out;
+  out.reserve(sinks_.size());
+  for (const auto& [id, sink] : sinks_) {
+    out.push_back(id);
+  }
+  return out;
+}
+
+void agent_link::attach(const attempt_id& id, attempt_sink& sink) {
+  sinks_[id] = &sink;
+  if (ready_) {
+    sink.on_link_ready(agent_);
+  } else if (connection_ == nullptr && !timer_.isActive()) {
+    connect_now();
+  }
+}
+
+void agent_link::detach(const attempt_id& id) {
+  sinks_.erase(id);
+}
+
+void agent_link::connect_now() {
+  drop_connection();
+  connection_ = new io::framed_connection(QString::fromStdString(address_.host),
+                                          address_.port, this);
+  // A dropped connection may still report something until it is deleted.
+  auto* mine = connection_;
+  connection_->on_open = [this, mine] {
+    if (mine == connection_) {
+      handle_open();
+    }
+  };
+  connection_->on_frame = [this, mine](byte_view buf) {
+    if (mine == connection_) {
+      handle_frame(buf);
+    }
+  };
+  connection_->on_closed = [this, mine](std::error_code) {
+    if (mine == connection_) {
+      drop_connection();
+      handle_closed();
+    }
+  };
+  timer_.start(connect_timeout);
+}
+
+void agent_link::drop_connection() {
+  timer_.stop();
+  ready_ = false;
+  if (connection_ == nullptr) {
+    return;
+  }
+  auto* dropped = connection_;
+  connection_ = nullptr;
+  dropped->close();
+  dropped->deleteLater();
+}
+
+void agent_link::handle_open() {
+  wire::HelloT hello;
+  hello.node_id = router_id_;
+  hello.incarnation = io::process_incarnation();
+  hello.protocol = data_protocol;
+  connection_->send(wire::encode(wire::data_frame(std::move(hello), version())));
+}
+
+void agent_link::handle_closed() {
+  const auto current = io::now();
+  if (failures_ == 0) {
+    dropped_at_ = current;
+  }
+  ++failures_;
+  // Requests whose start was not written yet go elsewhere at once.
+  lose(false);
+  if (current - dropped_at_ >= reconnect_limit) {
+    lose(true);
+  }
+  if (sinks_.empty()) {
+    failures_ = 0;
+    return;
+  }
+  constexpr unsigned largest_shift = 8;
+  const auto delay = first_reconnect_delay * (1 << std::min(failures_, largest_shift));
+  if (connection_ == nullptr && !timer_.isActive()) {
+    timer_.start(std::min<duration>(delay, longest_reconnect_delay));
+  }
+}
+
+void agent_link::lose(bool started_too) {
+  for (const auto& id : attached()) {
+    auto it = sinks_.find(id);
+    if (it == sinks_.end() || (!started_too && it->second->is_started())) {
+      continue;
+    }
+    auto* sink = it->second;
+    sinks_.erase(it);
+    sink->on_link_lost();
+  }
+}
+
+void agent_link::handle_frame(byte_view buf) {
+  std::error_code ec;
+  auto frame = wire::decode_data(buf, ec);
+  if (!frame) {
+    drop_connection();
+    handle_closed();
+    return;
+  }
+  if (on_frame) {
+    on_frame(*frame);
+  }
+  if (const auto* hello = frame->body.AsHello()) {
+    handle_hello(*hello);
+    return;
+  }
+  const wire::AttemptId* id = nullptr;
+  if (const auto* head = frame->body.AsAttemptHead()) {
+    id = head->attempt_id.get();
+  } else if (const auto* data = frame->body.AsAttemptData()) {
+    id = data->attempt_id.get();
+  } else if (const auto* end = frame->body.AsAttemptEnd()) {
+    id = end->attempt_id.get();
+  }
+  if (id == nullptr) {
+    return;
+  }
+  // Late frames of attempts that were given up find no sink.
+  auto it = sinks_.find(wire::from_wire(*id));
+  if (it != sinks_.end()) {
+    it->second->on_agent_frame(*frame);
+  }
+}
+
+void agent_link::handle_hello(const wire::HelloT& hello) {
+  timer_.stop();
+  if (hello.node_id != address_.node_id) {
+    // Another process took over the address: the agent itself is gone.
+    drop_connection();
+    lose(true);
+    return;
+  }
+  ready_ = true;
+  failures_ = 0;
+  agent_ = hello.incarnation;
+  for (const auto& id : attached()) {
+    auto it = sinks_.find(id);
+    if (it != sinks_.end()) {
+      it->second->on_link_ready(agent_);
+    }
+  }
+}
+
+void agent_link::set_address(const agent_address& address) {
+  if (address != address_) {
+    address_ = address;
+    reconnect();
+  }
+}
+
+void agent_link::reconnect() {
+  if (connection_ == nullptr) {
+    return;
+  }
+  drop_connection();
+  handle_closed();
+}
+
+} // namespace marigoldstep::router
--- /dev/null
+++ b/tools/router/caller_server.cpp
@@ -0,0 +1,160 @@
+#include "router/caller_server.h"
+
+#include "marigoldstep/io/clock.h"
+
+namespace marigoldstep::router {
+
+namespace {
+
+constexpr auto sweep_interval = duration(250);
+constexpr auto linger_time = duration(1000);
+
+// Written without Qt's responder, which needs a whole request.
+constexpr auto too_large_answer =
+    "HTTP/1.1 413 Payload Too Large\r\nContent-Type: application/problem+json\r\n"
+    "Connection: close\r\nContent-Length: 129\r\n\r\n"
+    R"({"type":"about:blank","title":"the request body exceeds the size limit",)"
+    R"("status":413,"code":"body_too_large","verdict":"not_run"})";
+
+// Qt's server reads inside a transaction, which would keep the bytes.
+void discard_input(QTcpSocket* socket) {
+  if (socket->isTransactionStarted()) {
+    socket->commitTransaction();
+  }
+  socket->readAll();
+}
+
+} // namespace
+
+void caller_server::listener::incomingConnection(qintptr descriptor) {
+  auto* socket = new QTcpSocket(this);
+  if (!socket->setSocketDescriptor(descriptor)) {
+    delete socket;
+    return;
+  }
+  if (owner_.connections() >= owner_.limits_.max_connections) {
+    socket->abort();
+    delete socket;
+    return;
+  }
+  owner_.add(socket);
+  addPendingConnection(socket);
+}
+
+caller_server::caller_server(const router_limits& limits, QObject* parent)
+    : QObject(parent), limits_(limits), http_(this),
+      listener_(std::make_unique<listener>(*this)) {
+  http_.on_request = [this](const QHttpServerRequest& request, QTcpSocket* socket) {
+    handle_request(request, socket);
+  };
+  connect(&timer_, &QTimer::timeout, this, [this] { close_idle(); });
+}
+
+std::error_code caller_server::start(const io::endpoint& listen) {
+  const QHostAddress address(QString::fromStdString(listen.host));
+  constexpr int backlog = 1024;
+  listener_->setListenBacklogSize(backlog);
+  if (!listener_->listen(address, listen.port)) {
+    return std::make_error_code(std::errc::address_not_available);
+  }
+  http_.bind(listener_.get());
+  timer_.start(sweep_interval);
+  return {};
+}
+
+std::uint16_t caller_server::port() const {
+  return listener_->serverPort();
+}
+
+void caller_server::stop_accepting() {
+  listener_->close();
+}
+
+// Called before Qt's server knows the socket, so that these slots run before
+// those of Qt's server.
+void caller_server::add(QTcpSocket* socket) {
+  auto connection = std::make_unique<caller_connection>();
+  connection->socket = socket;
+  connection->active_at = io::now();
+  connections_.emplace(socket, std::move(connection));
+  socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  connect(socket, &QTcpSocket::readyRead, this, [this, socket] { note_input(socket); });
+  connect(socket, &QTcpSocket::bytesWritten, this, [this, socket](qint64) {
+    auto it = connections_.find(socket);
+    if (it != connections_.end() && it->second->sink != nullptr) {
+      it->second->sink->on_caller_drained();
+    }
+  });
+  connect(socket, &QTcpSocket::disconnected, this, [this, socket] {
+    auto node = connections_.extract(socket);
+    if (!node.empty() && node.mapped()->sink != nullptr) {
+      node.mapped()->sink->on_caller_gone();
+    }
+  });
+}
+
+void caller_server::note_input(QTcpSocket* socket) {
+  auto it = connections_.find(socket);
+  if (it == connections_.end()) {
+    return;
+  }
+  auto& connection = *it->second;
+  if (connection.discarding) {
+    discard_input(socket);
+    return;
+  }
+  connection.unparsed_bytes += static_cast<std::uint64_t>(socket->bytesAvailable());
+  if (connection.unparsed_bytes <= max_request_bytes) {
+    return;
+  }
+  // Bytes sent during an answer are input that nobody will read.
+  if (connection.sink != nullptr) {
+    socket->abort();
+    return;
+  }
+  // Closing with unread input would reset the connection and could destroy the
+  // answer on its way, so the connection stays open for a moment.
+  connection.discarding = true;
+  connection.active_at = io::now() - limits_.caller_idle_timeout + linger_time;
+  socket->write(too_large_answer);
+  discard_input(socket);
+}
+
+void caller_server::handle_request(const QHttpServerRequest& request,
+                                   QTcpSocket* socket) {
+  auto it = connections_.find(socket);
+  if (it == connections_.end()) {
+    return;
+  }
+  auto& connection = *it->second;
+  connection.unparsed_bytes = 0;
+  connection.active_at = io::now();
+  if (connection.sink != nullptr) {
+    connection.pipelined = true;
+    return;
+  }
+  on_request(request, connection);
+}
+
+void caller_server::release(caller_connection& connection) {
+  connection.sink = nullptr;
+  connection.active_at = io::now();
+  if (connection.pipelined) {
+    connection.socket->disconnectFromHost();
+  }
+}
+
+void caller_server::close_idle() {
+  const auto limit = io::now() - limits_.caller_idle_timeout;
+  std::vector<QTcpSocket*> idle;
+  for (const auto& [socket, connection] : connections_) {
+    if (connection->sink == nullptr && connection->active_at < limit) {
+      idle.push_back(socket);
+    }
+  }
+  for (auto* socket : idle) {
+    socket->abort();
+  }
+}
+
+} // namespace marigoldstep::router
--- /dev/null
+++ b/tools/router/relay.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "marigoldstep/attempt.h"
+#include "marigoldstep/request.h"
+#include "router/agent_link.h"
+#include "router/caller_answer.h"
+
+#include <memory>
+#include <optional>
+
+namespace marigoldstep::router {
+
+class router;
+
+// One request on its way.
+struct relay_job {
+  std::string request_id;
+  checked_request request;
+  wire::StartAttemptT start; // without attempt id, deadline and incarnation
+  time_point received_at{};
+};
+
+// Carries one request from its caller to agents and the answer back. All
+// decisions come from the relay_state; this class sends and writes.
+class relay : public attempt_sink,
+              public caller_sink,
+              public std::enable_shared_from_this<relay> {
+public:
+  relay(router& owner, relay_job job, caller_answer answer);
+
+  // Starts the first attempt.
+  void begin();
+  // Continues an answer of an attempt that another relay started.
+  void begin_resume(const resume_token& token, std::uint64_t offset);
+  // Called when wake_at() has come.
+  void wake(time_point now);
+  // A newer configuration was applied.
+  void on_configuration();
+  // Ends the request because the router stops.
+  void abandon();
+
+  void on_link_ready(incarnation agent) override;
+  void on_link_lost() override;
+  void on_agent_frame(wire::DataFrameT& frame) override;
+  [[nodiscard]] bool is_started() const override { return state_.start_written; }
+  void on_caller_gone() override;
+  void on_caller_drained() override;
+
+  [[nodiscard]] time_point wake_at() const { return wake_at_; }
+
+private:
+  void try_next();
+  void start_attempt(const server_info& server);
+  void send_start();
+  void send_resume();
+  void wait_until(time_point when);
+  void leave_link();
+  void apply(const relay_decision& decision);
+  void handle_retry(const outcome& why);
+  void handle_no_server();
+  void handle_data(const wire::AttemptDataT& data);
+  void handle_end(const wire::AttemptEndT& end);
+  void pass_on(byte_view data);
+  void begin_answer();
+  void acknowledge();
+  void finish();
+  void answer_error(const outcome& result);
+  void cut_off(const outcome& result);
+  void ask_cancel(const outcome& why);
+  void handle_cancel_reply(const io::control_result& result, const outcome& why);
+  void done(std::string_view verdict, std::string_view code);
+  [[nodiscard]] answer_labels labels() const;
+  [[nodiscard]] bool holds_answer() const;
+  wire::AttemptHeadT& ensure_head();
+
+  router& owner_;
+  relay_job job_;
+  caller_answer answer_;
+  relay_state state_;
+  agent_link* link_ = nullptr;
+  std::string server_id_;
+  incarnation server_incarnation_ = 0; // as announced
+  incarnation agent_ = 0;              // that the start was written to
+  std::unique_ptr<wire::AttemptHeadT> head_;
+  std::string held_; // answer bytes not passed on yet
+  std::vector<std::string> tried_;
+  outcome last_refusal_;
+  time_point deadline_{};
+  time_point wake_at_{};
+  time_point drained_at_{};
+  std::uint64_t acknowledged_ = 0;
+  unsigned rounds_ = 0;
+  unsigned stale_refusals_ = 0;
+  std::uint64_t wanted_version_ = 0; // waits for this configuration
+  bool resume_only_ = false;
+  bool failed_status_ = false; // the backend server answered with a 5xx status
+  bool finished_ = false;
+};
+
+} // namespace marigoldstep::router
--- /dev/null
+++ b/tools/router/router.cpp
@@ -0,0 +1,225 @@
+#include "router/router.h"
+
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/logging.h"
+
+namespace marigoldstep::router {
+
+namespace {
+
+// Resolution of deadlines and backoff.
+constexpr auto wake_interval = duration(5);
+// Room for the headers of a request beside its body.
+constexpr std::uint64_t header_allowance = 64U << 10U;
+// Contacts older than this say nothing against a suspicion.
+constexpr auto contact_lifetime = duration(1500);
+
+bool is_known(const membership_view& view, const std::string& node_id) {
+  auto it = view.servers.find(node_id);
+  return it != view.servers.end() && it->second.state != server_state::dead;
+}
+
+agent_address address_of(const server_info& server) {
+  return {server.node_id, server.host, server.port};
+}
+
+} // namespace
+
+router::router(const router_settings& settings, QObject* parent)
+    : QObject(parent), settings_(settings),
+      session_(settings.control, wire::NodeRole::router, settings.node_id, this),
+      admin_(this), callers_(settings.limits, this), metrics_(admin_.registry()) {
+  budget_.refilled_at = io::now();
+  callers_.on_request = [this](const QHttpServerRequest& request,
+                               caller_connection& connection) {
+    handle_request(request, connection);
+  };
+  session_.on_configuration = [this](const std::shared_ptr<const configuration>& config) {
+    handle_configuration(config);
+  };
+  session_.on_membership = [this](const membership_view& view) {
+    handle_membership(view);
+  };
+  session_.fill_heartbeat = [this](wire::HeartbeatT& body) {
+    const auto limit = io::now() - contact_lifetime;
+    std::erase_if(contacts_, [limit](const auto& it) { return it.second < limit; });
+    for (const auto& [node_id, at] : contacts_) {
+      body.contacted.push_back(node_id);
+    }
+    body.leaving = stopping_;
+  };
+  admin_.is_ready = [this] { return is_ready(); };
+  admin_.before_collect = [this] {
+    metrics_.set({relays_.size(), callers_.connections(), client().bytes_sent(),
+                  client().bytes_received(), session_.version()});
+  };
+  connect(&wake_timer_, &QTimer::timeout, this, [this] { wake_relays(); });
+}
+
+std::error_code router::start() {
+  if (auto ec = callers_.start(settings_.listen)) {
+    return ec;
+  }
+  const auto host = QString::fromStdString(settings_.admin.host);
+  if (auto ec = admin_.start(host, settings_.admin.port)) {
+    return ec;
+  }
+  session_.start();
+  wake_timer_.start(wake_interval);
+  return {};
+}
+
+bool router::is_ready() const {
+  return !stopping_ && session_.may_take_work();
+}
+
+void router::stop() {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stop_by_ = io::now() + settings_.limits.stop_limit;
+  callers_.stop_accepting();
+  session_.send_heartbeat();
+  io::log_event(io::log_level::info, "stopping",
+                {{"running", std::to_string(relays_.size())}});
+}
+
+void router::finish_stop() {
+  const bool out_of_time = io::now() >= stop_by_;
+  if (!relays_.empty() && !out_of_time) {
+    return;
+  }
+  const auto left = relays_;
+  for (const auto& [key, it] : left) {
+    it->abandon();
+  }
+  wake_timer_.stop();
+  io::log_event(io::log_level::info, "stopped",
+                {{"abandoned", std::to_string(left.size())}});
+  if (on_stopped) {
+    on_stopped();
+  }
+}
+
+void router::wake_relays() {
+  removed_.clear();
+  const auto now = io::now();
+  while (!wakes_.empty() && wakes_.begin()->first <= now) {
+    auto* next = wakes_.begin()->second;
+    wakes_.erase(wakes_.begin());
+    next->wake(now);
+  }
+  if (stopping_) {
+    finish_stop();
+  }
+}
+
+void router::reschedule(relay& which, time_point before, time_point at) {
+  wakes_.erase({before, &which});
+  wakes_.emplace(at, &which);
+}
+
+void router::remove(relay& which) {
+  wakes_.erase({which.wake_at(), &which});
+  auto node = relays_.extract(&which);
+  if (!node.empty()) {
+    removed_.push_back(std::move(node.mapped()));
+  }
+}
+
+void router::handle_configuration(const std::shared_ptr<const configuration>& config) {
+  callers_.max_request_bytes = config->limits.max_body_bytes + header_allowance;
+  newest_version_ = std::max(newest_version_, config->version);
+  const auto running = relays_;
+  for (const auto& [key, it] : running) {
+    it->on_configuration();
+  }
+}
+
+void router::handle_membership(const membership_view& view) {
+  update(fleet_, view);
+  for (auto it = links_.begin(); it != links_.end();) {
+    auto& link = *it->second;
+    if (is_known(view, it->first)) {
+      link.set_address(address_of(view.servers.at(it->first)));
+      ++it;
+    } else if (link.attempts() == 0) {
+      it = links_.erase(it);
+    } else {
+      // The agent was not heard for seconds: a connection that is silent may
+      // lead to a VM that is gone.
+      link.reconnect();
+      ++it;
+    }
+  }
+}
+
+server_choice router::choose_server(const checked_request& request,
+                                    std::span<const std::string> tried) {
+  const auto bias = session_.config()->limits.reuse_bias;
+  return choose(fleet_, request.service, request.placement, tried, bias, io::now());
+}
+
+void router::log_choice(const std::string& request_id, unsigned attempt,
+                        const server_choice& found) {
+  io::log_decision({request_id, attempt == 0 ? "route" : "retry",
+                    found.server == nullptr ? std::string() : found.server->node_id,
+                    std::string(name(found.made.reason)), found.made.passed_over});
+}
+
+void router::note_first_attempt() {
+  marigoldstep::note_first_attempt(budget_,
+                                   session_.config()->limits.retry_budget_percent);
+}
+
+bool router::take_retry() {
+  return marigoldstep::take_retry(budget_, io::now());
+}
+
+agent_link& router::link(const server_info& server) {
+  auto& slot = links_[server.node_id];
+  if (!slot) {
+    slot = std::make_unique<agent_link>(address_of(server), settings_.node_id, nullptr);
+    slot->config_version = [this] { return session_.version(); };
+    slot->on_frame = [this, id = server.node_id](const wire::DataFrameT& frame) {
+      handle_agent_frame(id, frame);
+    };
+  }
+  return *slot;
+}
+
+const server_info* router::find_member(std::string_view node_id) const {
+  const auto& servers = session_.view().servers;
+  auto it = servers.find(node_id);
+  return it == servers.end() ? nullptr : &it->second;
+}
+
+agent_link* router::find_link(std::string_view node_id) {
+  const auto* server = find_member(node_id);
+  return server == nullptr ? nullptr : &link(*server);
+}
+
+void router::handle_agent_frame(const std::string& node_id,
+                                const wire::DataFrameT& frame) {
+  if (frame.config_version > newest_version_) {
+    newest_version_ = frame.config_version;
+    session_.observe_version(frame.config_version);
+  }
+  const auto* server = find_member(node_id);
+  if (server == nullptr) {
+    return;
+  }
+  const auto now = io::now();
+  if (server->state == server_state::suspect) {
+    contacts_[node_id] = now;
+  }
+  if (frame.load) {
+    note_load(fleet_, server->service, node_id, *frame.load, now);
+  }
+  if (const auto* notice = frame.body.AsServerNotice()) {
+    note_draining(fleet_, server->service, node_id, notice->draining);
+  }
+}
+
+} // namespace marigoldstep::router
--- /dev/null
+++ b/tools/router/router.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "marigoldstep/io/admin_server.h"
+#include "marigoldstep/io/node_session.h"
+#include "router/fleet_view.h"
+#include "router/metrics.h"
+#include "router/relay.h"
+
+#include <set>
+
+namespace marigoldstep::router {
+
+// The daemon: accepts callers, keeps the links to agents and the running
+// relays, and gives the relays what they share.
+class router : public QObject {
+public:
+  router(const router_settings& settings, QObject* parent);
+
+  // Binds both ports and starts the heartbeats.
+  std::error_code start();
+  // Stops accepting; on_stopped follows when nothing runs any more, or when the
+  // time limit for stopping is over.
+  void stop();
+  std::function<void()> on_stopped;
+
+  [[nodiscard]] std::uint16_t port() const { return callers_.port(); }
+  [[nodiscard]] std::uint16_t admin_port() const { return admin_.port(); }
+  [[nodiscard]] bool is_ready() const;
+  [[nodiscard]] std::size_t running() const { return relays_.size(); }
+
+  // For the relays.
+  [[nodiscard]] const router_limits& limits() const { return settings_.limits; }
+  [[nodiscard]] fleet_view& fleet() { return fleet_; }
+  [[nodiscard]] router_metrics& metrics() { return metrics_; }
+  [[nodiscard]] io::control_client& client() { return session_.client(); }
+  [[nodiscard]] bool may_take_work() const { return session_.may_take_work(); }
+  [[nodiscard]] std::uint64_t config_version() const { return session_.version(); }
+  [[nodiscard]] std::uint64_t newest_version_seen() const { return newest_version_; }
+  server_choice choose_server(const checked_request& request,
+                              std::span<const std::string> tried);
+  static void log_choice(const std::string& request_id, unsigned attempt,
+                         const server_choice& found);
+  void note_first_attempt();
+  bool take_retry();
+  // The link to a server; made when there is none.
+  agent_link& link(const server_info& server);
+  // The link to a server of the membership view; null for an unknown one.
+  agent_link* find_link(std::string_view node_id);
+  [[nodiscard]] const server_info* find_member(std::string_view node_id) const;
+  void reschedule(relay& which, time_point before, time_point at);
+  void remove(relay& which);
+
+private:
+  void handle_request(const QHttpServerRequest& request, caller_connection& connection);
+  void handle_call(const QHttpServerRequest& request, caller_connection& connection,
+                   std::string request_id);
+  void handle_resume(const QHttpServerRequest& request, caller_connection& connection,
+                     std::string request_id);
+  void handle_cancel(const QHttpServerRequest& request, caller_connection& connection,
+                     std::string request_id);
+  void refuse(const QHttpServerRequest& request, caller_connection& connection,
+              const std::string& request_id, const outcome& result);
+  std::shared_ptr<relay> add_relay(relay_job job, const QHttpServerRequest& request,
+                                   caller_connection& connection);
+  void handle_configuration(const std::shared_ptr<const configuration>& config);
+  void handle_membership(const membership_view& view);
+  void handle_agent_frame(const std::string& node_id, const wire::DataFrameT& frame);
+  void wake_relays();
+  void finish_stop();
+
+  router_settings settings_;
+  io::node_session session_;
+  io::admin_server admin_;
+  caller_server callers_;
+  router_metrics metrics_;
+  fleet_view fleet_;
+  retry_budget budget_;
+  std::unordered_map<std::string, std::unique_ptr<agent_link>> links_;
+  std::unordered_map<relay*, std::shared_ptr<relay>> relays_;
+  std::vector<std::shared_ptr<relay>> removed_; // kept until the event loop turns
+  std::set<std::pair<time_point, relay*>> wakes_;
+  std::map<std::string, time_point, std::less<>> contacts_; // suspects that answered
+  QTimer wake_timer_;
+  std::uint64_t newest_version_ = 0;
+  bool stopping_ = false;
+  time_point stop_by_{};
+};
+
+} // namespace marigoldstep::router
--- /dev/null
+++ b/tools/router/settings.cpp
@@ -0,0 +1,71 @@
+#include "router/settings.h"
+
+namespace marigoldstep::router {
+
+namespace {
+
+constexpr std::int64_t most_connections = 1'000'000;
+constexpr auto shortest_time = duration(100);
+constexpr auto longest_time = duration(24L * 3600 * 1000);
+
+io::endpoint read_endpoint(yaml_mapping& map, const std::string& key) {
+  const auto text = read_string(map, key);
+  auto out = io::parse_endpoint(text);
+  if (!text.empty() && out.port == 0) {
+    add_problem(map, key, "must be host:port");
+  }
+  return out;
+}
+
+std::vector<io::endpoint> read_endpoints(yaml_mapping& map, const std::string& key) {
+  std::vector<io::endpoint> out;
+  for (const auto& it : read_strings(map, key)) {
+    out.push_back(io::parse_endpoint(it));
+    if (out.back().port == 0) {
+      add_problem(map, key, "must be a list of host:port, found " + it);
+    }
+  }
+  if (out.empty()) {
+    add_problem(map, key, "must name at least one control process");
+  }
+  return out;
+}
+
+std::uint32_t read_count(yaml_mapping& map, const std::string& key,
+                         std::uint32_t fallback) {
+  return static_cast<std::uint32_t>(
+      read_integer(map, key, fallback, 1, most_connections));
+}
+
+router_limits parse_limits(yaml_mapping map) {
+  router_limits out;
+  const auto read_time = [&map](const char* key, duration fallback) {
+    return read_duration_ms(map, key, fallback, shortest_time, longest_time);
+  };
+  out.max_connections = read_count(map, "max_connections", out.max_connections);
+  out.max_requests = read_count(map, "max_requests", out.max_requests);
+  out.caller_idle_timeout = read_time("caller_idle_timeout_ms", out.caller_idle_timeout);
+  out.caller_stall_timeout =
+      read_time("caller_stall_timeout_ms", out.caller_stall_timeout);
+  out.stop_limit = read_time("stop_limit_ms", out.stop_limit);
+  finish(map);
+  return out;
+}
+
+} // namespace
+
+router_settings parse_settings(yaml_mapping& map) {
+  router_settings out;
+  out.node_id = read_string(map, "node_id");
+  out.zone = read_string(map, "zone");
+  out.listen = read_endpoint(map, "listen");
+  out.admin = read_endpoint(map, "admin");
+  out.control = read_endpoints(map, "control");
+  out.log_level =
+      read_choice(map, "log_level", out.log_level, {"debug", "info", "warning", "error"});
+  out.log_file = read_string(map, "log_file", out.log_file);
+  out.limits = parse_limits(read_mapping(map, "limits"));
+  return out;
+}
+
+} // namespace marigoldstep::router
