Add mutual TLS for the connections between the fleet's processes

Cause: any process that reached an internal port could have sent work or asked for the configuration.

Conclusion: QSslServer announces a connection only by pendingConnectionAvailable in Qt 6.4, so the listener uses that signal for both kinds.

--- a/include/marigoldstep/io/framed_connection.h
+++ b/include/marigoldstep/io/framed_connection.h
@@ -11,7 +11,8 @@
 
 namespace marigoldstep::io {
 
-// A TCP connection that carries size-prefixed frames. Frames longer than
+// A TCP connection, or a mutual TLS one when tls_enabled(), that carries
+// size-prefixed frames. Frames longer than
 // wire::max_frame_size close it. Callbacks run on the thread that owns it and
 // may destroy the connection with deleteLater().
 class framed_connection : public QObject {
@@ -44,6 +45,7 @@
 
 private:
   void connect_signals();
+  void handle_open();
   void read_frames();
   void fail(std::error_code ec);
 
@@ -54,7 +56,8 @@
   bool closed_ = false;
 };
 
-// Listens for framed connections. Port 0 picks a free one; port() tells which.
+// Listens for framed connections. Peers that fail the TLS handshake never reach
+// on_connection. Port 0 picks a free one; port() tells which.
 class framed_listener : public QObject {
 public:
   explicit framed_listener(QObject* parent);
--- a/include/marigoldstep/io/program.h
+++ b/include/marigoldstep/io/program.h
@@ -28,7 +28,8 @@
 // Reads a whole file. On failure sets ec and returns an empty text.
 std::string read_file(const std::string& path, std::error_code& ec);
 
-// Reads the settings file through parse and prints every problem to standard
+// Reads the settings file through parse, takes the "tls" mapping that all
+// programs share (see tls.h), and prints every problem to standard
 // error as "file:line: key: text". Returns false when there was any.
 bool load_settings(const std::string& path,
                    const std::function<void(yaml_mapping&)>& parse);
--- a/src/io/framed_connection.cpp
+++ b/src/io/framed_connection.cpp
@@ -1,16 +1,53 @@
 #include "marigoldstep/io/framed_connection.h"
 
+#include "marigoldstep/io/tls.h"
 #include "marigoldstep/wire.h"
 
 #include <QHostAddress>
+#include <QSslServer>
+#include <QSslSocket>
 
 namespace marigoldstep::io {
 
+namespace {
+
+// A peer that connects and stays silent may hold a socket this long.
+constexpr int handshake_timeout_ms = 2000;
+
+// Takes the keys of the moment for each connection.
+class tls_server : public QSslServer {
+public:
+  using QSslServer::QSslServer;
+
+private:
+  void incomingConnection(qintptr descriptor) override {
+    setSslConfiguration(tls_configuration());
+    QSslServer::incomingConnection(descriptor);
+  }
+};
+
+QTcpServer* make_server(QObject* parent) {
+  if (!tls_enabled()) {
+    return new QTcpServer(parent);
+  }
+  auto* server = new tls_server(parent);
+  server->setHandshakeTimeout(handshake_timeout_ms);
+  return server;
+}
+
+} // namespace
+
 framed_connection::framed_connection(const QString& host, std::uint16_t port,
                                      QObject* parent)
-    : QObject(parent), socket_(new QTcpSocket(this)) {
+    : QObject(parent),
+      socket_(tls_enabled() ? new QSslSocket(this) : new QTcpSocket(this)) {
   connect_signals();
-  socket_->connectToHost(host, port);
+  if (auto* secure = qobject_cast<QSslSocket*>(socket_)) {
+    secure->setSslConfiguration(tls_configuration());
+    secure->connectToHostEncrypted(host, port, QString(fleet_certificate_name));
+  } else {
+    socket_->connectToHost(host, port);
+  }
 }
 
 framed_connection::framed_connection(QTcpSocket* accepted, QObject* parent)
@@ -25,12 +62,11 @@
 }
 
 void framed_connection::connect_signals() {
-  connect(socket_, &QTcpSocket::connected, this, [this] {
-    socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    if (on_open) {
-      on_open();
-    }
-  });
+  if (auto* secure = qobject_cast<QSslSocket*>(socket_)) {
+    connect(secure, &QSslSocket::encrypted, this, [this] { handle_open(); });
+  } else {
+    connect(socket_, &QTcpSocket::connected, this, [this] { handle_open(); });
+  }
   connect(socket_, &QTcpSocket::readyRead, this, [this] { read_frames(); });
   connect(socket_, &QTcpSocket::bytesWritten, this, [this](qint64) {
     if (on_drained && socket_->bytesToWrite() == 0) {
@@ -45,6 +81,13 @@
           });
 }
 
+void framed_connection::handle_open() {
+  socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  if (on_open) {
+    on_open();
+  }
+}
+
 void framed_connection::read_frames() {
   if (closed_) {
     return;
@@ -88,7 +131,11 @@
 }
 
 bool framed_connection::is_open() const {
-  return !closed_ && socket_->state() == QAbstractSocket::ConnectedState;
+  if (closed_ || socket_->state() != QAbstractSocket::ConnectedState) {
+    return false;
+  }
+  const auto* secure = qobject_cast<const QSslSocket*>(socket_);
+  return secure == nullptr || secure->isEncrypted();
 }
 
 std::size_t framed_connection::queued_bytes() const {
@@ -111,8 +158,9 @@
 }
 
 framed_listener::framed_listener(QObject* parent)
-    : QObject(parent), server_(new QTcpServer(this)) {
-  connect(server_, &QTcpServer::newConnection, this, [this] {
+    : QObject(parent), server_(make_server(this)) {
+  // A TLS server adds a connection after its handshake, without newConnection.
+  connect(server_, &QTcpServer::pendingConnectionAvailable, this, [this] {
     while (auto* socket = server_->nextPendingConnection()) {
       auto* connection = new framed_connection(socket, this);
       if (on_connection) {
--- a/src/io/program.cpp
+++ b/src/io/program.cpp
@@ -1,5 +1,7 @@
 #include "marigoldstep/io/program.h"
 
+#include "marigoldstep/io/tls.h"
+
 #include <QCoreApplication>
 #include <QSocketNotifier>
 
@@ -120,7 +122,11 @@
     auto map = parse_yaml(text, report);
     if (report.problems.empty()) {
       parse(map);
+      const auto tls = parse_tls(map);
       finish(map);
+      if (use_tls(tls)) {
+        add_problem(map, "tls", "certificate, key or authority cannot be used");
+      }
     }
   }
   for (const auto& it : report.problems) {
