Add log records, request explanations and the period report

Cause: an operator who can't watch dashboards needs the decisions of one request and a page for a period out of the structured logs. Change: a parser for the log lines, the decisions of a request in order, and a self-contained HTML page with SVG plots of cache reuse, skew, control traffic and outcomes, with configuration changes marked. Log times are UTC now.

Conclusion: the programs must log router_summary, workspace_summary and agent_summary for the page to have data.

--- /dev/null
+++ b/include/marigoldstep/log_record.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "marigoldstep/types.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marigoldstep {
+
+// Wall clock milliseconds since 1970-01-01T00:00:00Z.
+using unix_milliseconds = std::int64_t;
+
+struct log_value {
+  std::string key;
+  std::string value;
+
+  friend bool operator==(const log_value&, const log_value&) = default;
+};
+
+// One line that a program of the fleet has logged.
+struct log_record {
+  unix_milliseconds time = 0;
+  std::string level;
+  std::string program;
+  std::string node;
+  std::string event;
+  std::vector<log_value> fields;
+
+  friend bool operator==(const log_record&, const log_record&) = default;
+};
+
+// Parses "time=... level=... program=... node=... event=... key=value ...".
+// Empty for a line that isn't of that form, such as one cut off by a crash.
+std::optional<log_record> parse_log_record(std::string_view line);
+
+// Value of a field, empty when missing.
+std::string_view field(const log_record& record, std::string_view key);
+// Numeric value of a field, 0 when missing or not a whole number.
+std::int64_t number_field(const log_record& record, std::string_view key);
+
+// Reads all records of a log; lines that can't be parsed are counted in skipped.
+std::vector<log_record> parse_log(std::string_view text, std::size_t& skipped);
+
+// "2026-01-31T12:34:56.789Z"
+std::string format_time(unix_milliseconds time);
+
+// The decisions about one request, in the order of their time, a line each.
+// Empty when no record names the request.
+std::string explain_request(std::span<const log_record> records,
+                            std::string_view request_id);
+
+} // namespace marigoldstep
--- /dev/null
+++ b/include/marigoldstep/report.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "marigoldstep/log_record.h"
+
+#include <map>
+
+namespace marigoldstep {
+
+struct report_period {
+  unix_milliseconds from = 0;
+  unix_milliseconds to = 0;
+
+  friend bool operator==(const report_period&, const report_period&) = default;
+};
+
+struct report_point {
+  unix_milliseconds time = 0;
+  double value = 0;
+
+  friend bool operator==(const report_point&, const report_point&) = default;
+};
+
+struct workspace_outcomes {
+  std::int64_t completed = 0;
+  std::int64_t not_run = 0;
+  std::int64_t may_have_run = 0;
+
+  friend bool operator==(const workspace_outcomes&, const workspace_outcomes&) = default;
+};
+
+struct configuration_mark {
+  unix_milliseconds time = 0; // when the first node applied it
+  std::int64_t version = 0;
+
+  friend bool operator==(const configuration_mark&, const configuration_mark&) = default;
+};
+
+// What a report shows, drawn from the summary lines that routers and agents log
+// every few seconds (events router_summary, workspace_summary, agent_summary and
+// configuration_applied).
+struct report_data {
+  std::string title;
+  report_period period;
+  std::vector<report_point> cache_reuse;   // cached over prompt tokens, 0 to 1
+  std::vector<report_point> skew;          // largest load over mean, worst pool
+  std::vector<report_point> control_bytes; // bytes/s of the router that spent most
+  std::map<std::string, workspace_outcomes> outcomes; // by workspace
+  std::vector<configuration_mark> changes;
+};
+
+// Aggregates the records inside the period into at most 120 intervals, none
+// shorter than 5 s. A period of 0 to 0 means all records.
+report_data build_report(std::span<const log_record> records, std::string title,
+                         report_period period);
+
+// One self-contained HTML page: no script, no outside files, SVG plots that
+// scale to a phone's width. All texts are escaped.
+std::string render_report(const report_data& data);
+
+} // namespace marigoldstep
--- a/src/io/logging.cpp
+++ b/src/io/logging.cpp
@@ -1,12 +1,11 @@
 #include "marigoldstep/io/logging.h"
 
-#include <boost/log/attributes/constant.hpp>
+#include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
-#include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/log/utility/setup/file.hpp>
 
@@ -92,10 +91,11 @@
 void start_logging(std::string_view program, std::string_view node_id, log_level level,
                    const std::string& path) {
   minimum_level = level;
-  log::add_common_attributes();
+  // UTC, so that the lines of VMs in different places can be put in order.
+  log::core::get()->add_global_attribute("TimeStamp", log::attributes::utc_clock());
   const auto format = expr::stream << "time="
                                    << expr::format_date_time<boost::posix_time::ptime>(
-                                          "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                                          "TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
                                    << " level=" << expr::attr<log_level>("Severity")
                                    << " program=" << std::string(program)
                                    << " node=" << format_log_value(node_id) << " "
