Add a single-voter control daemon

Cause: routers and agents need a control process to run against while the replicated log is written. Change: mstep-control serves heartbeats, configuration, claims, changes, history and status from one in-memory voter; the replica class is the seam behind which the replicated log goes.

--- /dev/null
+++ b/tools/control/leader_duties.cpp
@@ -0,0 +1,145 @@
+// The part of the service that a leader does from its soft state: membership,
+// leases and the status of the fleet.
+#include "control/service.h"
+
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/logging.h"
+#include "marigoldstep/io/node_session.h"
+
+namespace marigoldstep::control {
+
+namespace {
+
+// Counted by the node from when it sent the heartbeat. With the time for an
+// acknowledgement to arrive it stays below the 3 s of R7.
+constexpr std::uint32_t lease_ms = 2000;
+// Nodes silent for longer hold no lease, so they don't delay "in force".
+constexpr auto in_force_window = duration(3000);
+// Nodes silent for longer are left out of the status.
+constexpr auto forget_after = duration(600'000);
+
+server_report to_report(const wire::HeartbeatT& body) {
+  server_report out;
+  out.server = io::from_wire(*body.server);
+  out.server.node_id = body.node_id;
+  out.server.incarnation = body.incarnation;
+  out.load = body.load;
+  out.capacity = body.capacity;
+  out.config_version = body.config_version;
+  out.leaving = body.leaving;
+  return out;
+}
+
+std::uint32_t milliseconds(duration value) {
+  return static_cast<std::uint32_t>(std::max<duration::rep>(0, value.count()));
+}
+
+} // namespace
+
+void service::handle_heartbeat(const link& to, std::uint64_t correlation,
+                               const wire::HeartbeatT& body) {
+  const auto now = io::now();
+  if (table_term_ != group_.term()) {
+    table_ = make_membership_table(now);
+    table_term_ = group_.term();
+    nodes_.clear();
+  }
+  if (body.role == wire::NodeRole::agent && body.server) {
+    observe_heartbeat(table_, to_report(body), now);
+  }
+  for (const auto& it : body.contacted) {
+    observe_contact(table_, it, now);
+  }
+  auto& node = nodes_[body.node_id];
+  if (body.incarnation >= node.started) {
+    node = {body.role, body.incarnation, body.config_version, now};
+  }
+  note_versions();
+  when_confirmed(to, correlation, [this, body] { return make_ack(body); });
+}
+
+wire::HeartbeatAckT service::make_ack(const wire::HeartbeatT& body) {
+  wire::HeartbeatAckT ack;
+  ack.term = group_.term();
+  ack.accepted_version = group_.state().accepted_version;
+  ack.lease_ms = lease_ms;
+  ack.membership_term = table_term_;
+  ack.membership_version = table_.version;
+  if (body.role == wire::NodeRole::agent) {
+    if (body.server) {
+      const auto pool = mean_load(table_, body.server->service);
+      ack.pool_mean_milli = pool.mean_milli;
+      ack.pool_servers = pool.servers;
+    }
+    return ack;
+  }
+  ack.full = body.membership_term != table_term_;
+  for (const auto& it : changes_since(table_, ack.full ? 0 : body.membership_version)) {
+    ack.changes.push_back(std::make_unique<wire::ServerEntryT>(io::to_wire(it)));
+  }
+  ack.lost_zones = lost_zones(table_);
+  return ack;
+}
+
+void service::note_versions() {
+  const auto now = io::now();
+  const auto accepted = group_.state().accepted_version;
+  if (accepted != version_seen_) {
+    version_seen_ = accepted;
+    version_since_ = now;
+    in_force_ = false;
+  }
+  if (in_force_ || accepted == 0) {
+    return;
+  }
+  for (const auto& [id, it] : nodes_) {
+    if (now - it.heard_at < in_force_window && it.config_version < accepted) {
+      return;
+    }
+  }
+  in_force_ = true;
+  in_force_after_ms_ = milliseconds(now - version_since_);
+  io::log_event(io::log_level::info, "configuration_in_force",
+                {{"version", std::to_string(accepted)},
+                 {"after_ms", std::to_string(in_force_after_ms_)}});
+}
+
+wire::StatusReplyT service::make_status() {
+  const auto now = io::now();
+  wire::StatusReplyT reply;
+  reply.term = group_.term();
+  reply.commit_index = group_.commit_index();
+  reply.accepted_version = group_.state().accepted_version;
+  reply.in_force = in_force_;
+  reply.in_force_after_ms = in_force_after_ms_;
+  std::erase_if(nodes_,
+                [&](const auto& it) { return now - it.second.heard_at > forget_after; });
+  for (const auto& [id, it] : nodes_) {
+    wire::NodeStatusT node;
+    node.node_id = id;
+    node.role = it.role;
+    node.config_version = it.config_version;
+    node.silent_ms = milliseconds(now - it.heard_at);
+    const auto known = table_.members.find(id);
+    if (known != table_.members.end()) {
+      const auto& report = known->second.report;
+      node.zone = report.server.zone;
+      node.state = static_cast<wire::ServerState>(report.server.state);
+      node.load = report.load;
+      node.service = report.server.service;
+    }
+    reply.nodes.push_back(std::make_unique<wire::NodeStatusT>(node));
+  }
+  for (const auto& it : group_.state().changes) {
+    if (it.outcome == wire::ChangeOutcome::pending) {
+      reply.pending.push_back(std::make_unique<wire::ChangeRecordT>(it));
+    }
+  }
+  return reply;
+}
+
+void service::handle_status(const link& to, std::uint64_t correlation) {
+  when_confirmed(to, correlation, [this] { return make_status(); });
+}
+
+} // namespace marigoldstep::control
--- /dev/null
+++ b/tools/control/service.cpp
@@ -0,0 +1,177 @@
+#include "control/service.h"
+
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/logging.h"
+
+namespace marigoldstep::control {
+
+namespace {
+
+// 340 nodes keep one connection each; the rest is headroom for reconnects.
+constexpr std::size_t max_connections = 2000;
+// An agent at peak sends tens of requests a second.
+constexpr std::uint32_t max_requests_per_second = 2000;
+constexpr auto rate_window = duration(1000);
+// A peer that doesn't read its replies is cut off.
+constexpr std::size_t max_queued_bytes = 32U << 20U;
+constexpr auto advance_interval = duration(100);
+
+} // namespace
+
+service::service(replica& group, QObject* parent)
+    : QObject(parent), group_(group), listener_(this) {
+  listener_.on_connection = [this](io::framed_connection* it) { accept(it); };
+  connect(&timer_, &QTimer::timeout, this, [this] {
+    if (group_.is_leader()) {
+      advance(table_, io::now());
+      note_versions();
+    }
+  });
+  timer_.start(advance_interval);
+}
+
+std::error_code service::listen(const io::endpoint& address) {
+  return listener_.listen(QString::fromStdString(address.host), address.port);
+}
+
+void service::stop() {
+  listener_.close();
+  for (auto& [it, state] : clients_) {
+    it->close();
+  }
+}
+
+void service::accept(io::framed_connection* connection) {
+  if (clients_.size() >= max_connections) {
+    connection->close();
+    connection->deleteLater();
+    return;
+  }
+  clients_[connection] = {io::now(), 0};
+  connection->on_frame = [this, connection](byte_view buf) {
+    handle_frame(connection, buf);
+  };
+  connection->on_closed = [this, connection](std::error_code) { close(connection); };
+}
+
+void service::close(io::framed_connection* connection) {
+  if (clients_.erase(connection) == 0) {
+    return;
+  }
+  connection->on_closed = nullptr;
+  connection->close();
+  connection->deleteLater();
+}
+
+bool service::within_rate(io::framed_connection* connection) {
+  auto& it = clients_[connection];
+  const auto now = io::now();
+  if (now - it.window_start >= rate_window) {
+    it = {now, 0};
+  }
+  return ++it.requests <= max_requests_per_second;
+}
+
+void service::handle_frame(io::framed_connection* connection, byte_view buf) {
+  bytes_received_ += buf.size();
+  if (!clients_.contains(connection)) {
+    return;
+  }
+  std::error_code ec;
+  const auto frame = wire::decode_control(buf, ec);
+  if (!frame || !within_rate(connection)) {
+    io::log_event(io::log_level::warning, "connection_refused",
+                  {{"reason", frame ? "rate" : "malformed"}});
+    close(connection);
+    return;
+  }
+  dispatch(connection, *frame);
+}
+
+void service::dispatch(const link& to, const wire::ControlFrameT& frame) {
+  if (!group_.is_leader()) {
+    send_not_leader(to, frame.correlation);
+    return;
+  }
+  if (const auto* heartbeat = frame.body.AsHeartbeat()) {
+    handle_heartbeat(to, frame.correlation, *heartbeat);
+  } else if (frame.body.AsFetchConfig() != nullptr) {
+    handle_fetch(to, frame.correlation);
+  } else if (frame.body.AsClaimRequest() != nullptr ||
+             frame.body.AsChangeRequest() != nullptr) {
+    handle_command(to, frame);
+  } else if (const auto* history = frame.body.AsHistoryRequest()) {
+    handle_history(to, frame.correlation, *history);
+  } else if (frame.body.AsStatusRequest() != nullptr) {
+    handle_status(to, frame.correlation);
+  } else {
+    close(to);
+  }
+}
+
+void service::handle_fetch(const link& to, std::uint64_t correlation) {
+  when_confirmed(to, correlation, [this] {
+    wire::ConfigReplyT reply;
+    reply.version = group_.state().accepted_version;
+    reply.text = group_.state().accepted_text;
+    return reply;
+  });
+}
+
+void service::handle_history(const link& to, std::uint64_t correlation,
+                             const wire::HistoryRequestT& body) {
+  when_confirmed(to, correlation, [this, limit = std::size_t{body.limit}] {
+    wire::HistoryReplyT reply;
+    const auto& all = group_.state().changes;
+    const auto n = limit == 0 ? all.size() : std::min(limit, all.size());
+    for (auto i = all.size() - n; i < all.size(); ++i) {
+      reply.changes.push_back(std::make_unique<wire::ChangeRecordT>(all[i]));
+    }
+    return reply;
+  });
+}
+
+void service::handle_command(const link& to, const wire::ControlFrameT& frame) {
+  const auto correlation = frame.correlation;
+  group_.propose(
+      encode_command(frame, io::wall_clock()),
+      [this, to, correlation](std::error_code ec, wire::ControlBodyUnion body) {
+        if (ec || body.type == wire::ControlBody::NONE) {
+          send_not_leader(to, correlation);
+          return;
+        }
+        wire::ControlFrameT reply;
+        reply.correlation = correlation;
+        reply.body = std::move(body);
+        send(to, reply);
+        note_versions();
+      });
+}
+
+void service::send(const link& to, const wire::ControlFrameT& frame) {
+  if (to == nullptr) {
+    return;
+  }
+  const auto buf = wire::encode(frame);
+  if (to->queued_bytes() + buf.size() > max_queued_bytes) {
+    close(to);
+    return;
+  }
+  if (to->send(buf)) {
+    bytes_sent_ += buf.size();
+  }
+}
+
+void service::send_not_leader(const link& to, std::uint64_t correlation) {
+  wire::NotLeaderT hint;
+  // This process names itself only while it leads; an unconfirmed leader says
+  // that it knows none.
+  if (!group_.is_leader()) {
+    const auto leader = group_.leader();
+    hint.leader_host = leader.host;
+    hint.leader_port = leader.port;
+  }
+  send(to, wire::control_frame(std::move(hint), correlation));
+}
+
+} // namespace marigoldstep::control
--- /dev/null
+++ b/tools/control/service.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "control/replica.h"
+#include "marigoldstep/io/framed_connection.h"
+#include "marigoldstep/membership.h"
+
+#include <QPointer>
+#include <QTimer>
+
+#include <map>
+#include <string>
+
+namespace marigoldstep::control {
+
+// One router or agent as its heartbeats describe it.
+struct known_node {
+  wire::NodeRole role = wire::NodeRole::router;
+  incarnation started = 0;
+  std::uint64_t config_version = 0;
+  time_point heard_at{};
+};
+
+// Serves nodes and operators: one request frame in, one reply frame out.
+class service : public QObject {
+public:
+  service(replica& group, QObject* parent);
+
+  std::error_code listen(const io::endpoint& address);
+  [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
+  // Stops accepting connections and closes the open ones once their queued
+  // replies are out.
+  void stop();
+
+  [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
+  [[nodiscard]] std::uint64_t bytes_received() const { return bytes_received_; }
+  [[nodiscard]] std::size_t connections() const { return clients_.size(); }
+
+private:
+  using link = QPointer<io::framed_connection>;
+
+  // Limits of one connection.
+  struct client {
+    time_point window_start{};
+    std::uint32_t requests = 0; // since window_start
+  };
+
+  void accept(io::framed_connection* connection);
+  void handle_frame(io::framed_connection* connection, byte_view buf);
+  bool within_rate(io::framed_connection* connection);
+  void close(io::framed_connection* connection);
+  void dispatch(const link& to, const wire::ControlFrameT& frame);
+
+  void handle_heartbeat(const link& to, std::uint64_t correlation,
+                        const wire::HeartbeatT& body);
+  void handle_fetch(const link& to, std::uint64_t correlation);
+  void handle_history(const link& to, std::uint64_t correlation,
+                      const wire::HistoryRequestT& body);
+  void handle_status(const link& to, std::uint64_t correlation);
+  void handle_command(const link& to, const wire::ControlFrameT& frame);
+
+  [[nodiscard]] wire::HeartbeatAckT make_ack(const wire::HeartbeatT& body);
+  [[nodiscard]] wire::StatusReplyT make_status();
+  void note_versions();
+
+  // Calls reply once a quorum has confirmed this leader; answers NotLeader
+  // otherwise.
+  template <typename Reply>
+  void when_confirmed(const link& to, std::uint64_t correlation, Reply reply) {
+    group_.confirm([this, to, correlation, reply](std::error_code ec) {
+      if (ec) {
+        send_not_leader(to, correlation);
+      } else {
+        send(to, wire::control_frame(reply(), correlation));
+      }
+    });
+  }
+  void send(const link& to, const wire::ControlFrameT& frame);
+  void send_not_leader(const link& to, std::uint64_t correlation);
+
+  replica& group_;
+  io::framed_listener listener_;
+  QTimer timer_;
+  std::map<io::framed_connection*, client> clients_;
+  membership_table table_;
+  std::uint64_t table_term_ = 0;
+  std::map<std::string, known_node> nodes_;
+  std::uint64_t version_seen_ = 0;
+  time_point version_since_{};
+  std::uint32_t in_force_after_ms_ = 0;
+  bool in_force_ = false;
+  std::uint64_t bytes_sent_ = 0;
+  std::uint64_t bytes_received_ = 0;
+};
+
+} // namespace marigoldstep::control
