Replicate configuration changes, claims and fencing tokens

The control group needs one deterministic state machine for changes, at-most-once claims and orders to engines. A log entry carries the leader's clock and what the leader found when it checked a proposed text, so voters of different builds apply the same. The operator key is left out of the log.

A full claim table refuses new records with rate_limited; nothing is dropped before its key expires, and an expired key stays expired when the retention is made longer.

--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -1,9 +1,12 @@
 #pragma once
 
 // Includes the whole public interface of the core library.
+#include "marigoldstep/changes.h"
+#include "marigoldstep/claims.h"
 #include "marigoldstep/configuration.h"
 #include "marigoldstep/error.h"
 #include "marigoldstep/fleet_state.h"
+#include "marigoldstep/idempotency_key.h"
 #include "marigoldstep/lease.h"
 #include "marigoldstep/load_limit.h"
 #include "marigoldstep/membership.h"
--- a/include/marigoldstep/configuration.h
+++ b/include/marigoldstep/configuration.h
@@ -65,6 +65,7 @@
   duration drain_limit{60'000};
   duration claim_retention{24L * 3600 * 1000};
   control_loss_policy on_control_loss = control_loss_policy::stop;
+  std::uint32_t loads_per_minute = 0; // loads from the weight store; 0: no limit
 
   friend bool operator==(const limit_settings&, const limit_settings&) = default;
 };
--- a/include/marigoldstep/fleet_state.h
+++ b/include/marigoldstep/fleet_state.h
@@ -1,23 +1,26 @@
 #pragma once
 
+#include "marigoldstep/changes.h"
+#include "marigoldstep/claims.h"
 #include "marigoldstep/configuration.h"
 #include "marigoldstep/wire.h"
 
-#include <map>
+#include <deque>
 
 namespace marigoldstep {
 
 // The replicated state of the control group: the same commands in the same
 // order give the same state on every voter.
-struct fleet_state {
+struct fleet_state : change_book {
   unix_seconds time = 0; // newest leader clock seen; never falls
-  std::uint64_t accepted_version = 0;
-  std::string accepted_text;
-  std::vector<wire::ChangeRecordT> changes;
-  std::map<std::string, std::string> proposed_texts; // by change id
+  claim_table claims;
+  std::uint64_t fencing = 0;           // last token given out
+  std::deque<unix_seconds> load_times; // loads granted within the last minute
 };
 
-// Encodes a request as a log entry; time is the leader's wall clock.
+// Encodes a request as a log entry; time is the leader's wall clock. The operator
+// key is left out: the log holds no secrets. Configuration texts are checked
+// here, once, so that voters of different builds apply the same verdict.
 bytes encode_command(const wire::ControlFrameT& request, unix_seconds time);
 
 // Applies a committed log entry and returns the body of the reply. A malformed
--- /dev/null
+++ b/src/claims.cpp
@@ -0,0 +1,289 @@
+#include "marigoldstep/claims.h"
+
+#include <algorithm>
+
+namespace marigoldstep {
+
+namespace {
+
+using wire::ClaimKind;
+using wire::ClaimOutcome;
+
+// Map node, heap blocks and allocator overhead beside the characters of a record;
+// the benchmark of claims measures it.
+constexpr std::size_t record_overhead = 320;
+constexpr std::size_t answer_overhead = 128;
+constexpr std::size_t max_name_size = 256;
+
+std::size_t record_size(const claim_key& key, const claim_record& record) {
+  return record_overhead + key.workspace.size() + key.service.size() + key.key.size() +
+         record.holder.node_id.size();
+}
+
+std::size_t answer_size(const claim_record& record) {
+  return record.answer ? answer_overhead + record.answer->content_type.size() +
+                             record.answer->body.size()
+                       : 0;
+}
+
+wire::ClaimReplyT reply_with(ClaimOutcome outcome, errc error = errc::ok) {
+  wire::ClaimReplyT reply;
+  reply.outcome = outcome;
+  reply.error_code = static_cast<std::uint16_t>(error);
+  return reply;
+}
+
+claim_holder holder_of(const wire::ClaimRequestT& request) {
+  return {{request.attempt_hi, request.attempt_lo},
+          request.holder,
+          request.holder_incarnation};
+}
+
+void add_running(claim_table& table, const claim_holder& holder) {
+  auto& it = table.holders[holder.node_id];
+  it.newest = std::max(it.newest, holder.incarnation);
+  ++it.running;
+}
+
+void remove_running(claim_table& table, const claim_holder& holder) {
+  auto it = table.holders.find(holder.node_id);
+  if (it != table.holders.end() && --it->second.running == 0) {
+    table.holders.erase(it);
+  }
+}
+
+// Any message of a newer process of an agent shows that the older one has ended.
+void note_incarnation(claim_table& table, const claim_holder& holder) {
+  auto it = table.holders.find(holder.node_id);
+  if (it != table.holders.end()) {
+    it->second.newest = std::max(it->second.newest, holder.incarnation);
+  }
+}
+
+bool has_ended(const claim_table& table, const claim_holder& holder) {
+  auto it = table.holders.find(holder.node_id);
+  return it != table.holders.end() && holder.incarnation < it->second.newest;
+}
+
+void remove_record(claim_table& table, std::map<claim_key, claim_record>::iterator it) {
+  table.size_bytes -= record_size(it->first, it->second) + answer_size(it->second);
+  table.answer_bytes -= answer_size(it->second);
+  if (it->second.phase == claim_phase::running) {
+    remove_running(table, it->second.holder);
+  }
+  table.records.erase(it);
+}
+
+// Replaces a released record or adds a new one. False when the table is full.
+bool put_record(claim_table& table, const claim_key& key, claim_record record) {
+  auto it = table.records.find(key);
+  const auto old_size =
+      it == table.records.end() ? 0 : record_size(it->first, it->second);
+  const auto size = table.size_bytes - old_size + record_size(key, record);
+  if (size > max_claim_table_bytes) {
+    return false;
+  }
+  if (it != table.records.end()) {
+    remove_record(table, it);
+  }
+  restore_claim(table, key, std::move(record));
+  return true;
+}
+
+// What a caller other than the holder learns of a record.
+wire::ClaimReplyT describe(const claim_table& table, const claim_record& record,
+                           std::uint64_t body_hash, bool hash_given) {
+  if (record.phase == claim_phase::released) {
+    return reply_with(ClaimOutcome::unknown);
+  }
+  if (record.phase == claim_phase::cancelled) {
+    return reply_with(ClaimOutcome::cancelled);
+  }
+  if (hash_given && record.body_hash != body_hash) {
+    return reply_with(ClaimOutcome::mismatch, errc::idempotency_key_reused);
+  }
+  if (record.phase == claim_phase::running) {
+    return reply_with(has_ended(table, record.holder) ? ClaimOutcome::may_have_run
+                                                      : ClaimOutcome::running);
+  }
+  auto reply = reply_with(ClaimOutcome::completed);
+  if (record.answer) {
+    reply.answer = std::make_unique<wire::StoredAnswerT>(*record.answer);
+  }
+  return reply;
+}
+
+wire::ClaimReplyT store(claim_table& table, const claim_key& key, claim_phase phase,
+                        const wire::ClaimRequestT& request, ClaimOutcome outcome) {
+  claim_record record{phase, request.body_hash, holder_of(request), nullptr};
+  if (!put_record(table, key, std::move(record))) {
+    return reply_with(ClaimOutcome::unavailable, errc::rate_limited);
+  }
+  return reply_with(outcome);
+}
+
+wire::ClaimReplyT apply_first_claim(claim_table& table, const claim_key& key,
+                                    const wire::ClaimRequestT& request) {
+  // A claim of a process that has ended would never be settled.
+  if (has_ended(table, holder_of(request))) {
+    return reply_with(ClaimOutcome::unavailable, errc::wrong_incarnation);
+  }
+  return store(table, key, claim_phase::running, request, ClaimOutcome::granted);
+}
+
+wire::ClaimReplyT apply_claim_kind(claim_table& table, const claim_key& key,
+                                   claim_record* record,
+                                   const wire::ClaimRequestT& request) {
+  const auto holder = holder_of(request);
+  if (record == nullptr) {
+    return apply_first_claim(table, key, request);
+  }
+  if (record->phase == claim_phase::released) {
+    return record->holder.attempt == holder.attempt
+               ? reply_with(ClaimOutcome::cancelled)
+               : apply_first_claim(table, key, request);
+  }
+  // The whole holder must match: a restarted agent that gets the same attempt
+  // again cannot know whether its earlier process ran it.
+  if (record->phase == claim_phase::running && record->holder == holder &&
+      record->body_hash == request.body_hash && !has_ended(table, holder)) {
+    return reply_with(ClaimOutcome::granted);
+  }
+  return describe(table, *record, request.body_hash, true);
+}
+
+std::shared_ptr<const wire::StoredAnswerT>
+bounded_answer(const claim_table& table, const wire::StoredAnswerT* answer) {
+  auto out = std::make_shared<wire::StoredAnswerT>();
+  if (answer == nullptr) {
+    return out;
+  }
+  out->status = answer->status;
+  if (answer->content_type.size() <= max_name_size) {
+    out->content_type = answer->content_type;
+  }
+  const auto size = answer->body.size() + answer_overhead + max_name_size;
+  const bool fits = answer->body.size() <= max_stored_answer_bytes &&
+                    table.answer_bytes + size <= max_answer_table_bytes &&
+                    table.size_bytes + size <= max_claim_table_bytes;
+  if (answer->complete && fits) {
+    out->body = answer->body;
+    out->complete = true;
+  }
+  return out;
+}
+
+wire::ClaimReplyT apply_complete(claim_table& table, claim_record* record,
+                                 const wire::ClaimRequestT& request) {
+  if (record == nullptr) {
+    return reply_with(ClaimOutcome::unknown);
+  }
+  if (record->phase == claim_phase::running && record->holder == holder_of(request)) {
+    remove_running(table, record->holder);
+    record->phase = claim_phase::completed;
+    record->answer = bounded_answer(table, request.answer.get());
+    table.answer_bytes += answer_size(*record);
+    table.size_bytes += answer_size(*record);
+    return reply_with(ClaimOutcome::completed);
+  }
+  return describe(table, *record, 0, false);
+}
+
+wire::ClaimReplyT apply_release(claim_table& table, const claim_key& key,
+                                claim_record* record,
+                                const wire::ClaimRequestT& request) {
+  const bool is_free = record == nullptr || record->phase == claim_phase::released;
+  const bool is_holder = record != nullptr && record->phase == claim_phase::running &&
+                         record->holder == holder_of(request);
+  if (is_free || is_holder) {
+    return store(table, key, claim_phase::released, request, ClaimOutcome::unknown);
+  }
+  return describe(table, *record, 0, false);
+}
+
+wire::ClaimReplyT apply_cancel(claim_table& table, const claim_key& key,
+                               claim_record* record, const wire::ClaimRequestT& request) {
+  if (record == nullptr || record->phase == claim_phase::released) {
+    return store(table, key, claim_phase::cancelled, request, ClaimOutcome::cancelled);
+  }
+  return describe(table, *record, request.body_hash, request.body_hash != 0);
+}
+
+wire::ClaimReplyT apply_lookup(const claim_table& table, const claim_record* record,
+                               const wire::ClaimRequestT& request) {
+  if (record == nullptr) {
+    return reply_with(ClaimOutcome::unknown);
+  }
+  return describe(table, *record, request.body_hash, request.body_hash != 0);
+}
+
+bool has_bounded_names(const wire::ClaimRequestT& request) {
+  return request.workspace.size() <= max_name_size &&
+         request.service.size() <= max_name_size &&
+         request.holder.size() <= max_name_size;
+}
+
+wire::ClaimReplyT apply_valid(claim_table& table, const claim_key& key,
+                              const wire::ClaimRequestT& request) {
+  note_incarnation(table, holder_of(request));
+  auto it = table.records.find(key);
+  auto* record = it == table.records.end() ? nullptr : &it->second;
+  switch (request.kind) {
+  case ClaimKind::claim:
+    return apply_claim_kind(table, key, record, request);
+  case ClaimKind::complete:
+    return apply_complete(table, record, request);
+  case ClaimKind::cancel:
+    return apply_cancel(table, key, record, request);
+  case ClaimKind::lookup:
+    return apply_lookup(table, record, request);
+  case ClaimKind::release:
+    return apply_release(table, key, record, request);
+  }
+  return reply_with(ClaimOutcome::unavailable, errc::bad_request);
+}
+
+} // namespace
+
+void restore_claim(claim_table& table, claim_key key, claim_record record) {
+  table.size_bytes += record_size(key, record) + answer_size(record);
+  table.answer_bytes += answer_size(record);
+  if (record.phase == claim_phase::running) {
+    add_running(table, record.holder);
+  }
+  table.records.insert_or_assign(std::move(key), std::move(record));
+}
+
+void expire_claims(claim_table& table, unix_seconds now, unix_seconds retention_s) {
+  if (now > retention_s) {
+    table.horizon = std::max(table.horizon, now - retention_s);
+  }
+  while (!table.records.empty() && table.records.begin()->first.time < table.horizon) {
+    remove_record(table, table.records.begin());
+  }
+}
+
+wire::ClaimReplyT apply_claim(claim_table& table, const wire::ClaimRequestT& request,
+                              unix_seconds now) {
+  const auto time = parse_idempotency_key(request.key);
+  if (!time) {
+    return reply_with(ClaimOutcome::unavailable, errc::bad_idempotency_key);
+  }
+  if (!has_bounded_names(request)) {
+    return reply_with(ClaimOutcome::unavailable, errc::bad_request);
+  }
+  if (*time < table.horizon) {
+    return reply_with(ClaimOutcome::expired, errc::idempotency_key_expired);
+  }
+  if (*time > now + max_key_lead_s) {
+    // Nothing can be cancelled ahead: the key becomes valid later on, and then a
+    // delayed claim would be granted.
+    const auto outcome = request.kind == ClaimKind::cancel ? ClaimOutcome::unavailable
+                                                           : ClaimOutcome::in_future;
+    return reply_with(outcome, errc::idempotency_key_in_future);
+  }
+  return apply_valid(table, {*time, request.workspace, request.service, request.key},
+                     request);
+}
+
+} // namespace marigoldstep
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -87,6 +87,8 @@
       read_choice(map, "on_control_loss", "stop", {"stop", "keep_serving"}) == "stop"
           ? control_loss_policy::stop
           : control_loss_policy::keep_serving;
+  out.loads_per_minute =
+      read_count(map, "loads_per_minute", out.loads_per_minute, 0, largest_count);
   finish(map);
   return out;
 }
--- a/src/fleet_state.cpp
+++ b/src/fleet_state.cpp
@@ -1,30 +1,275 @@
 #include "marigoldstep/fleet_state.h"
 
+#include "marigoldstep/generated/state_messages.h"
+
+#include <algorithm>
+
 namespace marigoldstep {
 
-bytes encode_command(const wire::ControlFrameT& request, unix_seconds /*time*/) {
-  return wire::encode(request);
+namespace {
+
+constexpr std::size_t initial_buffer_size = 1024;
+// A snapshot nests four tables; bounds protect against crafted input.
+constexpr std::size_t max_nesting = 16;
+constexpr std::size_t max_snapshot_tables = 4'000'000;
+constexpr unix_seconds load_window_s = 60;
+constexpr std::uint32_t ms_per_second = 1000;
+constexpr const char* command_identifier = "MSL1";
+
+config_facts from_wire(const wire::ConfigFactsT* facts) {
+  if (facts == nullptr) {
+    return {.problem = "the text was not checked"};
+  }
+  return {facts->problem, facts->claim_retention_s, facts->loads_per_minute};
 }
 
-wire::ControlBodyUnion apply_command(fleet_state& /*state*/, byte_view command) {
-  std::error_code ec;
-  const auto frame = wire::decode_control(command, ec);
+std::unique_ptr<wire::ConfigFactsT> to_wire(const config_facts& facts) {
+  auto out = std::make_unique<wire::ConfigFactsT>();
+  out->problem = facts.problem;
+  out->claim_retention_s = facts.claim_retention_s;
+  out->loads_per_minute = facts.loads_per_minute;
+  return out;
+}
+
+std::unique_ptr<wire::ConfigTextT> to_wire(const std::string& change_id,
+                                           const std::string& text,
+                                           const config_facts& facts) {
+  auto out = std::make_unique<wire::ConfigTextT>();
+  out->change_id = change_id;
+  out->text = text;
+  out->facts = to_wire(facts);
+  return out;
+}
+
+config_text from_wire(const wire::ConfigTextT* text) {
+  if (text == nullptr) {
+    return {};
+  }
+  return {text->change_id, text->text, from_wire(text->facts.get())};
+}
+
+std::unique_ptr<wire::ClaimEntryT> to_wire(const claim_key& key,
+                                           const claim_record& record) {
+  auto out = std::make_unique<wire::ClaimEntryT>();
+  out->workspace = key.workspace;
+  out->service = key.service;
+  out->key = key.key;
+  out->phase = static_cast<wire::ClaimPhase>(record.phase);
+  out->body_hash = record.body_hash;
+  out->attempt_hi = record.holder.attempt.hi;
+  out->attempt_lo = record.holder.attempt.lo;
+  out->holder = record.holder.node_id;
+  out->holder_incarnation = record.holder.incarnation;
+  if (record.answer) {
+    out->answer = std::make_unique<wire::StoredAnswerT>(*record.answer);
+  }
+  return out;
+}
+
+// False when the entry's key is malformed.
+bool restore(claim_table& table, wire::ClaimEntryT& entry) {
+  const auto time = parse_idempotency_key(entry.key);
+  if (!time || entry.phase > wire::ClaimPhase::MAX) {
+    return false;
+  }
+  claim_record record;
+  record.phase = static_cast<claim_phase>(entry.phase);
+  record.body_hash = entry.body_hash;
+  record.holder = {{entry.attempt_hi, entry.attempt_lo},
+                   std::move(entry.holder),
+                   entry.holder_incarnation};
+  record.answer = std::move(entry.answer);
+  restore_claim(
+      table,
+      {*time, std::move(entry.workspace), std::move(entry.service), std::move(entry.key)},
+      std::move(record));
+  return true;
+}
+
+// Whether an order makes its engine read from the weight store.
+bool reads_weights(wire::OrderKind kind) {
+  return kind != wire::OrderKind::set_role;
+}
+
+wire::OrderReplyT apply_order(fleet_state& state, const wire::OrderRequestT& request) {
+  wire::OrderReplyT reply;
+  auto& times = state.load_times;
+  while (!times.empty() && times.front() + load_window_s <= state.time) {
+    times.pop_front();
+  }
+  const auto limit = state.accepted_facts.loads_per_minute;
+  if (reads_weights(request.kind) && limit != 0) {
+    if (times.size() >= limit) {
+      const auto free_at = times[times.size() - limit] + load_window_s;
+      reply.retry_after_ms =
+          static_cast<std::uint32_t>(free_at - state.time) * ms_per_second;
+      return reply;
+    }
+    times.push_back(state.time);
+  }
+  reply.fencing = ++state.fencing;
+  return reply;
+}
+
+std::unique_ptr<wire::LoggedCommandT> decode_command(byte_view command) {
+  flatbuffers::Verifier verifier(command.data(), command.size(), max_nesting);
+  if (command.empty() ||
+      !verifier.VerifySizePrefixedBuffer<wire::LoggedCommand>(command_identifier)) {
+    return nullptr;
+  }
+  const auto* root =
+      flatbuffers::GetSizePrefixedRoot<wire::LoggedCommand>(command.data());
+  return std::unique_ptr<wire::LoggedCommandT>(root->UnPack());
+}
+
+wire::ControlBodyUnion apply_body(fleet_state& state, const wire::ControlBodyUnion& body,
+                                  const config_facts& facts) {
   wire::ControlBodyUnion reply;
-  if (frame && frame->body.AsClaimRequest() != nullptr) {
-    wire::ClaimReplyT body;
-    body.outcome = wire::ClaimOutcome::unavailable;
-    reply.Set(std::move(body));
+  if (const auto* claim = body.AsClaimRequest()) {
+    reply.Set(apply_claim(state.claims, *claim, state.time));
+  } else if (const auto* change = body.AsChangeRequest()) {
+    reply.Set(apply_change(state, *change, facts, state.time));
+  } else if (const auto* order = body.AsOrderRequest()) {
+    reply.Set(apply_order(state, *order));
   }
   return reply;
 }
 
-bytes encode_snapshot(const fleet_state& /*state*/) {
-  return {};
+void pack_changes(const fleet_state& state, wire::SnapshotT& out) {
+  out.accepted_version = state.accepted_version;
+  out.accepted =
+      to_wire(state.accepted_change_id, state.accepted_text, state.accepted_facts);
+  out.previous =
+      to_wire(state.previous.change_id, state.previous.text, state.previous.facts);
+  for (const auto& it : state.changes) {
+    out.changes.push_back(std::make_unique<wire::ChangeRecordT>(it));
+  }
+  for (const auto& [id, it] : state.proposals) {
+    out.proposals.push_back(to_wire(id, it.text, it.facts));
+  }
+  for (const auto& [key, it] : state.answers) {
+    auto entry = std::make_unique<wire::ChangeAnswerT>();
+    entry->change_id = key.change_id;
+    entry->kind = key.kind;
+    entry->reply = std::make_unique<wire::ChangeReplyT>(it.reply);
+    entry->text_hash = it.text_hash;
+    out.answers.push_back(std::move(entry));
+  }
+}
+
+void unpack_changes(wire::SnapshotT& in, fleet_state& state) {
+  state.accepted_version = in.accepted_version;
+  auto accepted = from_wire(in.accepted.get());
+  state.accepted_change_id = std::move(accepted.change_id);
+  state.accepted_text = std::move(accepted.text);
+  state.accepted_facts = std::move(accepted.facts);
+  state.previous = from_wire(in.previous.get());
+  for (auto& it : in.changes) {
+    state.changes.push_back(std::move(*it));
+  }
+  for (const auto& it : in.proposals) {
+    state.proposals[it->change_id] = from_wire(it.get());
+  }
+  for (auto& it : in.answers) {
+    if (it->reply) {
+      state.answers[{it->change_id, it->kind}] = {std::move(*it->reply), it->text_hash};
+    }
+  }
+}
+
+bool unpack_claims(wire::SnapshotT& in, claim_table& table) {
+  table.horizon = in.claim_horizon_s;
+  for (auto& it : in.claims) {
+    if (!restore(table, *it)) {
+      return false;
+    }
+  }
+  for (const auto& it : in.holders) {
+    auto holder = table.holders.find(it->node_id);
+    if (holder == table.holders.end()) {
+      return false;
+    }
+    holder->second.newest = it->incarnation;
+  }
+  return true;
 }
 
-fleet_state decode_snapshot(byte_view /*data*/, std::error_code& ec) {
+} // namespace
+
+bytes encode_command(const wire::ControlFrameT& request, unix_seconds time) {
+  wire::LoggedCommandT command;
+  command.time_s = time;
+  const auto* change = request.body.AsChangeRequest();
+  if (change == nullptr) {
+    command.frame = wire::encode(request);
+  } else {
+    wire::ChangeRequestT body = *change;
+    body.operator_key.clear();
+    if (body.kind == wire::ChangeKind::propose) {
+      command.facts = to_wire(inspect_configuration(body.text));
+    }
+    command.frame =
+        wire::encode(wire::control_frame(std::move(body), request.correlation));
+  }
+  flatbuffers::FlatBufferBuilder builder(initial_buffer_size);
+  builder.FinishSizePrefixed(wire::LoggedCommand::Pack(builder, &command),
+                             command_identifier);
+  const auto* begin = builder.GetBufferPointer();
+  return {begin, begin + builder.GetSize()};
+}
+
+wire::ControlBodyUnion apply_command(fleet_state& state, byte_view command) {
+  const auto entry = decode_command(command);
+  std::error_code ec;
+  const auto frame = entry ? wire::decode_control(entry->frame, ec) : nullptr;
+  if (!frame) {
+    return {};
+  }
+  state.time = std::max(state.time, entry->time_s);
+  expire_claims(state.claims, state.time, state.accepted_facts.claim_retention_s);
+  return apply_body(state, frame->body, from_wire(entry->facts.get()));
+}
+
+bytes encode_snapshot(const fleet_state& state) {
+  wire::SnapshotT out;
+  out.time_s = state.time;
+  pack_changes(state, out);
+  out.claim_horizon_s = state.claims.horizon;
+  for (const auto& [key, it] : state.claims.records) {
+    out.claims.push_back(to_wire(key, it));
+  }
+  for (const auto& [id, it] : state.claims.holders) {
+    auto entry = std::make_unique<wire::HolderEntryT>();
+    entry->node_id = id;
+    entry->incarnation = it.newest;
+    out.holders.push_back(std::move(entry));
+  }
+  out.fencing = state.fencing;
+  out.load_times_s.assign(state.load_times.begin(), state.load_times.end());
+  flatbuffers::FlatBufferBuilder builder(initial_buffer_size);
+  wire::FinishSizePrefixedSnapshotBuffer(builder, wire::Snapshot::Pack(builder, &out));
+  const auto* begin = builder.GetBufferPointer();
+  return {begin, begin + builder.GetSize()};
+}
+
+fleet_state decode_snapshot(byte_view data, std::error_code& ec) {
+  ec = make_error_code(errc::storage_corrupt);
+  flatbuffers::Verifier verifier(data.data(), data.size(), max_nesting,
+                                 max_snapshot_tables);
+  if (data.empty() || !wire::VerifySizePrefixedSnapshotBuffer(verifier)) {
+    return {};
+  }
+  const auto in = wire::UnPackSizePrefixedSnapshot(data.data());
+  fleet_state state;
+  state.time = in->time_s;
+  unpack_changes(*in, state);
+  if (!unpack_claims(*in, state.claims)) {
+    return {};
+  }
+  state.fencing = in->fencing;
+  state.load_times.assign(in->load_times_s.begin(), in->load_times_s.end());
   ec.clear();
-  return {};
+  return state;
 }
 
 } // namespace marigoldstep
