Close an attempt in the relay state as soon as it has ended

The model test found that a late head of a refused attempt was taken while the request waited for its next attempt. The state now says whether the current attempt is open, and takes frames only then.

--- a/include/marigoldstep/attempt.h
+++ b/include/marigoldstep/attempt.h
@@ -12,6 +12,7 @@
 struct relay_state {
   bool repeatable = true;
   attempt_id current;
+  bool attempt_open = false;         // false once the current attempt has ended
   bool start_written = false;        // of the current attempt, and not refused since
   bool earlier_may_have_run = false; // an attempt before the current one
   bool head_seen = false;            // of the current attempt
@@ -48,6 +49,11 @@
 data_check accept_data(relay_state& state, const attempt_id& id, std::uint64_t offset,
                        std::uint64_t size);
 
+// The head and first bytes of the current attempt are about to go to the caller,
+// after which no other attempt can follow. False, and nothing may be passed on,
+// before the head has come and after the attempt has ended.
+bool note_passed_on(relay_state& state);
+
 // How the agent says that an attempt ended.
 struct attempt_result {
   outcome how;
--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -17,13 +17,24 @@
   return end_with(state, relay_action::cut_off, {verdict::may_have_run, error, {}});
 }
 
+// Closes the current attempt, so that nothing of it is taken while another one is
+// being prepared.
+relay_decision retry(relay_state& state, const outcome& why) {
+  state.attempt_open = false;
+  return {relay_action::retry, why};
+}
+
+bool is_current(const relay_state& state, const attempt_id& id) {
+  return !state.ended && state.attempt_open && id == state.current;
+}
+
 // The attempt failed and may have run.
 relay_decision after_failure(relay_state& state, const outcome& why) {
   if (state.passed_on) {
     return cut_off(state, why.error);
   }
   if (state.repeatable) {
-    return {relay_action::retry, why};
+    return retry(state, why);
   }
   return give_up(state, why);
 }
@@ -37,6 +48,7 @@
 void begin_attempt(relay_state& state, const attempt_id& id) {
   state.earlier_may_have_run = may_have_started(state);
   state.current = id;
+  state.attempt_open = true;
   state.start_written = false;
   state.head_seen = false;
   state.next_offset = 0;
@@ -49,7 +61,7 @@
 
 bool accept_head(relay_state& state, const attempt_id& id) {
   // After a resume the head may come again.
-  if (state.ended || id != state.current || state.head_seen) {
+  if (!is_current(state, id) || !state.start_written || state.head_seen) {
     return false;
   }
   state.head_seen = true;
@@ -58,7 +70,7 @@
 
 data_check accept_data(relay_state& state, const attempt_id& id, std::uint64_t offset,
                        std::uint64_t size) {
-  if (state.ended || id != state.current || offset < state.next_offset) {
+  if (!is_current(state, id) || !state.start_written || offset < state.next_offset) {
     return data_check::stale;
   }
   if (offset > state.next_offset) {
@@ -68,9 +80,17 @@
   return data_check::accept;
 }
 
+bool note_passed_on(relay_state& state) {
+  if (!is_current(state, state.current) || !state.head_seen) {
+    return false;
+  }
+  state.passed_on = true;
+  return true;
+}
+
 relay_decision after_end(relay_state& state, const attempt_id& id,
                          const attempt_result& result) {
-  if (state.ended || id != state.current) {
+  if (!is_current(state, id)) {
     return {};
   }
   if (agent_forgot(result.how.error)) {
@@ -86,27 +106,27 @@
   // An agent that sent part of an answer cannot have refused the attempt.
   if (result.how.result == verdict::not_run && !state.head_seen && !state.passed_on) {
     state.start_written = false;
-    return {relay_action::retry, result.how};
+    return retry(state, result.how);
   }
   return after_failure(state, result.how);
 }
 
 relay_decision after_connection_loss(relay_state& state) {
-  if (state.ended) {
+  if (!is_current(state, state.current)) {
     return {};
   }
   if (state.start_written) {
     return {relay_action::resume, may_have_run(errc::agent_unreachable)};
   }
-  return {relay_action::retry, not_run(errc::agent_unreachable)};
+  return retry(state, not_run(errc::agent_unreachable));
 }
 
 relay_decision after_agent_loss(relay_state& state, errc code) {
-  if (state.ended) {
+  if (!is_current(state, state.current)) {
     return {};
   }
   if (!state.start_written) {
-    return {relay_action::retry, not_run(code)};
+    return retry(state, not_run(code));
   }
   return after_failure(state, may_have_run(code));
 }
--- a/tests/attempt_test.cpp
+++ b/tests/attempt_test.cpp
@@ -25,6 +25,7 @@
   oracle truth;
   unsigned char attempt = 0;
   std::uint64_t stored_answers = 0;
+  bool waiting = false; // for its next attempt
 
   attempt_id id(unsigned char n) const { return {n, 7}; }
 
@@ -56,11 +57,14 @@
       // Running a call twice is only allowed when it is repeatable or was refused.
       RC_ASSERT(!state.passed_on);
       RC_ASSERT(state.repeatable || !may_run);
-      if (*rc::gen::arbitrary<bool>()) {
+      const auto next = *rc::gen::inRange(0, 3);
+      if (next == 0) {
         start();
-      } else {
+      } else if (next == 1) {
         check(give_up(state, not_run(errc::no_server_available)));
       }
+      // Otherwise the request waits, and late frames come in the meantime.
+      waiting = next == 2;
     }
     if (decision.action == relay_action::ask_cancel) {
       RC_ASSERT(!state.repeatable);
@@ -82,6 +86,7 @@
       return;
     }
     RC_ASSERT(from == attempt);
+    RC_ASSERT(!waiting);
     RC_ASSERT(offset == truth.accepted);
     truth.accepted += size;
     truth.caller.append(size, static_cast<char>(from));
@@ -89,7 +94,7 @@
 
   void end(unsigned char from, verdict how, std::uint64_t total) {
     // An agent only refuses an attempt that it did not run.
-    if (from == attempt && how == verdict::not_run && !state.head_seen) {
+    if (from == attempt && how == verdict::not_run && !state.head_seen && !waiting) {
       truth.start_written = false;
     }
     if (from == attempt) {
@@ -104,8 +109,13 @@
     const auto near = state.next_offset + *rc::gen::inRange<std::uint64_t>(0, 3);
     switch (*rc::gen::inRange(0, 9)) {
     case 0:
-      truth.start_written = true;
-      note_start_written(state);
+      if (waiting && !state.ended) {
+        waiting = false;
+        start();
+      } else if (!waiting) {
+        truth.start_written = true;
+        note_start_written(state);
+      }
       break;
     case 1:
       accept_head(state, id(from));
@@ -116,7 +126,7 @@
               *rc::gen::inRange<std::uint64_t>(1, 4));
       break;
     case 4:
-      state.passed_on = state.passed_on || (state.head_seen && !state.ended);
+      note_passed_on(state);
       break;
     case 5:
       end(from,
--- a/tools/router/relay.cpp
+++ b/tools/router/relay.cpp
@@ -267,6 +267,9 @@
 void relay::pass_on(byte_view data) {
   if (!state_.passed_on) {
     held_.append(as_text(data));
+    if (head_ == nullptr && !resume_only_) {
+      return; // without acknowledgements the agent's window bounds what is held
+    }
     if (!holds_answer()) {
       begin_answer();
     }
@@ -277,8 +280,11 @@
 }
 
 void relay::begin_answer() {
-  answer_.begin(ensure_head(), labels());
-  state_.passed_on = true;
+  const auto& head = ensure_head();
+  if (!note_passed_on(state_)) {
+    return;
+  }
+  answer_.begin(head, labels());
   answer_.write_chunk(as_bytes(held_));
   // No other attempt can follow, so the memory of the request is given back.
   held_ = {};
