--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -1,6 +1,7 @@
 #pragma once
 
 // Includes the whole public interface of the core library.
+#include "marigoldstep/attempt.h"
 #include "marigoldstep/changes.h"
 #include "marigoldstep/claims.h"
 #include "marigoldstep/configuration.h"
@@ -13,6 +14,8 @@
 #include "marigoldstep/membership.h"
 #include "marigoldstep/placement.h"
 #include "marigoldstep/report.h"
+#include "marigoldstep/request.h"
+#include "marigoldstep/retry.h"
 #include "marigoldstep/types.h"
 #include "marigoldstep/verdict.h"
 #include "marigoldstep/wire.h"
