Add the agent: admission, fair queue, claims, backend calls and resume

Cause: a backend server needs one process that sees all its work and enforces the limits, whatever routers and engines believe. Change: mstep-agent with settings, heartbeats, admission, queue, claims, HTTP calls on connections of their own, buffered answers, drain, orders and metrics.

--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -1,8 +1,11 @@
 #pragma once
 
 // Includes the whole public interface of the core library.
+#include "marigoldstep/admission.h"
+#include "marigoldstep/answer_buffer.h"
 #include "marigoldstep/configuration.h"
 #include "marigoldstep/error.h"
+#include "marigoldstep/fair_queue.h"
 #include "marigoldstep/fleet_state.h"
 #include "marigoldstep/lease.h"
 #include "marigoldstep/load_limit.h"
--- /dev/null
+++ b/include/marigoldstep/fair_queue.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "marigoldstep/types.h"
+
+#include <array>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace marigoldstep {
+
+// Estimated costs are whole units from 1 to this.
+inline constexpr std::uint32_t max_cost = 64;
+
+// Cost units that the heaviest workspace may take per round. Small against
+// max_cost, so that light calls of different workspaces interleave.
+inline constexpr std::uint32_t round_quantum = 8;
+
+struct queue_entry {
+  attempt_id id;
+  std::string workspace;
+  priority lane = priority::short_call;
+  std::uint32_t cost = 1;
+  time_point deadline{};
+
+  friend bool operator==(const queue_entry&, const queue_entry&) = default;
+};
+
+struct queue_settings {
+  std::size_t max_entries = 1024;
+  std::uint32_t slots = 16; // attempts that run at a time
+  // Part of the cost, in percent, that patient work gets while short calls wait
+  // as well.
+  std::uint32_t patient_percent = 20;
+  std::map<std::string, std::uint32_t, std::less<>> weights; // missing: 1
+
+  friend bool operator==(const queue_settings&, const queue_settings&) = default;
+};
+
+namespace detail {
+
+// The waiting entries of one workspace in one lane. Deficits count millionths of
+// a cost unit.
+struct queue_flow {
+  std::string workspace;
+  std::deque<queue_entry> entries;
+  std::int64_t deficit = 0;
+  bool in_turn = false; // got its quantum in the current round
+};
+
+struct queue_lane {
+  std::deque<queue_flow> flows; // in round-robin order, none empty
+  std::uint64_t backlog = 0;    // cost of all entries
+};
+
+} // namespace detail
+
+// The queue in front of a backend server. Within a lane, workspaces share by
+// weight: deficit round robin (Shreedhar and Varghese, 1995) over estimated cost.
+// While two workspaces i and j both wait, their served costs S differ by at most
+//   |S_i/w_i - S_j/w_j| <= round_quantum/w_max + max_cost/w_i + max_cost/w_j,
+// where w_max is the heaviest weight. Short calls go before patient work, which
+// gets at least patient_percent of the cost less max_cost while both wait.
+struct fair_queue {
+  queue_settings settings;
+  std::uint32_t heaviest = 1;
+  std::array<detail::queue_lane, 2> lanes;
+  std::size_t size = 0;
+  // Cost that patient work has coming, in millionths; negative after an entry
+  // that was larger than the credit.
+  std::int64_t patient_credit = 0;
+  // Moving mean of service time over cost, in microseconds per unit.
+  double unit_time_us = 0;
+  std::uint32_t samples = 0;
+};
+
+// Replaces the settings; waiting entries stay, also over a smaller max_entries.
+void configure(fair_queue& queue, queue_settings settings);
+
+bool is_full(const fair_queue& queue);
+
+// Adds an entry. Returns false when the queue is full.
+bool push(fair_queue& queue, queue_entry entry);
+
+// Takes the next entry to run; none only when the queue is empty.
+std::optional<queue_entry> pop(fair_queue& queue);
+
+// Removes a cancelled entry. Returns false when it is not waiting.
+bool remove(fair_queue& queue, const attempt_id& id);
+
+// Takes out the entries that cannot meet their deadline any more.
+std::vector<queue_entry> take_expired(fair_queue& queue, time_point now);
+
+// Notes how long the backend server took for an attempt.
+void note_service_time(fair_queue& queue, std::uint32_t cost, duration taken);
+
+// Estimated time until an entry like this one would leave the queue, from the
+// entries that its workspace's share lets go first and from recent service
+// times. Zero while a slot is free or too little is known.
+duration estimate_wait(const fair_queue& queue, const queue_entry& entry,
+                       std::uint32_t running);
+
+// Whether an entry pushed now would leave the queue early enough. True whenever
+// a slot is free, so that a poor estimate cannot shut out all work for good.
+bool can_meet_deadline(const fair_queue& queue, const queue_entry& entry,
+                       std::uint32_t running, time_point now);
+
+// Mean time between two slots falling free; 0 when unknown.
+duration slot_interval(const fair_queue& queue);
+
+} // namespace marigoldstep
--- a/include/marigoldstep/load_limit.h
+++ b/include/marigoldstep/load_limit.h
@@ -9,4 +9,27 @@
 // max(load_floor, load_multiple * mean), rounded down.
 std::uint32_t load_limit(const limit_settings& limits, std::uint32_t mean_milli);
 
+// A mean older than this is not used. Equals the longest lease, so that it only
+// matters with on_control_loss: keep_serving.
+inline constexpr auto mean_lifetime = duration(2000);
+
+// The mean load of a pool as one heartbeat acknowledgement gave it.
+struct mean_report {
+  std::uint32_t mean_milli = 0;
+  std::uint32_t servers = 0;  // that the mean was taken over
+  std::uint32_t own_load = 0; // of this server, as its heartbeat said
+  time_point sent_at{};       // when that heartbeat was sent
+
+  friend bool operator==(const mean_report&, const mean_report&) = default;
+};
+
+// The mean to use now: the reported one, less what this server's own load has
+// fallen since, and 0 when the report is too old. docs/decisions/load-bound.md
+// gives the reasons.
+std::uint32_t usable_mean(const mean_report& report, std::uint32_t load, time_point now);
+
+// load_limit for usable_mean.
+std::uint32_t current_limit(const limit_settings& limits, const mean_report& report,
+                            std::uint32_t load, time_point now);
+
 } // namespace marigoldstep
--- /dev/null
+++ b/tools/agent/agent.cpp
@@ -0,0 +1,255 @@
+#include "agent/agent.h"
+
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/logging.h"
+
+namespace marigoldstep::agent {
+
+namespace {
+
+constexpr std::uint32_t protocol_version = 1;
+constexpr auto drain_check_interval = duration(20);
+constexpr double thousandths = 1000.0;
+
+// Whether every field that the handlers rely on is there and in range.
+bool is_usable(const wire::StartAttemptT& body) {
+  return body.attempt_id != nullptr && body.priority <= wire::Priority::patient;
+}
+
+} // namespace
+
+agent::agent(agent_settings settings, QObject* parent)
+    : QObject(parent), settings_(std::move(settings)), admin_(this),
+      metrics_(admin_.registry()),
+      session_(settings_.control, wire::NodeRole::agent, settings_.node_id, this),
+      runner_(settings_, session_, metrics_, this),
+      order_backend_(settings_.backend, settings_.idle_timeout, this),
+      orders_(order_backend_, this), listener_(this) {
+  set_up_session();
+  set_up_admin();
+  listener_.on_connection = [this](io::framed_connection* it) { add_link(it); };
+  connect(&drain_timer_, &QTimer::timeout, this, [this] { check_drained(); });
+}
+
+agent::~agent() {
+  for (auto& [connection, link] : links_) {
+    connection->on_closed = nullptr;
+    connection->on_frame = nullptr;
+  }
+}
+
+void agent::set_up_session() {
+  session_.fill_heartbeat = [this](wire::HeartbeatT& body) { fill_heartbeat(body); };
+  session_.on_ack = [this](const wire::HeartbeatAckT& ack) { handle_ack(ack); };
+  session_.on_configuration = [this](const std::shared_ptr<const configuration>& config) {
+    runner_.apply_configuration(*config);
+  };
+  orders_.server_checks_fencing = [this] {
+    const auto config = session_.config();
+    if (!config || settings_.models.empty()) {
+      return false;
+    }
+    const auto* pool = find_pool(*config, settings_.models.front());
+    return pool != nullptr && pool->checks_fencing;
+  };
+}
+
+void agent::set_up_admin() {
+  admin_.is_ready = [this] { return session_.may_take_work() && !draining_; };
+  admin_.before_collect = [this] {
+    metrics_.running.Set(runner_.running());
+    metrics_.queued.Set(runner_.queued());
+    metrics_.limit.Set(runner_.limit());
+    metrics_.mean.Set(runner_.mean_milli() / thousandths);
+    metrics_.retained_bytes.Set(static_cast<double>(runner_.store().retained_bytes()));
+  };
+  admin_.on_request = [this, serve_get = admin_.on_request](
+                          const QHttpServerRequest& request, QTcpSocket* socket) {
+    if (request.method() == QHttpServerRequest::Method::Post) {
+      serve_post(request, socket);
+    } else {
+      serve_get(request, socket);
+    }
+  };
+}
+
+void agent::serve_post(const QHttpServerRequest& request, QTcpSocket* socket) {
+  auto responder = admin_.responder(request, socket);
+  const auto path = request.url().path();
+  if (path == "/drain") {
+    responder.write("{\"draining\":true}", "application/json",
+                    QHttpServerResponder::StatusCode::Accepted);
+    drain();
+  } else if (path == "/orders") {
+    orders_.submit(request.body(), std::move(responder), socket);
+  } else {
+    responder.write(QHttpServerResponder::StatusCode::NotFound);
+  }
+}
+
+std::error_code agent::start() {
+  const auto host = QString::fromStdString(settings_.listen.host);
+  if (auto ec = listener_.listen(host, settings_.listen.port)) {
+    return ec;
+  }
+  const auto admin_host = QString::fromStdString(settings_.admin.host);
+  if (auto ec = admin_.start(admin_host, settings_.admin.port)) {
+    return ec;
+  }
+  if (settings_.advertise.port == 0) {
+    settings_.advertise = {settings_.listen.host, listener_.port()};
+  }
+  session_.start();
+  io::log_event(io::log_level::info, "listening",
+                {{"port", std::to_string(port())},
+                 {"admin_port", std::to_string(admin_port())},
+                 {"incarnation", std::to_string(io::process_incarnation())}});
+  return {};
+}
+
+void agent::fill_heartbeat(wire::HeartbeatT& body) {
+  server_info info;
+  info.node_id = settings_.node_id;
+  info.incarnation = io::process_incarnation();
+  info.service = settings_.service;
+  info.models = settings_.models;
+  info.zone = settings_.zone;
+  info.host = settings_.advertise.host;
+  info.port = settings_.advertise.port;
+  info.state = draining_ ? server_state::draining : server_state::serving;
+  body.server = std::make_unique<wire::ServerEntryT>(io::to_wire(info));
+  body.load = runner_.load();
+  const auto config = session_.config();
+  body.capacity = config ? config->limits.engine_slots : 0;
+  body.leaving = draining_;
+  leaving_announced_ = draining_;
+  sent_report_.own_load = body.load;
+  sent_report_.sent_at = io::now();
+}
+
+void agent::handle_ack(const wire::HeartbeatAckT& ack) {
+  sent_report_.mean_milli = ack.pool_mean_milli;
+  sent_report_.servers = ack.pool_servers;
+  runner_.note_mean(sent_report_);
+  runner_.note_version(ack.accepted_version);
+  // The drain began while a heartbeat was on its way.
+  if (draining_ && !leaving_announced_) {
+    session_.send_heartbeat();
+  }
+}
+
+frame_facts agent::make_facts() const {
+  frame_facts out;
+  out.config_version = session_.version();
+  out.running = runner_.running();
+  out.queued = runner_.queued();
+  out.limit = runner_.limit();
+  out.mean_milli = runner_.mean_milli();
+  return out;
+}
+
+void agent::add_link(io::framed_connection* connection) {
+  auto added = std::make_unique<router_link>();
+  auto* link = added.get();
+  link->connection = connection;
+  link->facts = [this] { return make_facts(); };
+  links_[connection] = std::move(added);
+  connection->on_frame = [this, link](byte_view buf) { handle_frame(*link, buf); };
+  connection->on_closed = [this, link](std::error_code) { drop_link(link); };
+  wire::HelloT hello;
+  hello.node_id = settings_.node_id;
+  hello.incarnation = io::process_incarnation();
+  hello.protocol = protocol_version;
+  send(*link, std::move(hello));
+  if (draining_) {
+    wire::ServerNoticeT notice;
+    notice.draining = true;
+    send(*link, std::move(notice));
+  }
+}
+
+void agent::drop_link(router_link* link) {
+  runner_.close_link(*link);
+  auto* connection = link->connection;
+  connection->on_frame = nullptr;
+  connection->on_closed = nullptr;
+  connection->close();
+  connection->deleteLater();
+  links_.erase(connection);
+}
+
+void agent::handle_frame(router_link& link, byte_view buf) {
+  std::error_code ec;
+  auto frame = wire::decode_data(buf, ec);
+  if (!frame) {
+    io::log_event(io::log_level::warning, "malformed_frame", {{"router", link.node_id}});
+    // Closed from the event loop, because the link is in use by the caller.
+    link.connection->on_frame = nullptr;
+    QMetaObject::invokeMethod(
+        link.connection, [this, &link] { drop_link(&link); }, Qt::QueuedConnection);
+    return;
+  }
+  handle_body(link, *frame);
+}
+
+void agent::handle_body(router_link& link, wire::DataFrameT& frame) {
+  if (auto* hello = frame.body.AsHello()) {
+    link.node_id = hello->node_id;
+  } else if (auto* start = frame.body.AsStartAttempt()) {
+    if (is_usable(*start)) {
+      runner_.start_attempt(std::move(*start), frame.config_version, link);
+    }
+  } else if (const auto* ack = frame.body.AsAttemptAck(); ack && ack->attempt_id) {
+    runner_.acknowledge(wire::from_wire(*ack->attempt_id), ack->offset, link);
+  } else if (const auto* body = frame.body.AsResumeAttempt(); body && body->attempt_id) {
+    runner_.resume(wire::from_wire(*body->attempt_id), body->offset, link);
+  } else if (const auto* body = frame.body.AsDetachAttempt(); body && body->attempt_id) {
+    runner_.detach(wire::from_wire(*body->attempt_id), link);
+  } else if (const auto* body = frame.body.AsCancelAttempt(); body && body->attempt_id) {
+    runner_.cancel(wire::from_wire(*body->attempt_id), link);
+  }
+}
+
+void agent::drain() {
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  runner_.start_draining();
+  const auto config = session_.config();
+  const auto limit = config ? config->limits.drain_limit : limit_settings{}.drain_limit;
+  drain_until_ = io::now() + limit;
+  io::log_event(io::log_level::info, "drain_started",
+                {{"load", std::to_string(runner_.load())},
+                 {"limit_ms", std::to_string(limit.count())}});
+  session_.send_heartbeat();
+  for (auto& [connection, link] : links_) {
+    wire::ServerNoticeT notice;
+    notice.draining = true;
+    send(*link, std::move(notice));
+  }
+  drain_timer_.start(drain_check_interval);
+}
+
+void agent::check_drained() {
+  const bool over = io::now() >= drain_until_;
+  if (over) {
+    runner_.abort_all();
+  }
+  // Every router must have learned of the drain from the group or from here.
+  const bool finished = runner_.store().count_undelivered() == 0 && leaving_announced_;
+  if (!finished && !over) {
+    return;
+  }
+  drain_timer_.stop();
+  io::log_event(io::log_level::info, "drain_finished",
+                {{"complete", finished ? "true" : "false"}});
+  for (auto& [connection, link] : links_) {
+    connection->close();
+  }
+  if (on_drained) {
+    on_drained();
+  }
+}
+
+} // namespace marigoldstep::agent
--- /dev/null
+++ b/tools/agent/agent.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "agent/attempt_runner.h"
+#include "agent/orders.h"
+#include "marigoldstep/io/admin_server.h"
+
+#include <map>
+
+namespace marigoldstep::agent {
+
+// The process beside one backend server: the only way to it.
+class agent : public QObject {
+public:
+  agent(agent_settings settings, QObject* parent);
+  ~agent() override;
+  agent(const agent&) = delete;
+  agent& operator=(const agent&) = delete;
+
+  // Listens and starts to announce itself.
+  std::error_code start();
+  // Takes no new work; on_drained is called when the rest is finished, or when
+  // the configured limit is over.
+  void drain();
+  std::function<void()> on_drained;
+
+  [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
+  [[nodiscard]] std::uint16_t admin_port() const { return admin_.port(); }
+  [[nodiscard]] attempt_runner& runner() { return runner_; }
+
+private:
+  void set_up_session();
+  void set_up_admin();
+  void fill_heartbeat(wire::HeartbeatT& body);
+  void handle_ack(const wire::HeartbeatAckT& ack);
+  void add_link(io::framed_connection* connection);
+  void drop_link(router_link* link);
+  void handle_frame(router_link& link, byte_view buf);
+  void handle_body(router_link& link, wire::DataFrameT& frame);
+  [[nodiscard]] frame_facts make_facts() const;
+  void serve_post(const QHttpServerRequest& request, QTcpSocket* socket);
+  void check_drained();
+
+  agent_settings settings_;
+  io::admin_server admin_;
+  agent_metrics metrics_;
+  io::node_session session_;
+  attempt_runner runner_;
+  backend_client order_backend_;
+  order_gate orders_;
+  io::framed_listener listener_;
+  std::map<io::framed_connection*, std::unique_ptr<router_link>> links_;
+  mean_report sent_report_; // load and time of the last heartbeat
+  bool draining_ = false;
+  bool leaving_announced_ = false;
+  time_point drain_until_{};
+  QTimer drain_timer_;
+};
+
+} // namespace marigoldstep::agent
--- /dev/null
+++ b/tools/agent/attempt_runner.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "agent/agent_metrics.h"
+#include "agent/attempt_store.h"
+#include "agent/claim_service.h"
+#include "agent/settings.h"
+#include "marigoldstep/admission.h"
+#include "marigoldstep/fair_queue.h"
+#include "marigoldstep/io/node_session.h"
+#include "marigoldstep/load_limit.h"
+
+#include <map>
+#include <vector>
+
+namespace marigoldstep::agent {
+
+// Takes attempts from admission to their end: load bound, fair queue, claims and
+// the calls to the backend server.
+class attempt_runner : public QObject {
+public:
+  attempt_runner(const agent_settings& settings, io::node_session& session,
+                 agent_metrics& metrics, QObject* parent);
+
+  void start_attempt(wire::StartAttemptT start, std::uint64_t sender_version,
+                     router_link& link);
+  void resume(const attempt_id& id, std::uint64_t offset, router_link& link);
+  void acknowledge(const attempt_id& id, std::uint64_t offset, const router_link& link);
+  void detach(const attempt_id& id, const router_link& link);
+  void cancel(const attempt_id& id, router_link& link);
+  void close_link(const router_link& link);
+
+  void apply_configuration(const configuration& config);
+  void note_version(std::uint64_t version);
+  void note_mean(const mean_report& report) { mean_ = report; }
+  // From now on new attempts are refused.
+  void start_draining() { draining_ = true; }
+  // Ends what is left when the drain limit is over.
+  void abort_all();
+
+  [[nodiscard]] std::uint32_t running() const;
+  [[nodiscard]] std::uint32_t queued() const;
+  [[nodiscard]] std::uint32_t load() const { return running() + queued(); }
+  [[nodiscard]] std::uint32_t limit() const;
+  [[nodiscard]] std::uint32_t mean_milli() const;
+  [[nodiscard]] attempt_store& store() { return store_; }
+
+private:
+  struct held_attempt {
+    wire::StartAttemptT start;
+    std::uint64_t sender_version = 0;
+    router_link* link = nullptr;
+    time_point arrived{};
+  };
+
+  // Checks that don't depend on the state of this agent; errc::ok when fine.
+  [[nodiscard]] errc check_request(const wire::StartAttemptT& start) const;
+  [[nodiscard]] bool is_repeatable_here(const wire::StartAttemptT& start) const;
+  [[nodiscard]] admission_decision decide(const wire::StartAttemptT& start,
+                                          std::uint64_t sender_version,
+                                          time_point arrived) const;
+  void decide_and_act(wire::StartAttemptT start, std::uint64_t sender_version,
+                      router_link& link, time_point arrived);
+  void refuse(const wire::StartAttemptT& start, const outcome& result, router_link& link);
+  void admit(wire::StartAttemptT start, router_link& link, time_point arrived);
+  void hold(held_attempt held);
+  void retry_held();
+  void dispatch();
+  void begin(attempt& it);
+  void handle_claim(const attempt_id& id, claim_decision decision);
+  void deliver_stored(attempt& it, const wire::StoredAnswerT& answer);
+  void call_backend(attempt& it);
+  void handle_data(const attempt_id& id, byte_view chunk);
+  void handle_call_end(const attempt_id& id, backend_end result,
+                       const std::string& detail);
+  void handle_whole_answer(attempt& it);
+  void release_and_end(attempt& it, const outcome& result, const std::string& detail);
+  void stop_call(attempt& it);
+  // Ends an attempt that nobody waits for any more, or whose time is over.
+  void give_up(attempt& it, errc reason);
+  void cancel_unknown(const attempt_id& id, router_link& link);
+  void leave_to_settle(attempt& it, errc reason);
+  void end(attempt& it, const outcome& result, const std::string& detail = {});
+  void tick();
+  void expire(time_point now);
+
+  const agent_settings& settings_;
+  io::node_session& session_;
+  agent_metrics& metrics_;
+  attempt_store store_;
+  claim_service claims_;
+  backend_client backend_;
+  fair_queue queue_;
+  mean_report mean_;
+  std::uint64_t newest_version_ = 0;
+  std::uint32_t running_ = 0;
+  bool draining_ = false;
+  std::vector<held_attempt> held_;
+  // Attempts that were cancelled before their start arrived.
+  std::map<attempt_id, time_point> cancelled_;
+  QTimer timer_;
+};
+
+} // namespace marigoldstep::agent
--- /dev/null
+++ b/tools/agent/backend_call.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "marigoldstep/io/control_client.h"
+#include "marigoldstep/wire.h"
+
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
+#include <QTimer>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace marigoldstep::agent {
+
+// One HTTP request to the backend server.
+struct backend_request {
+  std::string method;
+  std::string path; // with the query
+  std::vector<wire::HeaderT> headers;
+  bytes body;
+};
+
+struct backend_head {
+  std::uint16_t status = 0;
+  std::vector<wire::HeaderT> headers; // without hop-by-hop ones
+};
+
+enum class backend_end {
+  complete,    // the whole answer was received
+  not_reached, // no connection was made, so the call certainly did not run
+  truncated,   // closed early, or a length that does not match
+  timed_out,   // silent for longer than the idle timeout
+};
+
+// A call in progress. Exactly one on_end follows unless abort() is called. The
+// owner disposes of it with deleteLater(), because its callbacks run inside a
+// signal of the network reply.
+class backend_call : public QObject {
+public:
+  backend_call(std::shared_ptr<QNetworkAccessManager> manager, QNetworkReply* reply,
+               bool has_body, duration idle_timeout, QObject* parent);
+  ~backend_call() override;
+  backend_call(const backend_call&) = delete;
+  backend_call& operator=(const backend_call&) = delete;
+
+  std::function<void(const backend_head&)> on_head;
+  std::function<void(byte_view)> on_data;
+  std::function<void(backend_end, const std::string& detail)> on_end;
+
+  // Closes the connection to the backend server; no callback follows.
+  void abort();
+
+private:
+  void read_head();
+  void read_data();
+  void finish();
+  void end(backend_end result, const std::string& detail);
+  [[nodiscard]] bool is_whole() const;
+  [[nodiscard]] bool certainly_not_reached() const;
+
+  std::shared_ptr<QNetworkAccessManager> manager_;
+  QNetworkReply* reply_;
+  QTimer idle_timer_;
+  bool expects_body_;
+  bool has_head_ = false;
+  bool ended_ = false;
+  int connects_ = 0;
+  bool request_sent_ = false;
+  bool is_event_stream_ = false;
+  std::uint64_t length_ = 0;
+  std::string tail_; // last bytes of an event stream
+};
+
+// Makes calls to one backend server, each on a connection of its own.
+class backend_client : public QObject {
+public:
+  backend_client(io::endpoint backend, duration idle_timeout, QObject* parent);
+
+  // The callbacks of the result must be set before control returns to the event
+  // loop. The call belongs to the client until deleted.
+  backend_call* start(const backend_request& request);
+
+private:
+  void renew_manager();
+
+  io::endpoint backend_;
+  duration idle_timeout_;
+  std::shared_ptr<QNetworkAccessManager> manager_;
+  std::uint64_t calls_ = 0;
+};
+
+} // namespace marigoldstep::agent
--- /dev/null
+++ b/tools/agent/claim_service.cpp
@@ -0,0 +1,170 @@
+#include "agent/claim_service.h"
+
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/logging.h"
+
+namespace marigoldstep::agent {
+
+namespace {
+
+using wire::ClaimKind;
+using wire::ClaimOutcome;
+
+constexpr auto settle_retry = duration(200);
+// An unsettled claim answers may_have_run to every resend, so it is worth more
+// than one election to settle it.
+constexpr auto settle_limit = duration(30'000);
+
+claim_decision refuse(const outcome& result) {
+  return {claim_action::refuse, result, nullptr};
+}
+
+claim_decision deliver(const wire::ClaimReplyT& reply) {
+  if (!reply.answer || !reply.answer->complete) {
+    return refuse(may_have_run(errc::answer_too_large));
+  }
+  return {claim_action::deliver, completed(),
+          std::make_unique<wire::StoredAnswerT>(*reply.answer)};
+}
+
+const wire::ClaimReplyT* reply_of(const io::control_result& result) {
+  return result.reply ? result.reply->body.AsClaimReply() : nullptr;
+}
+
+double seconds_since(time_point from) {
+  return std::chrono::duration<double>(io::now() - from).count();
+}
+
+} // namespace
+
+std::uint64_t hash_call(const wire::StartAttemptT& start) {
+  const auto target = stable_hash(start.method + " " + start.path);
+  return stable_hash(byte_view(start.body), target);
+}
+
+claim_decision decide_claim(const wire::ClaimReplyT& reply) {
+  switch (reply.outcome) {
+  case ClaimOutcome::granted:
+    return {claim_action::run, {}, nullptr};
+  case ClaimOutcome::completed:
+    return deliver(reply);
+  case ClaimOutcome::running:
+    return refuse(may_have_run(errc::already_running));
+  case ClaimOutcome::cancelled:
+    return refuse(not_run(errc::request_cancelled));
+  case ClaimOutcome::mismatch:
+    return refuse(not_run(errc::idempotency_key_reused));
+  case ClaimOutcome::expired:
+    return refuse(may_have_run(errc::idempotency_key_expired));
+  case ClaimOutcome::in_future:
+    return refuse(not_run(errc::idempotency_key_in_future));
+  case ClaimOutcome::may_have_run:
+    return refuse(may_have_run(errc::already_running));
+  case ClaimOutcome::unknown:
+  case ClaimOutcome::unavailable:
+    return refuse(may_have_run(errc::control_unavailable));
+  }
+  return refuse(may_have_run(errc::control_unavailable));
+}
+
+wire::ClaimRequestT claim_service::make_request(const attempt& it, ClaimKind kind) const {
+  wire::ClaimRequestT out;
+  out.kind = kind;
+  out.workspace = it.start.workspace;
+  out.service = it.start.service;
+  out.key = it.start.idempotency_key;
+  out.body_hash = it.body_hash;
+  out.attempt_hi = it.id.hi;
+  out.attempt_lo = it.id.lo;
+  out.holder = session_.node_id();
+  out.holder_incarnation = io::process_incarnation();
+  return out;
+}
+
+void claim_service::obtain(const attempt& it, std::function<void(claim_decision)> done) {
+  auto request = make_request(it, ClaimKind::claim);
+  const auto started = io::now();
+  const auto wait = std::min(timeout_, it.deadline - started);
+  session_.client().request(
+      wire::ClaimRequestT(request), std::max(wait, duration(1)),
+      [this, request, started, done = std::move(done)](const io::control_result& result) {
+        if (claim_seconds != nullptr) {
+          claim_seconds->Observe(seconds_since(started));
+        }
+        const auto* reply = reply_of(result);
+        if (reply != nullptr && reply->outcome != ClaimOutcome::unavailable) {
+          done(decide_claim(*reply));
+        } else if (!result.may_have_arrived) {
+          done(refuse(not_run(errc::control_unavailable)));
+        } else {
+          take_back(request, done);
+        }
+      });
+}
+
+// Releases a claim whose fate is unknown. The call was not made, so a release
+// that is committed makes "not run" certain and leaves the key usable.
+void claim_service::take_back(wire::ClaimRequestT request,
+                              std::function<void(claim_decision)> done) {
+  request.kind = ClaimKind::release;
+  session_.client().request(std::move(request), timeout_,
+                            [done = std::move(done)](const io::control_result& result) {
+                              const auto* reply = reply_of(result);
+                              if (reply == nullptr ||
+                                  reply->outcome == ClaimOutcome::unavailable) {
+                                done(refuse(may_have_run(errc::control_unavailable)));
+                              } else if (reply->outcome == ClaimOutcome::unknown) {
+                                done(refuse(not_run(errc::control_unavailable)));
+                              } else {
+                                done(decide_claim(*reply));
+                              }
+                            });
+}
+
+void claim_service::settle(const std::shared_ptr<settlement>& job) {
+  session_.client().request(
+      wire::ClaimRequestT(job->request), timeout_,
+      [this, job](const io::control_result& result) {
+        const auto* reply = reply_of(result);
+        const bool settled =
+            reply != nullptr && reply->outcome != ClaimOutcome::unavailable;
+        if (settled || io::now() >= job->give_up_at) {
+          job->done(settled ? reply : nullptr);
+          return;
+        }
+        QTimer::singleShot(settle_retry, this, [this, job] { settle(job); });
+      });
+}
+
+void claim_service::complete(const attempt& it, std::function<void(bool)> done) {
+  auto request = make_request(it, ClaimKind::complete);
+  request.answer = std::make_unique<wire::StoredAnswerT>();
+  request.answer->status = it.head.status;
+  for (const auto& header : it.head.headers) {
+    if (QByteArray::fromStdString(header.name).toLower() == "content-type") {
+      request.answer->content_type = header.value;
+    }
+  }
+  request.answer->complete = it.answer.data.size() <= max_stored_answer;
+  if (request.answer->complete) {
+    request.answer->body = it.answer.data;
+  }
+  auto report = [done = std::move(done)](const wire::ClaimReplyT* reply) {
+    done(reply != nullptr && reply->outcome == ClaimOutcome::completed);
+  };
+  settle(std::make_shared<settlement>(
+      settlement{std::move(request), io::now() + settle_limit, std::move(report)}));
+}
+
+void claim_service::release(const attempt& it, std::function<void()> done) {
+  auto report = [done = std::move(done)](const wire::ClaimReplyT* /*reply*/) {
+    if (done) {
+      done();
+    }
+  };
+  settle(std::make_shared<settlement>(settlement{make_request(it, ClaimKind::release),
+                                                 io::now() + settle_limit,
+                                                 std::move(report)}));
+}
+
+} // namespace marigoldstep::agent
--- /dev/null
+++ b/tools/agent/main.cpp
@@ -0,0 +1,40 @@
+#include "agent/agent.h"
+#include "marigoldstep/io/program.h"
+
+#include <QCoreApplication>
+
+#include <iostream>
+
+int main(int argc, char** argv) {
+  using namespace marigoldstep;
+  const auto options = io::parse_program_options(
+      argc, argv, "mstep-agent",
+      "the process beside a backend server: load limits, fairness, draining, "
+      "at-most-once claims");
+  if (options.done) {
+    return options.exit_status;
+  }
+  agent::agent_settings settings;
+  const bool usable = io::load_settings(options.config_path, [&](yaml_mapping& map) {
+    settings = agent::parse_agent_settings(map);
+  });
+  if (!usable) {
+    return io::exit_bad_usage;
+  }
+  if (options.check_only) {
+    return io::exit_ok;
+  }
+  QCoreApplication app(argc, argv);
+  io::start_logging("mstep-agent", settings.node_id, settings.log_level,
+                    settings.log_file);
+  agent::agent node(settings, nullptr);
+  // Gives the last frames to the routers time to leave the socket buffers.
+  constexpr auto flush_time = std::chrono::milliseconds(100);
+  node.on_drained = [] { QTimer::singleShot(flush_time, &QCoreApplication::quit); };
+  if (const auto ec = node.start()) {
+    std::cerr << "mstep-agent: cannot listen: " << ec.message() << "\n";
+    return io::exit_failed;
+  }
+  io::on_stop_signal([&node] { node.drain(); });
+  return QCoreApplication::exec();
+}
