--- /dev/null
+++ b/tests/programs/agent_stream_test.cpp
@@ -0,0 +1,246 @@
+#include "programs/agent_harness.h"
+
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
+#include <QProcess>
+#include <QTemporaryDir>
+
+using namespace agent_harness;
+
+namespace {
+
+constexpr std::size_t large = 1'000'000;
+
+QByteArray large_answer() {
+  QByteArray body(large, 'x');
+  for (qsizetype i = 0; i < body.size(); ++i) {
+    body[i] = static_cast<char>('a' + i % 23);
+  }
+  return body;
+}
+
+// Posts to the admin port and returns the status.
+int post(std::uint16_t port, const char* path, const QByteArray& body) {
+  QNetworkAccessManager manager;
+  QNetworkRequest request(QUrl(QString("http://127.0.0.1:%1%2").arg(port).arg(path)));
+  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+  const std::unique_ptr<QNetworkReply> reply(manager.post(request, body));
+  REQUIRE(wait_for([&] { return reply->isFinished(); }));
+  return reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+}
+
+} // namespace
+
+// Guards against a slow caller filling the router's memory.
+TEST_CASE("no more than the window is sent beyond the acknowledged offset") {
+  fleet all;
+  auto& node = all.start();
+  const auto answer = large_answer();
+  all.backend->on_call = [&answer](fake_backend::call& call) {
+    fake_backend::write(call, fake_backend::whole_answer(answer), true);
+  };
+  fake_router router(node.port());
+  router.auto_acknowledge = false;
+  const auto id = io::make_attempt_id();
+  router.send(router.make_start(id));
+  // The whole answer is at the agent, so only the window holds it back.
+  REQUIRE(wait_for([&] { return node.runner().running() == 0 && !router.body.empty(); }));
+  for (std::size_t acknowledged = 0; acknowledged + send_window < large;) {
+    const auto allowed = acknowledged + send_window;
+    REQUIRE(wait_for([&] { return router.body.size() == allowed; }));
+    // A frame beyond the window would come before the reply to this one.
+    router.send_about<wire::CancelAttemptT>(io::make_attempt_id());
+    REQUIRE(router.wait_end());
+    REQUIRE(router.last_end() == "may_have_run/unknown_attempt");
+    REQUIRE(router.body.size() == allowed);
+    router.ends.clear();
+    acknowledged += 100'000;
+    router.acknowledge(id, acknowledged);
+  }
+  REQUIRE(router.wait_end());
+  CHECK(router.last_end() == "completed/ok");
+  CHECK(router.body == answer.toStdString());
+}
+
+// Guards against an answer lost with the connection to a router, and against
+// bytes that are missing or doubled at the seam.
+TEST_CASE("an answer is resumed through another connection") {
+  fleet all;
+  auto& node = all.start();
+  const auto answer = large_answer();
+  fake_backend::call* running = nullptr;
+  all.backend->on_call = [&](fake_backend::call& call) {
+    running = &call;
+    fake_backend::write(call, fake_backend::whole_answer(answer).left(200'000), false);
+  };
+  const auto id = io::make_attempt_id();
+  std::string first;
+  {
+    fake_router router(node.port());
+    router.send(router.make_start(id));
+    REQUIRE(wait_for([&] { return router.body.size() > 100'000; }));
+    first = router.body.substr(0, 70'000);
+  }
+  fake_router other(node.port());
+  other.resume(id, first.size());
+  REQUIRE(wait_for([&] { return other.body.size() > 100'000; }));
+  fake_backend::write(*running, fake_backend::whole_answer(answer).mid(200'000), true);
+  REQUIRE(other.wait_end());
+  CHECK(other.last_end() == "completed/ok");
+  CHECK(first + other.body == answer.toStdString());
+  CHECK(all.backend->calls.size() == 1);
+}
+
+// Guards against an engine that goes on for a caller who left, and against a slot
+// that is never freed.
+TEST_CASE("a detached or cancelled call is aborted") {
+  fleet all;
+  auto& node = all.start();
+  all.backend->on_call = [](fake_backend::call& call) {
+    fake_backend::write(call, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhe", false);
+  };
+  all.settings.idle_timeout = duration(60'000);
+  fake_router router(node.port());
+  const auto id = io::make_attempt_id();
+  auto start = router.make_start(id);
+  start.deadline_ms = 60'000;
+  router.send(std::move(start));
+  REQUIRE(wait_for([&] { return router.body == "he"; }));
+  const auto began = io::now();
+  SECTION("detached: after the resume window") {
+    router.send_about<wire::DetachAttemptT>(id);
+    REQUIRE(wait_for([&] { return all.backend->calls[0]->closed; }));
+    CHECK(io::now() - began >= duration(200));
+  }
+  SECTION("cancelled: at once") {
+    router.send_about<wire::CancelAttemptT>(id);
+    REQUIRE(wait_for([&] { return all.backend->calls[0]->closed; }));
+    REQUIRE(router.wait_end());
+    CHECK(router.last_end() == "may_have_run/request_cancelled");
+  }
+  CHECK(wait_for([&] { return node.runner().load() == 0; }));
+}
+
+// Guards against a claim that is never settled because the caller of a call in
+// progress went away.
+TEST_CASE("a cancelled not repeatable call still settles its claim") {
+  fleet all;
+  auto& node = all.start();
+  fake_backend::call* running = nullptr;
+  all.backend->on_call = [&](fake_backend::call& call) { running = &call; };
+  fake_router router(node.port());
+  const auto id = io::make_attempt_id();
+  router.send(router.make_booking(id));
+  REQUIRE(wait_for([&] { return running != nullptr; }));
+  router.send_about<wire::CancelAttemptT>(id);
+  REQUIRE(router.wait_end());
+  CHECK(router.last_end() == "may_have_run/request_cancelled");
+  fake_backend::write(*running, fake_backend::whole_answer("booked"), true);
+  REQUIRE(wait_for(
+      [&] { return all.control->count_claims(wire::ClaimKind::complete) == 1; }));
+}
+
+// Guards against load over the bound, and against queued work lost behind it.
+TEST_CASE("attempts over the load bound are refused and the others run") {
+  fleet all;
+  auto& node = all.start(); // mean 4, multiple 1.25, two slots
+  std::vector<fake_backend::call*> running;
+  all.backend->on_call = [&](fake_backend::call& call) { running.push_back(&call); };
+  fake_router router(node.port());
+  for (int i = 0; i < 8; ++i) {
+    router.send(router.make_start(io::make_attempt_id()));
+  }
+  REQUIRE(wait_for([&] { return router.ends.size() == 3 && running.size() == 2; }));
+  CHECK(router.last_end() == "not_run/load_limit_reached");
+  CHECK(router.ends.back().retry_after_ms > 0);
+  CHECK(router.load.running() == 2);
+  CHECK(router.load.queued() == 3);
+  CHECK(router.load.limit() == 5);
+  for (std::size_t served = 0; served < 5; ++served) {
+    REQUIRE(wait_for([&] { return running.size() > served; }));
+    fake_backend::write(*running[served], fake_backend::whole_answer(""), true);
+  }
+  REQUIRE(wait_for([&] { return router.ends.size() == 8; }));
+  CHECK(router.last_end() == "completed/ok");
+}
+
+// Guards against a planned stop that cuts a request, takes new work, or is not
+// announced.
+TEST_CASE("a drain finishes what runs and takes nothing new") {
+  fleet all;
+  auto& node = all.start();
+  bool drained = false;
+  node.on_drained = [&] { drained = true; };
+  fake_backend::call* running = nullptr;
+  all.backend->on_call = [&](fake_backend::call& call) { running = &call; };
+  fake_router router(node.port());
+  router.send(router.make_start(io::make_attempt_id()));
+  REQUIRE(wait_for([&] { return running != nullptr; }));
+  CHECK(post(node.admin_port(), "/drain", "") == 202);
+  const auto began = io::now();
+  REQUIRE(wait_for([&] { return router.told_draining; }));
+  REQUIRE(wait_for([&] { return all.control->last_heartbeat.leaving; }));
+  CHECK(io::now() - began < duration(400)); // before the next regular heartbeat
+  router.send(router.make_start(io::make_attempt_id()));
+  REQUIRE(router.wait_end());
+  CHECK(router.last_end() == "not_run/server_draining");
+  CHECK_FALSE(drained);
+  fake_backend::write(*running, fake_backend::whole_answer("late"), true);
+  REQUIRE(wait_for([&] { return drained; }));
+  CHECK(router.last_end() == "completed/ok");
+  CHECK(router.body == "late");
+}
+
+// Guards against an order of a deposed operator reaching an engine that does not
+// check fencing tokens itself.
+TEST_CASE("orders with a stale fencing token are refused") {
+  fleet all;
+  auto& node = all.start();
+  const auto order = [](int fencing) {
+    return R"({"kind":"load_model","argument":"m2","fencing":)" +
+           QByteArray::number(fencing) + "}";
+  };
+  CHECK(post(node.admin_port(), "/orders", order(7)) == 200);
+  CHECK(post(node.admin_port(), "/orders", order(7)) == 409);
+  CHECK(post(node.admin_port(), "/orders", order(6)) == 409);
+  CHECK(post(node.admin_port(), "/orders", "{}") == 400);
+  CHECK(all.backend->calls.size() == 1);
+  CHECK(post(node.admin_port(), "/orders", order(8)) == 200);
+  REQUIRE(all.backend->calls.size() == 2);
+  CHECK(all.backend->calls[1]->head.startsWith("POST /admin/orders "));
+  CHECK(all.backend->calls[1]->body.contains("\"fencing\":8"));
+}
+
+// Guards against settings that start a wrong agent, and against a stop signal
+// that does not end the process.
+TEST_CASE("the program checks its settings and stops on SIGTERM") {
+  fleet all;
+  const QTemporaryDir dir;
+  const auto path = dir.filePath("agent.yaml");
+  const auto control = std::to_string(all.control->listener.port());
+  const auto write = [&path](const std::string& text) {
+    QFile file(path);
+    REQUIRE(file.open(QIODevice::WriteOnly));
+    file.write(text.data(), static_cast<qint64>(text.size()));
+  };
+  // Ports below the range from which the system picks free ones.
+  const std::string usable = "node_id: a\nzone: z\nservice: pool\nmodels: [m]\n"
+                             "listen: 127.0.0.1:29781\nadmin: 127.0.0.1:29782\n"
+                             "backend: 127.0.0.1:29783\ncontrol: ['127.0.0.1:" +
+                             control + "']\n";
+  QProcess process;
+  process.setProcessChannelMode(QProcess::MergedChannels);
+  write(usable + "listne: x\n");
+  process.start(MARIGOLDSTEP_BIN_DIR "/mstep-agent", {"--config", path});
+  REQUIRE(process.waitForFinished(5000));
+  CHECK(process.exitCode() == 2);
+  CHECK(process.readAll().contains("agent.yaml:9: listne: unknown key"));
+  write(usable);
+  process.start(MARIGOLDSTEP_BIN_DIR "/mstep-agent", {"--config", path});
+  REQUIRE(wait_for([&] { return all.control->last_heartbeat.config_version == 3; }));
+  process.terminate();
+  REQUIRE(wait_for([&] { return process.state() == QProcess::NotRunning; }));
+  CHECK(process.exitStatus() == QProcess::NormalExit);
+  CHECK(process.exitCode() == 0);
+  CHECK(all.control->last_heartbeat.leaving);
+}
--- a/tools/agent/agent.cpp
+++ b/tools/agent/agent.cpp
@@ -164,7 +164,7 @@
   if (draining_) {
     wire::ServerNoticeT notice;
     notice.draining = true;
-    send(*link, std::move(notice));
+    send(*link, notice);
   }
 }
 
@@ -226,7 +226,7 @@
   for (auto& [connection, link] : links_) {
     wire::ServerNoticeT notice;
     notice.draining = true;
-    send(*link, std::move(notice));
+    send(*link, notice);
   }
   drain_timer_.start(drain_check_interval);
 }
--- a/tools/agent/main.cpp
+++ b/tools/agent/main.cpp
@@ -7,6 +7,8 @@
 
 int main(int argc, char** argv) {
   using namespace marigoldstep;
+  // Gives the last frames to the routers time to leave the socket buffers.
+  static constexpr auto flush_time = std::chrono::milliseconds(100);
   const auto options = io::parse_program_options(
       argc, argv, "mstep-agent",
       "the process beside a backend server: load limits, fairness, draining, "
@@ -28,8 +30,6 @@
   io::start_logging("mstep-agent", settings.node_id, settings.log_level,
                     settings.log_file);
   agent::agent node(settings, nullptr);
-  // Gives the last frames to the routers time to leave the socket buffers.
-  constexpr auto flush_time = std::chrono::milliseconds(100);
   node.on_drained = [] { QTimer::singleShot(flush_time, &QCoreApplication::quit); };
   if (const auto ec = node.start()) {
     std::cerr << "mstep-agent: cannot listen: " << ec.message() << "\n";
--- a/tools/agent/settings.cpp
+++ b/tools/agent/settings.cpp
@@ -9,7 +9,7 @@
 
 io::endpoint check_endpoint(yaml_mapping& map, const std::string& key,
                             const std::string& text) {
-  const auto out = io::parse_endpoint(text);
+  auto out = io::parse_endpoint(text);
   if (out.port == 0) {
     add_problem(map, key, "must be host:port with a port from 1 to 65535");
   }
