--- a/include/marigoldstep/request.h
+++ b/include/marigoldstep/request.h
@@ -58,9 +58,6 @@
 request_check check_request(const configuration& config, const request_facts& facts,
                             unix_seconds now);
 
-// Time in an idempotency key: a UUID version 7 or "<unix seconds>-<token>".
-std::optional<unix_seconds> idempotency_key_time(std::string_view key);
-
 // How the caller learns that a key's time is not accepted. A key older than the
 // retention may have run, so its verdict is may_have_run.
 outcome check_idempotency_key(std::string_view key, unix_seconds now,
--- a/tools/router/caller_answer.cpp
+++ b/tools/router/caller_answer.cpp
@@ -113,7 +113,8 @@
   std::array<char, 20> size{};
   auto [end, ec] = std::to_chars(size.data(), size.data() + size.size(), data.size(), 16);
   QByteArray chunk;
-  chunk.reserve(static_cast<qsizetype>(data.size() + size.size() + 4));
+  const auto needed = data.size() + size.size() + 4;
+  chunk.reserve(qsizetype(needed));
   chunk.append(size.data(), end - size.data());
   chunk.append("\r\n");
   chunk.append(reinterpret_cast<const char*>(data.data()),
--- a/tools/router/caller_server.cpp
+++ b/tools/router/caller_server.cpp
@@ -50,6 +50,13 @@
   connect(&timer_, &QTimer::timeout, this, [this] { close_idle(); });
 }
 
+caller_server::~caller_server() {
+  // The sockets close when listener_ goes; their sinks are gone by then.
+  for (const auto& [socket, connection] : connections_) {
+    socket->disconnect(this);
+  }
+}
+
 std::error_code caller_server::start(const io::endpoint& listen) {
   const QHostAddress address(QString::fromStdString(listen.host));
   constexpr int backlog = 1024;
