Add the stand-ins for backend servers and the load tool

Cause: the daemons need backend servers to be tested against and a caller that notices every wrong, cut, doubled or falsely refused answer.

Change: mstep-stand-in plays a model engine (batching slots, priorities, prefix cache with limited memory, lagged load, late and lossy cache events, orders with fencing tokens, prefix export and import) or a plain service that counts the runs of each key and body, both with faults on command. Answers are functions of the request, so mstep-load checks every byte; it resumes cut answers, sends unanswered calls again under their key and compares the ends with the services' counts. It parses HTTP with Boost.Beast on a socket of its own for each exchange, because Qt's network access manager sends a POST again by itself when the connection closes before the status line.

--- /dev/null
+++ b/tools/load/checker.cpp
@@ -0,0 +1,177 @@
+#include "load/checker.h"
+
+#include "stand_in/service_model.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <algorithm>
+
+namespace marigoldstep::load {
+
+namespace {
+
+constexpr int status_ok = 200;
+
+byte_check compare(const QByteArray& body, const QByteArray& expected) {
+  if (body == expected) {
+    return byte_check::whole;
+  }
+  return expected.startsWith(body) ? byte_check::prefix : byte_check::wrong;
+}
+
+// The usage is the only part that depends on the engine. Its prompt and
+// completion counts are known; only cached_tokens is taken from the answer.
+byte_check check_chat(const stand_in::chat_request& chat, const QByteArray& body) {
+  stand_in::token_usage usage;
+  for (const auto& it : chat.messages) {
+    usage.prompt_tokens += stand_in::count_tokens(it.content);
+  }
+  usage.completion_tokens = chat.max_tokens;
+  const auto found = stand_in::find_usage(body);
+  if (found) {
+    usage.cached_tokens = std::min(found->cached_tokens, usage.prompt_tokens);
+    return compare(body, stand_in::render_body(chat, usage));
+  }
+  const auto expected = stand_in::render_body(chat, usage);
+  const auto fixed = expected.lastIndexOf("\"cached_tokens\":");
+  // A body that ends within the usage is compared up to it.
+  const auto known = std::min(body.size(), fixed);
+  return expected.startsWith(body.left(known)) ? byte_check::prefix : byte_check::wrong;
+}
+
+bool begins_answer(const exchange_result& result) {
+  return result.status == status_ok;
+}
+
+} // namespace
+
+std::string_view name(request_end value) {
+  switch (value) {
+  case request_end::whole:
+    return "whole";
+  case request_end::cut:
+    return "cut";
+  case request_end::wrong:
+    return "wrong";
+  case request_end::failed:
+    return "failed";
+  case request_end::not_run:
+    return "not_run";
+  case request_end::may_have_run:
+    return "may_have_run";
+  }
+  return "wrong";
+}
+
+byte_check check_bytes(const planned_request& request, const QByteArray& body) {
+  if (request.kind == request_kind::chat_turn) {
+    return check_chat(request.chat, body);
+  }
+  return compare(body, stand_in::render_service_answer(request.call));
+}
+
+std::optional<problem_answer> read_problem(const exchange_result& result) {
+  if (!result.complete || !result.content_type.startsWith("application/problem+json")) {
+    return std::nullopt;
+  }
+  const auto document = QJsonDocument::fromJson(result.body);
+  const auto root = document.object();
+  problem_answer out;
+  out.code = root["code"].toString().toStdString();
+  const auto text = root["verdict"].toString();
+  if (text == "not_run") {
+    out.result = verdict::not_run;
+  } else if (text == "completed") {
+    out.result = verdict::completed;
+  }
+  return out;
+}
+
+request_end judge(const planned_request& request, const exchange_result& result) {
+  if (const auto problem = read_problem(result)) {
+    switch (problem->result) {
+    case verdict::not_run:
+      return request_end::not_run;
+    case verdict::may_have_run:
+      return request_end::may_have_run;
+    case verdict::completed:
+      return request_end::failed;
+    }
+  }
+  if (result.status == 0) {
+    return result.sent ? request_end::may_have_run : request_end::not_run;
+  }
+  if (!begins_answer(result)) {
+    return result.complete ? request_end::failed : request_end::cut;
+  }
+  switch (check_bytes(request, result.body)) {
+  case byte_check::whole:
+    return result.complete ? request_end::whole : request_end::cut;
+  case byte_check::prefix:
+    return result.complete ? request_end::wrong : request_end::cut;
+  case byte_check::wrong:
+    return request_end::wrong;
+  }
+  return request_end::wrong;
+}
+
+next_action decide(const planned_request& request, const exchange_result& result,
+                   std::uint32_t sends_left) {
+  if (sends_left == 0) {
+    return next_action::finish;
+  }
+  switch (judge(request, result)) {
+  case request_end::whole:
+  case request_end::wrong:
+  case request_end::failed:
+    return next_action::finish;
+  case request_end::cut:
+    return result.resume_token.isEmpty() ? next_action::resend : next_action::resume;
+  case request_end::not_run:
+    return request.resend_not_run || result.status == 0 ? next_action::resend
+                                                        : next_action::finish;
+  case request_end::may_have_run:
+    // The key makes a call safe to send again; other requests are repeatable.
+    return next_action::resend;
+  }
+  return next_action::finish;
+}
+
+void add_runs(run_counts& counts, const exchange_result& answer) {
+  const auto document = QJsonDocument::fromJson(answer.body);
+  if (answer.status != status_ok || !answer.complete || !document.isObject()) {
+    ++counts.unreadable;
+    return;
+  }
+  const auto keys = document.object()["keys"].toObject();
+  for (auto it = keys.begin(); it != keys.end(); ++it) {
+    counts.by_key[it.key().toStdString()] += std::uint32_t(it.value().toInt());
+  }
+  const auto bodies = document.object()["bodies"].toObject();
+  for (auto it = bodies.begin(); it != bodies.end(); ++it) {
+    counts.by_body[it.key().toULongLong(nullptr, 16)] +=
+        std::uint32_t(it.value().toInt());
+  }
+}
+
+run_findings compare_runs(const std::vector<call_record>& calls,
+                          const run_counts& counts) {
+  run_findings out;
+  for (const auto& it : calls) {
+    const auto key = counts.by_key.find(it.key);
+    const auto body = counts.by_body.find(it.body_hash);
+    const auto key_runs = key == counts.by_key.end() ? 0 : key->second;
+    const auto body_runs = body == counts.by_body.end() ? 0 : body->second;
+    const auto runs = std::max(key_runs, body_runs);
+    out.doubled += runs > 1 ? 1 : 0;
+    const bool ran = runs > 0;
+    if (it.end == request_end::not_run && ran) {
+      (it.every_send_not_run ? out.not_run_ran : out.later_not_run_ran) += 1;
+    }
+    out.whole_without_run += it.end == request_end::whole && !ran ? 1 : 0;
+  }
+  return out;
+}
+
+} // namespace marigoldstep::load
--- /dev/null
+++ b/tools/load/checker.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "load/plan.h"
+#include "marigoldstep/verdict.h"
+
+#include <map>
+
+namespace marigoldstep::load {
+
+// How one HTTP exchange ended.
+struct exchange_result {
+  int status = 0;        // 0: no answer began
+  bool complete = false; // the answer's end arrived as HTTP marks it
+  bool sent = false;     // bytes of the request were handed to a connection
+  QByteArray content_type;
+  QByteArray resume_token;
+  duration retry_after{0};
+  QByteArray body;
+
+  friend bool operator==(const exchange_result&, const exchange_result&) = default;
+};
+
+// How a request ended for its caller, all sends together.
+enum class request_end {
+  whole,        // every byte as the request demands
+  cut,          // the answer began and its end never came
+  wrong,        // other bytes, or a false end
+  failed,       // the backend server answered with an error status
+  not_run,      // told that it did not run
+  may_have_run, // told so, or never answered
+};
+std::string_view name(request_end value);
+
+enum class byte_check { whole, prefix, wrong };
+
+// Compares a body, received so far, with what the request must yield.
+byte_check check_bytes(const planned_request& request, const QByteArray& body);
+
+// The end that one result stands for when nothing more is sent.
+request_end judge(const planned_request& request, const exchange_result& result);
+
+struct problem_answer {
+  verdict result = verdict::may_have_run;
+  std::string code;
+
+  friend bool operator==(const problem_answer&, const problem_answer&) = default;
+};
+// Reads application/problem+json; nothing when the answer is something else.
+std::optional<problem_answer> read_problem(const exchange_result& result);
+
+enum class next_action { finish, resume, resend };
+
+// What a caller does after a result: resume a cut answer that has a token, send
+// again what got no answer, and obey not_run as the request says.
+next_action decide(const planned_request& request, const exchange_result& result,
+                   std::uint32_t sends_left);
+
+// A call whose end must agree with what the services ran.
+struct call_record {
+  std::string key;
+  std::uint64_t body_hash = 0;
+  request_end end = request_end::whole;
+  bool every_send_not_run = false; // each send was answered with not_run
+
+  friend bool operator==(const call_record&, const call_record&) = default;
+};
+
+// Sums of the services' counts.
+struct run_counts {
+  std::map<std::string, std::uint32_t> by_key;
+  std::map<std::uint64_t, std::uint32_t> by_body;
+  std::uint32_t unreadable = 0; // services whose counts could not be read
+};
+// Adds the answer of GET /runs; counts it as unreadable when it is damaged.
+void add_runs(run_counts& counts, const exchange_result& answer);
+
+struct run_findings {
+  std::uint32_t doubled = 0;
+  std::uint32_t not_run_ran = 0;
+  // Told "not run" on a later send, after an earlier one went unanswered.
+  std::uint32_t later_not_run_ran = 0;
+  std::uint32_t whole_without_run = 0;
+
+  friend bool operator==(const run_findings&, const run_findings&) = default;
+};
+run_findings compare_runs(const std::vector<call_record>& calls,
+                          const run_counts& counts);
+
+} // namespace marigoldstep::load
--- /dev/null
+++ b/tools/load/http_exchange.cpp
@@ -0,0 +1,146 @@
+#include "load/http_exchange.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+
+namespace marigoldstep::load {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+// Kept out of the header, because Beast's headers are slow to compile.
+struct http_exchange::parser_state {
+  http::response_parser<http::string_body> parser;
+};
+
+namespace {
+
+constexpr std::uint64_t max_body = 64U << 20U;
+
+QByteArray header(const http::fields& fields, std::string_view name) {
+  const auto value = fields[beast::string_view(name.data(), name.size())];
+  return {value.data(), static_cast<qsizetype>(value.size())};
+}
+
+QByteArray request_text(const http_request& request) {
+  QByteArray out = request.method + " " + request.path + " HTTP/1.1\r\nHost: " +
+                   QByteArray::fromStdString(request.target.host) + ":" +
+                   QByteArray::number(request.target.port) + "\r\nConnection: close\r\n";
+  for (const auto& it : request.headers) {
+    out += it.name + ": " + it.value + "\r\n";
+  }
+  if (request.method != "GET") {
+    out += "Content-Length: " + QByteArray::number(request.body.size()) + "\r\n";
+  }
+  return out + "\r\n" + request.body;
+}
+
+} // namespace
+
+http_exchange::http_exchange(http_request request, duration idle_timeout, QObject* parent)
+    : QObject(parent), request_(std::move(request)), socket_(this),
+      parser_(std::make_unique<parser_state>()) {
+  parser_->parser.eager(true);
+  parser_->parser.body_limit(max_body);
+  connect(&socket_, &QTcpSocket::connected, this, [this] { send_request(); });
+  connect(&socket_, &QTcpSocket::readyRead, this, [this] { read_answer(); });
+  connect(&socket_, &QTcpSocket::errorOccurred, this,
+          [this](QAbstractSocket::SocketError) { end_of_connection(); });
+  connect(&idle_, &QTimer::timeout, this, [this] { finish(); });
+  idle_.setSingleShot(true);
+  idle_.start(idle_timeout);
+  // From the event loop, because a refused connection reports its error from
+  // within connectToHost, before the owner has set its callbacks.
+  QMetaObject::invokeMethod(
+      this,
+      [this] {
+        socket_.connectToHost(QString::fromStdString(request_.target.host),
+                              request_.target.port);
+      },
+      Qt::QueuedConnection);
+}
+
+http_exchange::~http_exchange() {
+  done_ = true; // the socket's end is not reported from here on
+}
+
+void http_exchange::send_request() {
+  socket_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  sent_ = true;
+  socket_.write(request_text(request_));
+}
+
+void http_exchange::read_answer() {
+  if (done_) {
+    return;
+  }
+  idle_.start();
+  input_ += socket_.readAll();
+  auto& parser = parser_->parser;
+  while (!input_.isEmpty() && !parser.is_done()) {
+    beast::error_code ec;
+    const auto used = parser.put(
+        boost::asio::const_buffer(input_.constData(), std::size_t(input_.size())), ec);
+    input_.remove(0, static_cast<qsizetype>(used));
+    if (ec == http::error::need_more || (!ec && used == 0)) {
+      break;
+    }
+    if (ec) {
+      finish();
+      return;
+    }
+  }
+  if (!first_byte_seen_ && !parser.get().body().empty()) {
+    first_byte_seen_ = true;
+    if (on_first_byte) {
+      on_first_byte();
+    }
+  }
+  if (parser.is_done()) {
+    finish();
+  }
+}
+
+void http_exchange::end_of_connection() {
+  if (done_) {
+    return;
+  }
+  read_answer();
+  if (done_) {
+    return;
+  }
+  beast::error_code ec;
+  auto& parser = parser_->parser;
+  if (parser.is_header_done() && parser.need_eof()) {
+    parser.put_eof(ec); // an answer without a length ends with its connection
+  }
+  finish();
+}
+
+void http_exchange::finish() {
+  if (std::exchange(done_, true)) {
+    return;
+  }
+  idle_.stop();
+  exchange_result out;
+  out.sent = sent_;
+  auto& parser = parser_->parser;
+  if (parser.is_header_done()) {
+    const auto& answer = parser.get();
+    out.status = static_cast<int>(answer.result_int());
+    out.complete = parser.is_done();
+    out.content_type = header(answer, "Content-Type");
+    out.resume_token = header(answer, "X-Marigoldstep-Resume");
+    out.retry_after = std::chrono::seconds(header(answer, "Retry-After").toInt());
+    out.body = QByteArray::fromStdString(answer.body());
+  }
+  socket_.abort();
+  deleteLater();
+  if (on_done) {
+    std::exchange(on_done, nullptr)(std::move(out));
+  }
+}
+
+} // namespace marigoldstep::load
--- /dev/null
+++ b/tools/load/main.cpp
@@ -0,0 +1,39 @@
+#include "load/runner.h"
+#include "marigoldstep/io/program.h"
+
+#include <QCoreApplication>
+
+#include <iostream>
+
+using namespace marigoldstep;
+
+int main(int argc, char** argv) {
+  const auto options =
+      io::parse_program_options(argc, argv, "mstep-load",
+                                "sends returning chats and service calls and checks "
+                                "every answer byte for byte");
+  if (options.done) {
+    return options.exit_status;
+  }
+  load::load_settings settings;
+  if (!io::load_settings(options.config_path, [&](yaml_mapping& map) {
+        settings = load::parse_load_settings(map);
+      })) {
+    return io::exit_bad_usage;
+  }
+  if (options.check_only) {
+    return io::exit_ok;
+  }
+  QCoreApplication app(argc, argv);
+  load::runner run(settings, &app);
+  run.on_done = [&settings](const load::load_report& report) {
+    std::cout << (settings.json ? load::format_json(report) : load::format_table(report))
+              << std::flush;
+    QCoreApplication::exit(load::holds(report) ? io::exit_ok : io::exit_failed);
+  };
+  io::on_stop_signal([&run] { run.stop_early(); });
+  // From the event loop, so that a run without requests can end it.
+  QMetaObject::invokeMethod(
+      &run, [&run] { run.start(); }, Qt::QueuedConnection);
+  return QCoreApplication::exec();
+}
--- /dev/null
+++ b/tools/load/request_driver.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "load/http_exchange.h"
+
+#include <random>
+
+namespace marigoldstep::load {
+
+// What happened to one request, all sends together.
+struct request_record {
+  planned_request request;
+  request_end end = request_end::may_have_run;
+  bool every_send_not_run = true;
+  std::uint32_t sends = 0;
+  std::uint32_t resumes = 0;
+  double first_byte_ms = 0; // from the first send
+  double total_ms = 0;
+  std::string code; // of the last problem answer
+  std::optional<stand_in::token_usage> usage;
+};
+
+// Sends one request until it has an end, as a caller would: a cut answer is
+// resumed and an unanswered request sent again, each through another target.
+class request_driver : public QObject {
+public:
+  request_driver(const load_settings& settings, planned_request request,
+                 std::mt19937_64& random, QObject* parent);
+
+  // Called once; the object deletes itself afterwards.
+  std::function<void(request_record)> on_done;
+
+  void start();
+
+private:
+  void send();
+  void resume();
+  void run_exchange(http_request request, std::function<void(exchange_result)> done);
+  void after_send(exchange_result result);
+  void after_resume(exchange_result result);
+  void go_on();
+  void finish();
+  io::endpoint pick_target();
+  http_request make_request();
+  [[nodiscard]] double elapsed_ms() const;
+
+  const load_settings& settings_;
+  std::mt19937_64& random_;
+  request_record record_;
+  std::vector<io::endpoint> targets_;
+  std::size_t next_target_ = 0;
+  std::uint32_t sends_left_ = 0;
+  exchange_result merged_; // the answer over all exchanges since the last send
+  std::chrono::steady_clock::time_point started_;
+};
+
+} // namespace marigoldstep::load
--- /dev/null
+++ b/tools/stand_in/answer_writer.cpp
@@ -0,0 +1,95 @@
+#include "stand_in/answer_writer.h"
+
+namespace marigoldstep::stand_in {
+
+answer_writer::answer_writer(QHttpServerResponder responder, QTcpSocket* socket,
+                             const fault_settings& faults, QObject* parent)
+    : QObject(parent), responder_(std::move(responder)), socket_(socket),
+      faults_(faults) {
+  connect(socket, &QTcpSocket::disconnected, this, [this] {
+    const auto gone = std::exchange(on_caller_gone, nullptr);
+    release();
+    if (gone) {
+      gone();
+    }
+  });
+}
+
+void answer_writer::start(int status, const QByteArray& content_type,
+                          std::int64_t body_size) {
+  chunked_ = body_size < 0;
+  responder_.writeStatusLine(static_cast<QHttpServerResponder::StatusCode>(status));
+  responder_.writeHeader("Content-Type", content_type);
+  if (chunked_) {
+    responder_.writeHeader("Transfer-Encoding", "chunked");
+  } else {
+    responder_.writeHeader("Content-Length", QByteArray::number(qlonglong{
+                                                 body_size + faults_.length_error}));
+  }
+  responder_.writeBody(QByteArray()); // ends the header lines
+}
+
+void answer_writer::write(const QByteArray& data) {
+  if (stopped_ || !socket_) {
+    return;
+  }
+  const auto n = sendable_bytes(faults_, sent_, data.size());
+  write_body(data.left(static_cast<qsizetype>(n)));
+  sent_ += n;
+  stopped_ = n < data.size();
+  if (stopped_ && faults_.cut_after_bytes == sent_) {
+    close_connection();
+  }
+}
+
+void answer_writer::write_body(const QByteArray& data) {
+  if (data.isEmpty()) {
+    return; // an empty chunk would end the answer
+  }
+  if (!chunked_) {
+    responder_.writeBody(data);
+    return;
+  }
+  responder_.writeBody(QByteArray::number(data.size(), 16) + "\r\n" + data + "\r\n");
+}
+
+void answer_writer::finish() {
+  if (stopped_) {
+    return; // a stalled answer stays open until the caller closes
+  }
+  on_caller_gone = nullptr;
+  if (socket_ && chunked_) {
+    responder_.writeBody(QByteArray("0\r\n\r\n"));
+  } else if (faults_.length_error != 0) {
+    close_connection();
+  }
+  release();
+}
+
+void answer_writer::answer(int status, const QByteArray& content_type,
+                           const QByteArray& body) {
+  start(status, content_type, body.size());
+  write(body);
+  finish();
+}
+
+void answer_writer::close_connection() {
+  if (!socket_) {
+    return;
+  }
+  // From the event loop, because the connection's end calls back into the code
+  // that is writing the answer.
+  QMetaObject::invokeMethod(
+      socket_, [socket = socket_.data()] { socket->disconnectFromHost(); },
+      Qt::QueuedConnection);
+}
+
+void answer_writer::release() {
+  if (socket_) {
+    socket_->disconnect(this);
+  }
+  stopped_ = true;
+  deleteLater();
+}
+
+} // namespace marigoldstep::stand_in
--- /dev/null
+++ b/tools/stand_in/orders.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <QByteArray>
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace marigoldstep::stand_in {
+
+// A command to an engine: load_model, load_adapter, set_version or set_role.
+struct engine_order {
+  std::string kind;
+  std::string argument;
+  std::uint64_t fencing = 0;
+
+  friend bool operator==(const engine_order&, const engine_order&) = default;
+};
+
+// What the commands have made of an engine.
+struct engine_role_state {
+  bool checks_fencing = true;
+  std::uint64_t highest_fencing = 0;
+  std::set<std::string> models;
+  std::set<std::string> adapters;
+  std::string version = "1";
+  std::string role = "serve";
+  std::vector<engine_order> applied;
+};
+
+enum class order_result { applied, stale_fencing, malformed };
+
+// Applies POST /admin/orders. An engine that does not check fencing tokens
+// applies stale orders too.
+order_result apply_order(engine_role_state& state, const QByteArray& body);
+
+QByteArray render_orders(const engine_role_state& state);
+
+} // namespace marigoldstep::stand_in
--- /dev/null
+++ b/tools/stand_in/prefix_cache.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "stand_in/answer.h"
+
+#include <deque>
+#include <list>
+#include <unordered_map>
+
+namespace marigoldstep::stand_in {
+
+// One message of a prompt. The hash covers the model and every message up to and
+// including this one, so equal hashes mean equal prefixes. Chats of a workspace
+// that begin with the same system message share that block.
+struct prefix_block {
+  std::uint64_t hash = 0;
+  std::uint32_t tokens = 0;
+
+  friend bool operator==(const prefix_block&, const prefix_block&) = default;
+};
+
+// One block per message.
+std::vector<prefix_block> prefix_blocks(const chat_request& request);
+// The block that the answer adds after the last message.
+prefix_block answer_block(const chat_request& request);
+
+struct cache_event {
+  std::uint64_t sequence = 0;
+  time_point at{};
+  bool stored = false; // false: evicted
+  prefix_block block;
+
+  friend bool operator==(const cache_event&, const cache_event&) = default;
+};
+
+// Prefix cache with limited memory that evicts the least recently used block.
+struct prefix_cache {
+  std::uint64_t capacity_tokens = 0;
+  std::uint64_t used_tokens = 0;
+  std::list<prefix_block> by_use; // most recent first
+  std::unordered_map<std::uint64_t, std::list<prefix_block>::iterator> blocks;
+  std::deque<cache_event> events; // the newest ones, in order
+  std::uint64_t next_sequence = 1;
+};
+
+// Tokens at the start of the prompt that are cached; marks their blocks as used.
+std::uint32_t find_cached(prefix_cache& cache, const std::vector<prefix_block>& prompt);
+
+// Stores the blocks of a prefix and evicts what no longer fits.
+void store(prefix_cache& cache, const std::vector<prefix_block>& prefix, time_point now);
+
+} // namespace marigoldstep::stand_in
--- /dev/null
+++ b/tools/stand_in/service_model.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "stand_in/answer.h"
+
+#include <QByteArray>
+
+#include <map>
+
+namespace marigoldstep::stand_in {
+
+// Counts of the calls that ran, so that a run can be checked for doubles.
+struct service_runs {
+  std::map<std::string, std::uint32_t> by_key;
+  std::map<std::uint64_t, std::uint32_t> by_body; // by hash of path and body
+  std::uint64_t total = 0;
+
+  friend bool operator==(const service_runs&, const service_runs&) = default;
+};
+
+// Runs a call: counts it unless it only reads, and returns its answer.
+QByteArray run_call(service_runs& runs, const service_call& call);
+
+// JSON of all counts, or of one key when it is not empty.
+QByteArray render_runs(const service_runs& runs, const std::string& key);
+
+// Hash under which run_call counts a body.
+std::uint64_t body_hash(const service_call& call);
+
+} // namespace marigoldstep::stand_in
--- /dev/null
+++ b/tools/stand_in/stand_in_server.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "stand_in/answer_writer.h"
+#include "stand_in/settings.h"
+
+#include <QUrlQuery>
+
+namespace marigoldstep::stand_in {
+
+// A request as the stand-ins use it; copied out of the HTTP server's request,
+// which ends with the call.
+struct http_call {
+  QByteArray method;
+  QString path;
+  QUrlQuery query;
+  QByteArray body;
+  QByteArray idempotency_key;
+  QByteArray workspace;
+  QByteArray chat;
+  QByteArray priority;
+};
+
+// The HTTP side common to both modes: faults on command and health.
+class stand_in_server : public QObject {
+public:
+  stand_in_server(const stand_in_settings& settings, QObject* parent);
+
+  // Handles a request that is not about faults. The writer deletes itself after
+  // the answer.
+  std::function<void(const http_call&, answer_writer*)> on_call;
+  // The faults were changed.
+  std::function<void(const fault_settings&)> on_faults;
+
+  std::error_code start();
+  [[nodiscard]] std::uint16_t port() const { return port_; }
+
+private:
+  void serve(const QHttpServerRequest& request, QTcpSocket* socket);
+  void dispatch(const http_call& call, answer_writer* writer);
+  void set_faults(const QByteArray& body, answer_writer* writer);
+  void refuse_connections(duration length);
+
+  io::endpoint listen_;
+  io::http_server http_;
+  std::uint16_t port_ = 0;
+  fault_settings faults_;
+};
+
+inline constexpr auto json_type = "application/json";
+
+} // namespace marigoldstep::stand_in
