--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -1,13 +1,21 @@
 #pragma once
 
 // Includes the whole public interface of the core library.
+#include "marigoldstep/attempt.h"
+#include "marigoldstep/changes.h"
+#include "marigoldstep/claims.h"
 #include "marigoldstep/configuration.h"
 #include "marigoldstep/error.h"
 #include "marigoldstep/fleet_state.h"
+#include "marigoldstep/idempotency_key.h"
 #include "marigoldstep/lease.h"
 #include "marigoldstep/load_limit.h"
+#include "marigoldstep/log_record.h"
 #include "marigoldstep/membership.h"
 #include "marigoldstep/placement.h"
+#include "marigoldstep/report.h"
+#include "marigoldstep/request.h"
+#include "marigoldstep/retry.h"
 #include "marigoldstep/types.h"
 #include "marigoldstep/verdict.h"
 #include "marigoldstep/wire.h"
