--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -11,6 +11,7 @@
 #include "marigoldstep/load_limit.h"
 #include "marigoldstep/membership.h"
 #include "marigoldstep/placement.h"
+#include "marigoldstep/questionnaire.h"
 #include "marigoldstep/types.h"
 #include "marigoldstep/verdict.h"
 #include "marigoldstep/wire.h"
--- a/include/marigoldstep/configuration.h
+++ b/include/marigoldstep/configuration.h
@@ -83,8 +83,10 @@
   friend bool operator==(const configuration&, const configuration&) = default;
 };
 
-// Parses the YAML text of a configuration. Problems go to report; the result is
-// only meaningful when there are none.
+// Parses the YAML text of a configuration. Deadlines, priority and spread of a
+// workspace default to the mapping workspace_defaults, which keeps the text of many
+// workspaces short: reading it takes most of the time to apply a version. Problems go to
+// report; the result is only meaningful when there are none.
 configuration parse_configuration(std::string_view text, std::uint64_t version,
                                   yaml_report& report);
 
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -1,6 +1,7 @@
 #include "marigoldstep/configuration.h"
 
 #include <algorithm>
+#include <set>
 
 namespace marigoldstep {
 
@@ -45,21 +46,28 @@
   return out;
 }
 
-workspace_settings parse_workspace(yaml_mapping& map) {
-  workspace_settings out;
-  out.name = read_string(map, "name");
-  out.weight = read_count(map, "weight", out.weight, 1, largest_count);
-  out.models = read_strings(map, "models");
-  out.default_priority =
-      read_choice(map, "priority", "short", {"short", "patient"}) == "short"
-          ? priority::short_call
-          : priority::patient;
+priority read_priority(yaml_mapping& map, priority fallback) {
+  return read_choice(map, "priority", name(fallback), {"short", "patient"}) == "short"
+             ? priority::short_call
+             : priority::patient;
+}
+
+// Reads what a workspace may leave to the defaults.
+void parse_workspace_defaults(yaml_mapping& map, workspace_settings& out) {
+  out.default_priority = read_priority(map, out.default_priority);
   out.short_deadline = read_duration_ms(map, "short_deadline_ms", out.short_deadline,
                                         shortest_deadline, longest_deadline);
   out.patient_deadline =
       read_duration_ms(map, "patient_deadline_ms", out.patient_deadline,
                        shortest_deadline, longest_deadline);
   out.spread = read_count(map, "spread", out.spread, 0, largest_count);
+}
+
+workspace_settings parse_workspace(yaml_mapping& map, workspace_settings out) {
+  out.name = read_string(map, "name");
+  out.weight = read_count(map, "weight", out.weight, 1, largest_count);
+  out.models = read_strings(map, "models");
+  parse_workspace_defaults(map, out);
   finish(map);
   return out;
 }
@@ -93,6 +101,44 @@
   return out;
 }
 
+// A rule that allows repeats ends at a path segment, so that one for /bookings does
+// not cover /bookings-cancel. A rule that forbids them covers every path with the
+// prefix.
+bool matches_path(const call_rule& rule, std::string_view path) {
+  const std::string_view prefix = rule.path_prefix;
+  if (!path.starts_with(prefix)) {
+    return false;
+  }
+  const auto rest = path.substr(prefix.size());
+  return !rule.repeatable || rest.empty() || prefix.ends_with('/') ||
+         rest.front() == '/' || rest.front() == '?';
+}
+
+void check_new_name(yaml_mapping& map, std::set<std::string>& seen,
+                    const std::string& name) {
+  if (!name.empty() && !seen.insert(name).second) {
+    add_problem(map, "name", "the name " + name + " is used twice");
+  }
+}
+
+void check_pool_models(yaml_mapping& map, const pool_settings& pool,
+                       std::set<std::string>& models) {
+  for (const auto& it : pool.models) {
+    if (!models.insert(it).second) {
+      add_problem(map, "models", "the model " + it + " is served by two pools");
+    }
+  }
+}
+
+void check_workspace_models(yaml_mapping& map, const workspace_settings& workspace,
+                            const std::set<std::string>& models) {
+  for (const auto& it : workspace.models) {
+    if (!models.contains(it)) {
+      add_problem(map, "models", "no pool serves the model " + it);
+    }
+  }
+}
+
 template <typename Entry>
 const Entry* find_by_name(const std::vector<Entry>& entries, std::string_view name) {
   auto it = std::find_if(entries.begin(), entries.end(),
@@ -108,14 +154,26 @@
   out.version = version;
   auto map = parse_yaml(text, report);
   out.fleet = read_string(map, "fleet");
+  std::set<std::string> servers; // pools and services share their names' space
+  std::set<std::string> models;
+  std::set<std::string> workspaces;
   for (auto& it : read_mappings(map, "pools")) {
     out.pools.push_back(parse_pool(it));
+    check_new_name(it, servers, out.pools.back().name);
+    check_pool_models(it, out.pools.back(), models);
   }
   for (auto& it : read_mappings(map, "services")) {
     out.services.push_back(parse_service(it));
+    check_new_name(it, servers, out.services.back().name);
   }
+  workspace_settings defaults;
+  auto defaults_map = read_mapping(map, "workspace_defaults");
+  parse_workspace_defaults(defaults_map, defaults);
+  finish(defaults_map);
   for (auto& it : read_mappings(map, "workspaces")) {
-    out.workspaces.push_back(parse_workspace(it));
+    out.workspaces.push_back(parse_workspace(it, defaults));
+    check_new_name(it, workspaces, out.workspaces.back().name);
+    check_workspace_models(it, out.workspaces.back(), models);
   }
   out.limits = parse_limits(read_mapping(map, "limits"));
   finish(map);
@@ -143,7 +201,7 @@
 bool is_repeatable(const service_settings& service, std::string_view method,
                    std::string_view path) {
   for (const auto& it : service.rules) {
-    if ((it.method == "*" || it.method == method) && path.starts_with(it.path_prefix)) {
+    if ((it.method == "*" || it.method == method) && matches_path(it, path)) {
       return it.repeatable;
     }
   }
