--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -1,11 +1,14 @@
 #pragma once
 
 // Includes the whole public interface of the core library.
+#include "marigoldstep/admission.h"
+#include "marigoldstep/answer_buffer.h"
 #include "marigoldstep/attempt.h"
 #include "marigoldstep/changes.h"
 #include "marigoldstep/claims.h"
 #include "marigoldstep/configuration.h"
 #include "marigoldstep/error.h"
+#include "marigoldstep/fair_queue.h"
 #include "marigoldstep/fleet_state.h"
 #include "marigoldstep/idempotency_key.h"
 #include "marigoldstep/lease.h"
--- a/src/request.cpp
+++ b/src/request.cpp
@@ -1,5 +1,7 @@
 #include "marigoldstep/request.h"
 
+#include "marigoldstep/claims.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -7,16 +9,10 @@
 
 namespace {
 
-constexpr std::size_t uuid_size = 36;
-constexpr std::size_t uuid_version_at = 14;
-// Clocks of callers may run ahead of ours by this much.
-constexpr unix_seconds largest_clock_lead = 300;
-
-template <typename Number>
-std::optional<Number> parse_number(std::string_view text, int base = 10) {
-  Number value = 0;
+std::optional<std::uint64_t> parse_number(std::string_view text) {
+  std::uint64_t value = 0;
   const auto* end = text.data() + text.size();
-  auto [rest, ec] = std::from_chars(text.data(), end, value, base);
+  auto [rest, ec] = std::from_chars(text.data(), end, value);
   if (text.empty() || ec != std::errc{} || rest != end) {
     return std::nullopt;
   }
@@ -29,25 +25,6 @@
                      [](unsigned char c) { return c > ' ' && c < 0x7f; });
 }
 
-bool is_hex(char c) {
-  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
-}
-
-std::optional<unix_seconds> uuid_time(std::string_view key) {
-  if (key.size() != uuid_size || key[uuid_version_at] != '7') {
-    return std::nullopt;
-  }
-  for (std::size_t i = 0; i < key.size(); ++i) {
-    const bool dash = i == 8 || i == 13 || i == 18 || i == 23;
-    if (dash ? key[i] != '-' : !is_hex(key[i])) {
-      return std::nullopt;
-    }
-  }
-  const auto digits = std::string(key.substr(0, 8)) + std::string(key.substr(9, 4));
-  const auto milliseconds = parse_number<std::uint64_t>(digits, 16);
-  return *milliseconds / 1000;
-}
-
 // A segment ".." could carry a call past a rule on its path prefix.
 bool has_parent_segment(std::string_view path) {
   std::size_t at = 0;
@@ -80,7 +57,7 @@
   if (text.empty()) {
     return {};
   }
-  const auto n = parse_number<std::uint64_t>(text);
+  const auto n = parse_number(text);
   const auto longest = static_cast<std::uint64_t>(longest_request_deadline.count());
   if (!n || *n == 0 || *n > longest) {
     return errc::bad_request;
@@ -163,28 +140,17 @@
   return out;
 }
 
-std::optional<unix_seconds> idempotency_key_time(std::string_view key) {
-  if (auto time = uuid_time(key)) {
-    return time;
-  }
-  const auto dash = key.find('-');
-  if (dash == std::string_view::npos || dash + 1 == key.size()) {
-    return std::nullopt;
-  }
-  return parse_number<unix_seconds>(key.substr(0, dash));
-}
-
 outcome check_idempotency_key(std::string_view key, unix_seconds now,
                               duration claim_retention) {
   if (key.empty()) {
     return not_run(errc::missing_idempotency_key);
   }
-  const auto time = is_field(key) ? idempotency_key_time(key) : std::nullopt;
+  const auto time = parse_idempotency_key(key);
   if (!time) {
     return not_run(errc::bad_idempotency_key);
   }
   // Subtraction on the side of now: a time near the largest value can't wrap.
-  if (*time > now && *time - now > largest_clock_lead) {
+  if (*time > now && *time - now > max_key_lead_s) {
     return not_run(errc::idempotency_key_in_future);
   }
   const auto retention = static_cast<unix_seconds>(claim_retention.count() / 1000);
--- a/tools/router/caller_server.h
+++ b/tools/router/caller_server.h
@@ -38,6 +38,7 @@
 class caller_server : public QObject {
 public:
   caller_server(const router_limits& limits, QObject* parent);
+  ~caller_server() override;
 
   // A whole request, on a connection that has no other request in progress.
   std::function<void(const QHttpServerRequest&, caller_connection&)> on_request;
