Add the demo and its harness

The fleet with its stand-ins runs on loopback under load while an engine and a router are killed and an agent drains.

--- /dev/null
+++ b/scripts/lib/demo.py
@@ -0,0 +1,222 @@
+"""Runs the main job on loopback: a fleet under load while parts of it fail."""
+
+import argparse
+import os
+import subprocess
+import sys
+import threading
+import time
+
+import fleet as harness
+
+# Targets of the design: a leaving backend server receives no new work after 2 s,
+# and an accepted configuration is in force everywhere within 3 s.
+DRAIN_BOUND_S = 2.0
+IN_FORCE_BOUND_S = 3.0
+LOAD = {
+    "chats": 1000,
+    "turns": 3,
+    "answer_tokens": 24,
+    "concurrency": 200,
+    "start_window_ms": 35_000,
+    "median_pause_ms": 1500,
+    "longest_pause_ms": 12_000,
+    "run_limit_ms": 60_000,
+}
+CALLS = 300
+LOOKUPS = 200
+LOAD_LIMIT_S = 88
+# Seconds after the start of the load.
+KILL_ENGINE_AT, DRAIN_AT, KILL_ROUTER_AT, KILL_CONTROL_AT, CHANGE_AT = 6, 12, 18, 24, 30
+
+
+def mstepctl(fleet, *arguments):
+    command = [os.path.join(harness.BIN, "mstepctl"), *arguments]
+    command += ["--control", ",".join(fleet.control_addresses)]
+    return subprocess.run(command, capture_output=True, text=True, timeout=20, check=False)
+
+
+def say(started, text):
+    print(f"{time.monotonic() - started:6.1f} s  {text}", flush=True)
+
+
+class Drain:
+    """Drains an agent and counts what it admits after the bound."""
+
+    def __init__(self, node):
+        self.node = node
+        self.late = None
+        self.thread = threading.Thread(target=self.watch, daemon=True)
+
+    def admitted(self):
+        return harness.read_metrics(self.node.admin).get(
+            "marigoldstep_agent_admitted_attempts_total", 0
+        )
+
+    def watch(self):
+        try:
+            time.sleep(DRAIN_BOUND_S)
+            before = self.admitted()
+            self.late = 0
+            while True:  # ends when the agent has drained and stopped
+                self.late = self.admitted() - before
+                time.sleep(0.1)
+        except OSError:
+            self.late = self.late or 0
+
+    def start(self):
+        self.node.ended_on_purpose = True
+        harness.http("POST", self.node.admin, "/drain", b"")
+        self.thread.start()
+
+
+def change_configuration(fleet):
+    """Proposes and approves a change; returns the seconds until it is in force."""
+    with open(fleet.configuration, encoding="utf-8") as source:
+        text = source.read()
+    changed = text.rstrip("\n") + "\n# Revised while the fleet is under load.\n"
+    path = harness.write(os.path.join(fleet.folder, "changed.yaml"), changed)
+    proposed = mstepctl(fleet, "propose", path)
+    if proposed.returncode != 0:
+        raise RuntimeError(f"propose: {proposed.stdout}{proposed.stderr}")
+    change_id = proposed.stdout.split()[0]
+    approved_at = time.monotonic()
+    approved = mstepctl(fleet, "approve", change_id)
+    if approved.returncode != 0:
+        raise RuntimeError(f"approve: {approved.stdout}{approved.stderr}")
+    return wait_in_force(fleet, approved_at)
+
+
+def wait_in_force(fleet, since, version=2, limit_s=10.0):
+    """Seconds until every live router applies the version; None after the limit."""
+    while time.monotonic() - since < limit_s:
+        versions = []
+        for node in fleet.routers:
+            if node.alive():
+                try:
+                    totals = harness.read_metrics(node.admin)
+                    versions.append(totals.get("mstep_router_config_version", 0))
+                except OSError:
+                    versions.append(0)
+        if versions and min(versions) >= version:
+            return time.monotonic() - since
+        time.sleep(0.05)
+    return None
+
+
+def run_events(fleet, started, drain):
+    """The failures and the change, at their times."""
+
+    def wait_until(seconds):
+        time.sleep(max(0.0, started + seconds - time.monotonic()))
+
+    wait_until(KILL_ENGINE_AT)
+    harness.kill(fleet.engines[2])
+    say(started, "killed the stand-in engine-2")
+    wait_until(DRAIN_AT)
+    drain.start()
+    say(started, f"draining {drain.node.name}")
+    wait_until(KILL_ROUTER_AT)
+    harness.kill(fleet.routers[1])
+    say(started, "killed router-1")
+    wait_until(KILL_CONTROL_AT)
+    leader = harness.find_leader(fleet)
+    victim = fleet.controls[leader if leader is not None else 0]
+    if len(fleet.controls) > 1:
+        harness.kill(victim)
+        say(started, f"killed {victim.name}{'' if leader is None else ', the leader'}")
+    wait_until(CHANGE_AT)
+    seconds = change_configuration(fleet)
+    say(started, f"a change was proposed, approved and in force after {seconds} s")
+    return seconds
+
+
+def check(report, status, in_force, late, rates):
+    """What must hold, as a list of what did not."""
+    broken = []
+    if status != 0 or not report.get("holds"):
+        broken.append("an answer was wrong, doubled, lost or falsely called not run")
+    if report.get("chats", {}).get("requests", 0) < LOAD["chats"]:
+        broken.append("fewer chats than planned were sent")
+    if report.get("calls", {}).get("requests", 0) < CALLS:
+        broken.append("fewer calls than planned were sent")
+    if in_force is None or in_force > IN_FORCE_BOUND_S:
+        broken.append(f"the change was not in force within {IN_FORCE_BOUND_S} s")
+    if late is None or late > 0:
+        broken.append(f"the drained agent admitted work after {DRAIN_BOUND_S} s")
+    if not rates:
+        broken.append("no control traffic was sampled")
+    return broken
+
+
+def show(report, sampler, in_force, late):
+    rows = harness.report_rows(report)
+    skews = sorted(sampler.skews)
+    if skews:
+        median = skews[len(skews) // 2]
+        rows.append(("skew: median / largest sample", f"{median:.2f} / {skews[-1]:.2f}"))
+    for name, rate in sorted(sampler.control_rates().items()):
+        rows.append((f"control bytes a second, {name}", f"{rate:.0f}"))
+    rows.append(("new work after the drain bound", "unknown" if late is None else int(late)))
+    rows.append(
+        ("change in force everywhere after", "never" if in_force is None else f"{in_force:.2f} s")
+    )
+    print()
+    harness.print_table(rows)
+
+
+def run(options):
+    deployment = harness.DEPLOYMENTS["archive" if options.archive else "volta"]
+    with harness.Folder() as folder:
+        fleet = harness.plan_fleet(
+            deployment, folder.path, options.configuration, controls=options.controls
+        )
+        sampler = harness.Sampler(fleet)
+        in_force, load = None, None
+        try:
+            harness.start_fleet(fleet)
+            started = time.monotonic()
+            say(started, f"{len(fleet.nodes())} processes take work")
+            settings = harness.write_load_settings(
+                fleet, {**LOAD, "seed": options.seed}, CALLS, LOOKUPS
+            )
+            load = harness.start_load(fleet, settings)
+            sampler.start()
+            drain = Drain(fleet.agents[5])
+            try:
+                in_force = run_events(fleet, started, drain)
+            except (RuntimeError, OSError, subprocess.SubprocessError) as problem:
+                say(started, f"the change failed: {problem}")
+            left = LOAD_LIMIT_S - (time.monotonic() - started)
+            status, report = harness.end_load(fleet, load, max(1.0, left))
+            sampler.stop()
+        finally:
+            if load is not None and load.poll() is None:
+                load.kill()
+            harness.stop_fleet(fleet)
+        if report:
+            show(report, sampler, in_force, drain.late)
+        broken = check(report, status, in_force, drain.late, sampler.control_rates())
+        for fault in (report or {}).get("faults", []) if broken else []:
+            print(f"  {fault}")
+        for text in broken:
+            print(f"does not hold: {text}")
+        folder.keep = bool(broken) or options.keep
+        print("all of it holds" if not broken else "failed")
+        return 1 if broken else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="scripts/demo", description=__doc__)
+    which = parser.add_mutually_exclusive_group()
+    which.add_argument("--archive", action="store_true", help="the archive deployment")
+    which.add_argument("--volta", action="store_true", help="the Volta deployment (default)")
+    parser.add_argument("--seed", type=int, default=1, help="seed of the load")
+    parser.add_argument("--controls", type=int, default=3, help="control processes (1 or 3)")
+    parser.add_argument("--configuration", help="use this instead of a generated one")
+    parser.add_argument("--keep", action="store_true", help="keep the logs")
+    sys.exit(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
