Acknowledge whole answers and log the router's summary lines

An agent that drains waits until its answers are delivered, so the router now acknowledges the end of each answer after it left the socket.

--- a/include/marigoldstep/request.h
+++ b/include/marigoldstep/request.h
@@ -63,6 +63,10 @@
 outcome check_idempotency_key(std::string_view key, unix_seconds now,
                               duration claim_retention);
 
+// Identifies what a call asks for: a resend under the same idempotency key must
+// have the same hash. target is the path with its query, as it is sent on.
+std::uint64_t hash_call(std::string_view method, std::string_view target, byte_view body);
+
 // Splits "<agent id>.<attempt id>"; agent ids may contain dots.
 struct resume_token {
   std::string agent;
--- a/src/request.cpp
+++ b/src/request.cpp
@@ -160,6 +160,12 @@
   return completed();
 }
 
+std::uint64_t hash_call(std::string_view method, std::string_view target,
+                        byte_view body) {
+  const auto seed = stable_hash(std::string(method) + " " + std::string(target));
+  return stable_hash(body, seed);
+}
+
 std::optional<resume_token> parse_resume_token(std::string_view text) {
   const auto dot = text.rfind('.');
   if (dot == std::string_view::npos || dot == 0) {
--- a/tools/router/caller_answer.cpp
+++ b/tools/router/caller_answer.cpp
@@ -182,6 +182,12 @@
   connection->socket->disconnectFromHost();
 }
 
+void caller_answer::flush() {
+  if (is_open()) {
+    connection_->socket->flush();
+  }
+}
+
 void caller_answer::release() {
   if (is_open()) {
     auto* connection = connection_;
--- a/tools/router/caller_answer.h
+++ b/tools/router/caller_answer.h
@@ -33,6 +33,8 @@
   // Closes the connection without the sign of a whole answer.
   void cut_off();
 
+  // Hands as much as possible to the operating system.
+  void flush();
   // The connection has gone.
   void forget() { connection_ = nullptr; }
   // Frees the connection for the next request.
--- a/tools/router/relay.cpp
+++ b/tools/router/relay.cpp
@@ -19,39 +19,13 @@
 // How often all candidates are asked again. Patient requests tolerate waiting.
 constexpr unsigned short_rounds = 3;
 constexpr unsigned patient_rounds = 8;
-constexpr auto default_avoid_time = duration(100);
 constexpr auto default_retry_after = duration(1000);
-constexpr auto cancel_timeout = duration(1000);
-// Fetching a newer configuration takes one round trip to the control group.
-constexpr auto stale_retry_delay = duration(50);
-constexpr unsigned most_stale_refusals = 20;
-
-// Refusals that another backend server would repeat.
-bool is_final(std::error_code error) {
-  constexpr std::array codes = {errc::bad_request,
-                                errc::body_too_large,
-                                errc::unknown_workspace,
-                                errc::unknown_model,
-                                errc::unknown_service,
-                                errc::missing_idempotency_key,
-                                errc::bad_idempotency_key,
-                                errc::idempotency_key_expired,
-                                errc::idempotency_key_reused,
-                                errc::idempotency_key_in_future,
-                                errc::request_cancelled,
-                                errc::already_running,
-                                errc::deadline_exceeded,
-                                errc::answer_too_large,
-                                errc::message_too_large};
-  return std::any_of(codes.begin(), codes.end(),
-                     [error](errc code) { return error == code; });
-}
 
 // Ends that say that the backend server or its agent is broken, not busy.
 bool is_failure(const outcome& how) {
   constexpr std::array codes = {errc::agent_unreachable, errc::server_unreachable,
-                                errc::server_failed,     errc::answer_truncated,
-                                errc::wrong_incarnation, errc::internal_error};
+                                errc::server_failed, errc::answer_truncated,
+                                errc::internal_error};
   return std::any_of(codes.begin(), codes.end(),
                      [&how](errc code) { return how.error == code; });
 }
@@ -75,6 +49,14 @@
 
 } // namespace
 
+// Sends a message about the current attempt, if its start was written.
+template <typename Body> void relay::send_about_attempt(Body body) {
+  if (link_ != nullptr && state_.start_written) {
+    body.attempt_id = wire_id(state_.current);
+    link_->send(std::move(body));
+  }
+}
+
 relay::relay(router& owner, relay_job job, caller_answer answer)
     : owner_(owner), job_(std::move(job)), answer_(std::move(answer)) {
   state_.repeatable = job_.request.repeatable;
@@ -189,9 +171,8 @@
 
 void relay::send_resume() {
   wire::ResumeAttemptT body;
-  body.attempt_id = wire_id(state_.current);
   body.offset = state_.next_offset;
-  link_->send(std::move(body));
+  send_about_attempt(std::move(body));
   owner_.metrics().count_resume();
 }
 
@@ -237,13 +218,20 @@
 
 void relay::handle_end(const wire::AttemptEndT& end) {
   const auto how = to_outcome(end);
-  leave_link();
   note_result(owner_.fleet(), job_.request.service, server_id_,
               is_failure(how) || failed_status_, io::now());
   if (resume_only_) {
     ensure_head();
   }
-  apply(after_end(state_, state_.current, {how, end.total_length}));
+  if (how.error == errc::unknown_attempt && !resume_only_) {
+    // The start may still be on its way on the connection that was lost.
+    send_about_attempt(wire::CancelAttemptT());
+  }
+  const auto decision = after_end(state_, state_.current, {how, end.total_length});
+  if (decision.action != relay_action::finish) {
+    leave_link();
+  }
+  apply(decision);
 }
 
 wire::AttemptHeadT& relay::ensure_head() {
@@ -276,7 +264,7 @@
   } else {
     answer_.write_chunk(data);
   }
-  acknowledge();
+  acknowledge(acknowledge_every);
 }
 
 void relay::begin_answer() {
@@ -295,17 +283,18 @@
   wait_until(drained_at_ + owner_.limits().caller_stall_timeout);
 }
 
-void relay::acknowledge() {
+// Acknowledges what has left the socket's buffer, once that is at least step
+// bytes more than before.
+void relay::acknowledge(std::uint64_t step) {
   const auto queued = answer_.queued_bytes();
   const auto delivered = state_.next_offset - std::min(queued, state_.next_offset);
-  if (link_ == nullptr || delivered < acknowledged_ + acknowledge_every) {
+  if (delivered < acknowledged_ + step) {
     return;
   }
   acknowledged_ = delivered;
   wire::AttemptAckT ack;
-  ack.attempt_id = wire_id(state_.current);
   ack.offset = delivered;
-  link_->send(std::move(ack));
+  send_about_attempt(std::move(ack));
 }
 
 answer_labels relay::labels() const {
@@ -314,7 +303,7 @@
 
 void relay::on_caller_drained() {
   drained_at_ = io::now();
-  acknowledge();
+  acknowledge(acknowledge_every);
 }
 
 void relay::on_caller_gone() {
@@ -325,20 +314,14 @@
   // Without the head the caller has no resume token, so nobody will ask for a
   // repeatable answer. A call that may not be repeated goes on: its answer is
   // stored under its key.
-  if (link_ != nullptr && state_.start_written) {
-    if (state_.passed_on || !state_.repeatable) {
-      wire::DetachAttemptT body;
-      body.attempt_id = wire_id(state_.current);
-      link_->send(std::move(body));
-    } else {
-      wire::CancelAttemptT body;
-      body.attempt_id = wire_id(state_.current);
-      link_->send(std::move(body));
-    }
+  if (state_.passed_on || !state_.repeatable) {
+    send_about_attempt(wire::DetachAttemptT());
+  } else {
+    send_about_attempt(wire::CancelAttemptT());
   }
-  leave_link();
   state_.ended = true;
-  done(name(verdict::may_have_run), "caller_gone");
+  const bool may_run = state_.start_written || state_.earlier_may_have_run;
+  done({may_run ? verdict::may_have_run : verdict::not_run, {}, {}}, "caller_gone");
 }
 
 void relay::wait_until(time_point when) {
@@ -361,11 +344,7 @@
   if (state_.passed_on) {
     const auto stall = owner_.limits().caller_stall_timeout;
     if (answer_.queued_bytes() > 0 && now - drained_at_ >= stall) {
-      if (link_ != nullptr) {
-        wire::DetachAttemptT body;
-        body.attempt_id = wire_id(state_.current);
-        link_->send(std::move(body));
-      }
+      send_about_attempt(wire::DetachAttemptT());
       cut_off(may_have_run(errc::deadline_exceeded));
       return;
     }
@@ -373,11 +352,7 @@
     return;
   }
   if (now >= deadline_) {
-    if (link_ != nullptr && state_.start_written) {
-      wire::CancelAttemptT body;
-      body.attempt_id = wire_id(state_.current);
-      link_->send(std::move(body));
-    }
+    send_about_attempt(wire::CancelAttemptT());
     leave_link();
     apply(give_up(state_, not_run(errc::deadline_exceeded)));
   } else if (link_ == nullptr && !state_.cancel_asked) {
@@ -393,138 +368,4 @@
   }
 }
 
-void relay::apply(const relay_decision& decision) {
-  switch (decision.action) {
-  case relay_action::ignore:
-  case relay_action::resume:
-    break;
-  case relay_action::finish:
-    finish();
-    break;
-  case relay_action::retry:
-    handle_retry(decision.result);
-    break;
-  case relay_action::ask_cancel:
-    ask_cancel(decision.result);
-    break;
-  case relay_action::answer_error:
-    answer_error(decision.result);
-    break;
-  case relay_action::cut_off:
-    cut_off(decision.result);
-    break;
-  }
-}
-
-void relay::handle_retry(const outcome& why) {
-  const auto now = io::now();
-  if (resume_only_ || is_final(why.error)) {
-    apply(give_up(state_, why));
-    return;
-  }
-  if (why.error == errc::stale_configuration && stale_refusals_ < most_stale_refusals) {
-    // The refusal says nothing about the server, and it cost no work.
-    ++stale_refusals_;
-    wanted_version_ = owner_.newest_version_seen();
-    wait_until(now + stale_retry_delay);
-    return;
-  }
-  last_refusal_ = why;
-  tried_.push_back(server_id_);
-  if (why.result == verdict::not_run) {
-    const auto avoid = why.retry_after.count() > 0 ? why.retry_after : default_avoid_time;
-    note_refusal(owner_.fleet(), job_.request.service, server_id_, now + avoid);
-  }
-  if (!owner_.take_retry()) {
-    apply(give_up(state_, not_run(errc::retry_budget_exhausted, default_retry_after)));
-    return;
-  }
-  owner_.metrics().count_retry();
-  try_next();
-}
-
-void relay::finish() {
-  if (state_.passed_on) {
-    answer_.end();
-  } else {
-    const bool is_head = job_.start.method == "HEAD";
-    answer_.write_whole(ensure_head(), as_bytes(held_), is_head, {job_.request_id, {}});
-  }
-  answer_.release();
-  done(name(verdict::completed), "ok");
-}
-
-void relay::answer_error(const outcome& result) {
-  answer_.write_problem(result, job_.request_id);
-  answer_.release();
-  done(name(result.result),
-       name(errc_from_number(static_cast<unsigned>(result.error.value()))));
-}
-
-void relay::cut_off(const outcome& result) {
-  answer_.cut_off();
-  done(name(result.result),
-       name(errc_from_number(static_cast<unsigned>(result.error.value()))));
-}
-
-void relay::ask_cancel(const outcome& why) {
-  wire::ClaimRequestT body;
-  body.kind = wire::ClaimKind::cancel;
-  body.workspace = job_.request.workspace;
-  body.service = job_.request.service;
-  body.key = job_.request.idempotency_key;
-  body.body_hash = stable_hash(byte_view(job_.start.body));
-  body.attempt_hi = state_.current.hi;
-  body.attempt_lo = state_.current.lo;
-  owner_.client().request(
-      std::move(body), cancel_timeout,
-      [weak = weak_from_this(), why](const io::control_result& result) {
-        auto self = weak.lock();
-        if (self && !self->finished_) {
-          self->handle_cancel_reply(result, why);
-        }
-      });
-}
-
-void relay::handle_cancel_reply(const io::control_result& result, const outcome& why) {
-  auto* reply = result.reply ? result.reply->body.AsClaimReply() : nullptr;
-  auto what = cancel_result::undecided;
-  if (reply != nullptr && reply->outcome == wire::ClaimOutcome::cancelled) {
-    what = cancel_result::cancelled;
-  } else if (reply != nullptr && reply->outcome == wire::ClaimOutcome::completed &&
-             reply->answer != nullptr && reply->answer->complete) {
-    what = cancel_result::completed_whole;
-    head_ = std::make_unique<wire::AttemptHeadT>();
-    head_->status = reply->answer->status;
-    head_->headers.push_back(std::make_unique<wire::HeaderT>());
-    head_->headers.back()->name = "Content-Type";
-    head_->headers.back()->value = reply->answer->content_type;
-    held_ = std::string(as_text(reply->answer->body));
-  }
-  apply(after_cancel(state_, what, why));
-}
-
-void relay::abandon() {
-  if (finished_) {
-    return;
-  }
-  leave_link();
-  state_.repeatable = true; // no time is left to ask for a cancel
-  apply(give_up(state_, not_run(errc::server_draining)));
-}
-
-void relay::done(std::string_view verdict, std::string_view code) {
-  finished_ = true;
-  leave_link();
-  owner_.metrics().count_request(verdict, code);
-  io::log_event(io::log_level::info, "request_done",
-                {{"request_id", job_.request_id},
-                 {"verdict", std::string(verdict)},
-                 {"code", std::string(code)},
-                 {"server", server_id_},
-                 {"attempts", std::to_string(state_.attempts)},
-                 {"bytes", std::to_string(state_.next_offset)}});
-  owner_.remove(*this);
-}
-
 } // namespace marigoldstep::router
--- a/tools/router/relay.h
+++ b/tools/router/relay.h
@@ -62,13 +62,14 @@
   void handle_end(const wire::AttemptEndT& end);
   void pass_on(byte_view data);
   void begin_answer();
-  void acknowledge();
+  void acknowledge(std::uint64_t step);
+  template <typename Body> void send_about_attempt(Body body);
   void finish();
   void answer_error(const outcome& result);
   void cut_off(const outcome& result);
   void ask_cancel(const outcome& why);
   void handle_cancel_reply(const io::control_result& result, const outcome& why);
-  void done(std::string_view verdict, std::string_view code);
+  void done(const outcome& result, std::string_view code);
   [[nodiscard]] answer_labels labels() const;
   [[nodiscard]] bool holds_answer() const;
   wire::AttemptHeadT& ensure_head();
--- /dev/null
+++ b/tools/router/relay_end.cpp
@@ -0,0 +1,191 @@
+// How a request ends: retries, the answer, problems and cancel claims.
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/logging.h"
+#include "router/relay.h"
+#include "router/router.h"
+
+#include <algorithm>
+#include <array>
+
+namespace marigoldstep::router {
+
+namespace {
+
+constexpr auto default_retry_after = duration(1000);
+constexpr auto cancel_timeout = duration(1000);
+constexpr auto default_avoid_time = duration(100);
+// Fetching a newer configuration takes one round trip to the control group.
+constexpr auto stale_retry_delay = duration(50);
+constexpr unsigned most_stale_refusals = 20;
+
+// Refusals that another backend server would repeat.
+bool is_final(std::error_code error) {
+  constexpr std::array codes = {errc::bad_request,
+                                errc::body_too_large,
+                                errc::unknown_workspace,
+                                errc::unknown_model,
+                                errc::unknown_service,
+                                errc::missing_idempotency_key,
+                                errc::bad_idempotency_key,
+                                errc::idempotency_key_expired,
+                                errc::idempotency_key_reused,
+                                errc::idempotency_key_in_future,
+                                errc::request_cancelled,
+                                errc::already_running,
+                                errc::deadline_exceeded,
+                                errc::answer_too_large,
+                                errc::message_too_large};
+  return std::any_of(codes.begin(), codes.end(),
+                     [error](errc code) { return error == code; });
+}
+
+errc code_of(const outcome& result) {
+  return errc_from_number(static_cast<unsigned>(result.error.value()));
+}
+
+} // namespace
+
+void relay::apply(const relay_decision& decision) {
+  switch (decision.action) {
+  case relay_action::ignore:
+  case relay_action::resume:
+    break;
+  case relay_action::finish:
+    finish();
+    break;
+  case relay_action::retry:
+    handle_retry(decision.result);
+    break;
+  case relay_action::ask_cancel:
+    ask_cancel(decision.result);
+    break;
+  case relay_action::answer_error:
+    answer_error(decision.result);
+    break;
+  case relay_action::cut_off:
+    cut_off(decision.result);
+    break;
+  }
+}
+
+void relay::handle_retry(const outcome& why) {
+  const auto now = io::now();
+  if (resume_only_ || is_final(why.error)) {
+    apply(give_up(state_, why));
+    return;
+  }
+  if (why.error == errc::stale_configuration && stale_refusals_ < most_stale_refusals) {
+    // The refusal says nothing about the server, and it cost no work.
+    ++stale_refusals_;
+    wanted_version_ = owner_.newest_version_seen();
+    wait_until(now + stale_retry_delay);
+    return;
+  }
+  last_refusal_ = why;
+  tried_.push_back(server_id_);
+  if (why.result == verdict::not_run) {
+    const auto avoid = why.retry_after.count() > 0 ? why.retry_after : default_avoid_time;
+    note_refusal(owner_.fleet(), job_.request.service, server_id_, now + avoid);
+  }
+  if (!owner_.take_retry()) {
+    apply(give_up(state_, not_run(errc::retry_budget_exhausted, default_retry_after)));
+    return;
+  }
+  owner_.metrics().count_retry();
+  try_next();
+}
+
+void relay::finish() {
+  if (state_.passed_on) {
+    answer_.end();
+  } else {
+    const bool is_head = job_.start.method == "HEAD";
+    answer_.write_whole(ensure_head(), as_bytes(held_), is_head, {job_.request_id, {}});
+  }
+  // The agent keeps an answer for a resume until it knows that it was delivered.
+  answer_.flush();
+  acknowledge(1);
+  answer_.release();
+  done(completed(), "ok");
+}
+
+void relay::answer_error(const outcome& result) {
+  answer_.write_problem(result, job_.request_id);
+  answer_.release();
+  done(result, name(code_of(result)));
+}
+
+void relay::cut_off(const outcome& result) {
+  answer_.cut_off();
+  done(result, name(code_of(result)));
+}
+
+void relay::ask_cancel(const outcome& why) {
+  wire::ClaimRequestT body;
+  body.kind = wire::ClaimKind::cancel;
+  body.workspace = job_.request.workspace;
+  body.service = job_.request.service;
+  body.key = job_.request.idempotency_key;
+  body.body_hash =
+      hash_call(job_.start.method, job_.start.path, byte_view(job_.start.body));
+  body.attempt_hi = state_.current.hi;
+  body.attempt_lo = state_.current.lo;
+  owner_.client().request(
+      std::move(body), cancel_timeout,
+      [weak = weak_from_this(), why](const io::control_result& result) {
+        auto self = weak.lock();
+        if (self && !self->finished_) {
+          self->handle_cancel_reply(result, why);
+        }
+      });
+}
+
+void relay::handle_cancel_reply(const io::control_result& result, const outcome& why) {
+  auto* reply = result.reply ? result.reply->body.AsClaimReply() : nullptr;
+  auto what = cancel_result::undecided;
+  if (reply != nullptr && reply->outcome == wire::ClaimOutcome::cancelled) {
+    what = cancel_result::cancelled;
+  } else if (reply != nullptr && reply->outcome == wire::ClaimOutcome::completed &&
+             reply->answer != nullptr && reply->answer->complete) {
+    what = cancel_result::completed_whole;
+    head_ = std::make_unique<wire::AttemptHeadT>();
+    head_->status = reply->answer->status;
+    head_->headers.push_back(std::make_unique<wire::HeaderT>());
+    head_->headers.back()->name = "Content-Type";
+    head_->headers.back()->value = reply->answer->content_type;
+    held_ = std::string(as_text(reply->answer->body));
+  }
+  apply(after_cancel(state_, what, why));
+}
+
+void relay::abandon() {
+  if (finished_) {
+    return;
+  }
+  leave_link();
+  state_.repeatable = true; // no time is left to ask for a cancel
+  apply(give_up(state_, not_run(errc::server_draining)));
+}
+
+void relay::done(const outcome& result, std::string_view code) {
+  if (finished_) {
+    return;
+  }
+  finished_ = true;
+  leave_link();
+  const auto verdict = name(result.result);
+  owner_.metrics().count_request(verdict, code);
+  if (!resume_only_) {
+    count(owner_.summary(), job_.request.workspace, result.result);
+  }
+  io::log_event(io::log_level::info, "request_done",
+                {{"request_id", job_.request_id},
+                 {"verdict", std::string(verdict)},
+                 {"code", std::string(code)},
+                 {"server", server_id_},
+                 {"attempts", std::to_string(state_.attempts)},
+                 {"bytes", std::to_string(state_.next_offset)}});
+  owner_.remove(*this);
+}
+
+} // namespace marigoldstep::router
--- a/tools/router/router.cpp
+++ b/tools/router/router.cpp
@@ -30,6 +30,7 @@
       session_(settings.control, wire::NodeRole::router, settings.node_id, this),
       admin_(this), callers_(settings.limits, this), metrics_(admin_.registry()) {
   budget_.refilled_at = io::now();
+  summary_.since = io::now();
   callers_.on_request = [this](const QHttpServerRequest& request,
                                caller_connection& connection) {
     handle_request(request, connection);
@@ -110,6 +111,7 @@
     wakes_.erase(wakes_.begin());
     next->wake(now);
   }
+  log_when_due(summary_, client().bytes_sent() + client().bytes_received(), now);
   if (stopping_) {
     finish_stop();
   }
--- a/tools/router/router.h
+++ b/tools/router/router.h
@@ -5,6 +5,7 @@
 #include "router/fleet_view.h"
 #include "router/metrics.h"
 #include "router/relay.h"
+#include "router/summary.h"
 
 #include <set>
 
@@ -32,6 +33,7 @@
   [[nodiscard]] const router_limits& limits() const { return settings_.limits; }
   [[nodiscard]] fleet_view& fleet() { return fleet_; }
   [[nodiscard]] router_metrics& metrics() { return metrics_; }
+  [[nodiscard]] summary_counts& summary() { return summary_; }
   [[nodiscard]] io::control_client& client() { return session_.client(); }
   [[nodiscard]] bool may_take_work() const { return session_.may_take_work(); }
   [[nodiscard]] std::uint64_t config_version() const { return session_.version(); }
@@ -75,6 +77,7 @@
   router_metrics metrics_;
   fleet_view fleet_;
   retry_budget budget_;
+  summary_counts summary_;
   std::unordered_map<std::string, std::unique_ptr<agent_link>> links_;
   std::unordered_map<relay*, std::shared_ptr<relay>> relays_;
   std::vector<std::shared_ptr<relay>> removed_; // kept until the event loop turns
