Wait instead of asking servers that refused a moment ago

A request now waits with backoff when all candidates refused lately, the budget is taken when a retry is sent, and retries after a stale configuration are free. Requests also wait while a newer configuration is fetched. Decision lines name each refusal.

--- a/tools/router/fleet_view.cpp
+++ b/tools/router/fleet_view.cpp
@@ -32,6 +32,24 @@
   return out;
 }
 
+bool is_tried(std::span<const tried_server> tried, std::string_view node_id) {
+  return std::any_of(tried.begin(), tried.end(),
+                     [node_id](const tried_server& it) { return it.node_id == node_id; });
+}
+
+// Puts the reason of each refusal in the place of "tried".
+void name_refusals(std::vector<std::string>& passed_over,
+                   std::span<const tried_server> tried) {
+  for (auto& text : passed_over) {
+    for (const auto& it : tried) {
+      if (text == it.node_id + ":tried") {
+        text = it.node_id + ":" + std::string(name(it.code));
+        break;
+      }
+    }
+  }
+}
+
 } // namespace
 
 void update(fleet_view& fleet, const membership_view& members) {
@@ -49,7 +67,7 @@
 }
 
 server_choice choose(fleet_view& fleet, std::string_view service,
-                     const placement_key& key, std::span<const std::string> tried,
+                     const placement_key& key, std::span<const tried_server> tried,
                      double reuse_bias, time_point now) {
   server_choice out;
   auto it = fleet.services.find(service);
@@ -62,15 +80,17 @@
   for (std::size_t i = 0; i < candidates.count; ++i) {
     const auto server = candidates.index[i];
     view.observations[server].circuit_open = !allows(view.breakers[server], now);
-    const auto& id = view.table.servers[server].node_id;
-    if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
+    if (is_tried(tried, view.table.servers[server].node_id)) {
       tried_servers.push_back(server);
     }
   }
   out.made = choose_server(view.table, candidates, view.observations, tried_servers,
                            reuse_bias, now);
+  name_refusals(out.made.passed_over, tried);
   if (out.made.reason != choice_reason::none) {
     out.server = &view.table.servers[out.made.server];
+    out.all_refuse = out.made.reason == choice_reason::last_resort &&
+                     now < view.observations[out.made.server].avoid_until;
   }
   return out;
 }
--- a/tools/router/fleet_view.h
+++ b/tools/router/fleet_view.h
@@ -27,13 +27,23 @@
 // its incarnation stays the same.
 void update(fleet_view& fleet, const membership_view& members);
 
-// Picks a server. tried holds node ids that refused this request already.
+// A server that refused or failed one request.
+struct tried_server {
+  std::string node_id;
+  errc code = errc::ok;
+};
+
 struct server_choice {
   choice made;
   const server_info* server = nullptr; // null when there is none
+  // Every candidate refused a request a moment ago, so that asking again now
+  // would only spend messages.
+  bool all_refuse = false;
 };
+
+// Picks a server that is not in tried.
 server_choice choose(fleet_view& fleet, std::string_view service,
-                     const placement_key& key, std::span<const std::string> tried,
+                     const placement_key& key, std::span<const tried_server> tried,
                      double reuse_bias, time_point now);
 
 // One server of a service; index is only meaningful when view is not null.
--- a/tools/router/metrics.cpp
+++ b/tools/router/metrics.cpp
@@ -16,8 +16,8 @@
 }
 
 prometheus::Histogram& latency(prometheus::Registry& registry) {
-  const prometheus::Histogram::BucketBoundaries bounds = {0.0005, 0.001, 0.002, 0.005,
-                                                          0.01,   0.05,  0.25,  1.0};
+  const prometheus::Histogram::BucketBoundaries bounds = {
+      0.00005, 0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.05, 0.25, 1.0};
   return prometheus::BuildHistogram()
       .Name("mstep_router_added_latency_seconds")
       .Help("Time from a whole request to its first start message")
@@ -68,7 +68,7 @@
       .Increment();
 }
 
-void router_metrics::observe_added_latency(duration spent) {
+void router_metrics::observe_added_latency(std::chrono::nanoseconds spent) {
   added_latency_.Observe(std::chrono::duration<double>(spent).count());
 }
 
--- a/tools/router/metrics.h
+++ b/tools/router/metrics.h
@@ -21,7 +21,7 @@
   void count_stale_frame() { stale_frames_.Increment(); }
   void add_answer_bytes(std::size_t n) { answer_bytes_.Increment(double(n)); }
   // Time from a whole request to its first start message.
-  void observe_added_latency(duration spent);
+  void observe_added_latency(std::chrono::nanoseconds spent);
 
   struct gauges {
     std::size_t requests_open = 0;
--- a/tools/router/relay.cpp
+++ b/tools/router/relay.cpp
@@ -18,8 +18,12 @@
 constexpr std::uint64_t acknowledge_every = 64U << 10U;
 // How often all candidates are asked again. Patient requests tolerate waiting.
 constexpr unsigned short_rounds = 3;
-constexpr unsigned patient_rounds = 8;
+constexpr unsigned patient_rounds = 20;
 constexpr auto default_retry_after = duration(1000);
+// Fetching a newer configuration takes one round trip to the control group; a
+// router that cannot get it within a second refuses.
+constexpr auto version_wait = duration(50);
+constexpr unsigned most_version_waits = 20;
 
 // Ends that say that the backend server or its agent is broken, not busy.
 bool is_failure(const outcome& how) {
@@ -87,22 +91,38 @@
 
 void relay::try_next() {
   const auto now = io::now();
-  wanted_version_ = 0;
   if (now >= deadline_) {
     apply(give_up(state_, not_run(errc::deadline_exceeded)));
     return;
   }
+  if (owner_.newest_version_seen() > owner_.config_version() && may_wait_for_version()) {
+    wait_for_version();
+    return;
+  }
   if (!owner_.may_take_work()) {
     apply(give_up(state_, not_run(errc::lease_expired, default_retry_after)));
     return;
   }
   auto found = owner_.choose_server(job_.request, tried_);
   owner_.log_choice(job_.request_id, state_.attempts, found);
-  if (found.server == nullptr) {
+  if (found.server == nullptr || found.all_refuse) {
     handle_no_server();
-    return;
+  } else if (state_.attempts > 0 && !is_free_retry_ && !owner_.take_retry()) {
+    apply(give_up(state_, not_run(errc::retry_budget_exhausted, default_retry_after)));
+  } else {
+    start_attempt(*found.server);
   }
-  start_attempt(*found.server);
+}
+
+bool relay::may_wait_for_version() const {
+  return version_waits_ < most_version_waits;
+}
+
+// A newer configuration exists; new work waits until it is applied here.
+void relay::wait_for_version() {
+  ++version_waits_;
+  waits_for_version_ = true;
+  wait_until(io::now() + version_wait);
 }
 
 void relay::handle_no_server() {
@@ -121,7 +141,12 @@
 }
 
 void relay::start_attempt(const server_info& server) {
+  if (state_.attempts > 0) {
+    owner_.metrics().count_retry();
+  }
   begin_attempt(state_, io::make_attempt_id());
+  is_free_retry_ = false;
+  waits_for_version_ = false;
   server_id_ = server.node_id;
   server_incarnation_ = server.incarnation;
   head_.reset();
@@ -164,7 +189,8 @@
   if (link_->send(std::move(start))) {
     note_start_written(state_);
     if (state_.attempts == 1) {
-      owner_.metrics().observe_added_latency(now - job_.received_at);
+      owner_.metrics().observe_added_latency(std::chrono::steady_clock::now() -
+                                             job_.measured_from);
     }
   }
 }
@@ -363,7 +389,8 @@
 }
 
 void relay::on_configuration() {
-  if (!finished_ && wanted_version_ != 0 && owner_.config_version() >= wanted_version_) {
+  if (!finished_ && waits_for_version_) {
+    waits_for_version_ = false;
     try_next();
   }
 }
--- a/tools/router/relay.h
+++ b/tools/router/relay.h
@@ -4,6 +4,7 @@
 #include "marigoldstep/request.h"
 #include "router/agent_link.h"
 #include "router/caller_answer.h"
+#include "router/fleet_view.h"
 
 #include <memory>
 #include <optional>
@@ -18,6 +19,7 @@
   checked_request request;
   wire::StartAttemptT start; // without attempt id, deadline and incarnation
   time_point received_at{};
+  std::chrono::steady_clock::time_point measured_from = std::chrono::steady_clock::now();
 };
 
 // Carries one request from its caller to agents and the answer back. All
@@ -58,6 +60,8 @@
   void apply(const relay_decision& decision);
   void handle_retry(const outcome& why);
   void handle_no_server();
+  void wait_for_version();
+  [[nodiscard]] bool may_wait_for_version() const;
   void handle_data(const wire::AttemptDataT& data);
   void handle_end(const wire::AttemptEndT& end);
   void pass_on(byte_view data);
@@ -84,15 +88,16 @@
   incarnation agent_ = 0;              // that the start was written to
   std::unique_ptr<wire::AttemptHeadT> head_;
   std::string held_; // answer bytes not passed on yet
-  std::vector<std::string> tried_;
+  std::vector<tried_server> tried_;
   outcome last_refusal_;
   time_point deadline_{};
   time_point wake_at_{};
   time_point drained_at_{};
   std::uint64_t acknowledged_ = 0;
   unsigned rounds_ = 0;
-  unsigned stale_refusals_ = 0;
-  std::uint64_t wanted_version_ = 0; // waits for this configuration
+  unsigned version_waits_ = 0;
+  bool waits_for_version_ = false;
+  bool is_free_retry_ = false; // the next attempt costs no retry budget
   bool resume_only_ = false;
   bool failed_status_ = false; // the backend server answered with a 5xx status
   bool finished_ = false;
--- a/tools/router/relay_end.cpp
+++ b/tools/router/relay_end.cpp
@@ -14,9 +14,6 @@
 constexpr auto default_retry_after = duration(1000);
 constexpr auto cancel_timeout = duration(1000);
 constexpr auto default_avoid_time = duration(100);
-// Fetching a newer configuration takes one round trip to the control group.
-constexpr auto stale_retry_delay = duration(50);
-constexpr unsigned most_stale_refusals = 20;
 
 // Refusals that another backend server would repeat.
 bool is_final(std::error_code error) {
@@ -74,24 +71,18 @@
     apply(give_up(state_, why));
     return;
   }
-  if (why.error == errc::stale_configuration && stale_refusals_ < most_stale_refusals) {
+  if (why.error == errc::stale_configuration && may_wait_for_version()) {
     // The refusal says nothing about the server, and it cost no work.
-    ++stale_refusals_;
-    wanted_version_ = owner_.newest_version_seen();
-    wait_until(now + stale_retry_delay);
+    is_free_retry_ = true;
+    wait_for_version();
     return;
   }
   last_refusal_ = why;
-  tried_.push_back(server_id_);
+  tried_.push_back({server_id_, code_of(why)});
   if (why.result == verdict::not_run) {
     const auto avoid = why.retry_after.count() > 0 ? why.retry_after : default_avoid_time;
     note_refusal(owner_.fleet(), job_.request.service, server_id_, now + avoid);
   }
-  if (!owner_.take_retry()) {
-    apply(give_up(state_, not_run(errc::retry_budget_exhausted, default_retry_after)));
-    return;
-  }
-  owner_.metrics().count_retry();
   try_next();
 }
 
--- a/tools/router/router.cpp
+++ b/tools/router/router.cpp
@@ -38,6 +38,9 @@
   session_.on_configuration = [this](const std::shared_ptr<const configuration>& config) {
     handle_configuration(config);
   };
+  session_.on_ack = [this](const wire::HeartbeatAckT& ack) {
+    newest_version_ = std::max(newest_version_, ack.accepted_version);
+  };
   session_.on_membership = [this](const membership_view& view) {
     handle_membership(view);
   };
@@ -158,7 +161,7 @@
 }
 
 server_choice router::choose_server(const checked_request& request,
-                                    std::span<const std::string> tried) {
+                                    std::span<const tried_server> tried) {
   const auto bias = session_.config()->limits.reuse_bias;
   return choose(fleet_, request.service, request.placement, tried, bias, io::now());
 }
--- a/tools/router/router.h
+++ b/tools/router/router.h
@@ -39,7 +39,7 @@
   [[nodiscard]] std::uint64_t config_version() const { return session_.version(); }
   [[nodiscard]] std::uint64_t newest_version_seen() const { return newest_version_; }
   server_choice choose_server(const checked_request& request,
-                              std::span<const std::string> tried);
+                              std::span<const tried_server> tried);
   static void log_choice(const std::string& request_id, unsigned attempt,
                          const server_choice& found);
   void note_first_attempt();
