--- a/src/configuration_diff.cpp
+++ b/src/configuration_diff.cpp
@@ -103,7 +103,7 @@
     const auto other = find(after, it.name);
     out.name = it.name;
     if (other == after.end()) {
-      out.add("removed; its callers are refused");
+      out.add("removed; callers are refused");
     } else if (!(it == *other)) {
       compare(it, *other);
     }
--- a/tools/ctl/fleet.cpp
+++ b/tools/ctl/fleet.cpp
@@ -97,7 +97,27 @@
                               : change_result(options, *got.reply, options.args.front());
 }
 
-// The text of a change, or of the accepted configuration for an empty id.
+// The accepted configuration. Unlike show it makes no log entry.
+answer<wire::ConfigReplyT> fetch_accepted(const ctl_options& options) {
+  return ask<wire::ConfigReplyT>(options, wire::FetchConfigT{});
+}
+
+configuration parse(const std::string& text) {
+  yaml_report report;
+  return parse_configuration(text, 0, report);
+}
+
+std::vector<std::string> services_of(const configuration& config) {
+  std::vector<std::string> out;
+  for (const auto& it : config.pools) {
+    out.push_back(it.name);
+  }
+  for (const auto& it : config.services) {
+    out.push_back(it.name);
+  }
+  return out;
+}
+
 answer<wire::ChangeReplyT> fetch_text(const ctl_options& options,
                                       const std::string& change_id) {
   wire::ChangeRequestT body;
@@ -153,9 +173,16 @@
   if (got.reply == nullptr) {
     return got.failure;
   }
-  const auto held = judge(*got.reply).broken.empty();
+  const auto accepted = fetch_accepted(options);
+  if (accepted.reply == nullptr) {
+    return accepted.failure;
+  }
+  const auto services = services_of(parse(accepted.reply->text));
+  const auto held = judge(*got.reply, services).broken.empty();
   return {held ? exit_done : exit_refused,
-          options.json ? json_line(to_json(*got.reply)) : status_text(*got.reply), ""};
+          options.json ? json_line(to_json(*got.reply, services))
+                       : status_text(*got.reply, services),
+          ""};
 }
 
 command_result run_propose(const ctl_options& options) {
@@ -178,7 +205,7 @@
   if (options.base) {
     body.base_version = *options.base;
   } else {
-    const auto accepted = fetch_text(options, "");
+    const auto accepted = fetch_accepted(options);
     if (accepted.reply == nullptr) {
       return accepted.failure;
     }
@@ -206,7 +233,7 @@
   if (options.args.size() != 1) {
     return usage("diff takes one change id or two files");
   }
-  const auto accepted = fetch_text(options, "");
+  const auto accepted = fetch_accepted(options);
   if (accepted.reply == nullptr) {
     return accepted.failure;
   }
@@ -221,9 +248,8 @@
   if (status.reply == nullptr) {
     return status.failure;
   }
-  yaml_report report;
-  const auto before = parse_configuration(accepted.reply->text, 0, report);
-  const auto after = parse_configuration(proposed.reply->text, 0, report);
+  const auto before = parse(accepted.reply->text);
+  const auto after = parse(proposed.reply->text);
   const auto servers = known_servers(*status.reply);
   return {exit_done, describe_change(before, servers, after, servers), ""};
 }
--- a/tools/ctl/options.cpp
+++ b/tools/ctl/options.cpp
@@ -37,7 +37,7 @@
 
 Exit status:
   0  done
-  1  refused, or the fleet was not reached and nothing was sent
+  1  refused, not reached and nothing sent, or (status) a promise not held now
   2  usage, or a problem in a file
   3  the outcome is unknown: run the same command with the same change id again
 
--- a/tools/ctl/status_text.cpp
+++ b/tools/ctl/status_text.cpp
@@ -15,8 +15,8 @@
 
 // A lease lasts 2 s; a voter that is silent for longer keeps no promise.
 constexpr std::uint32_t silent_limit_ms = 2000;
-constexpr std::size_t max_listed = 6;
-constexpr std::size_t max_pools = 6;
+constexpr std::size_t max_listed = 4;
+constexpr std::size_t max_pools = 5;
 constexpr std::size_t wanted_voters = 3;
 constexpr std::size_t max_line = 100;
 
@@ -63,8 +63,12 @@
   std::uint64_t load = 0;
 };
 
-std::map<std::string, pool_counts> count_pools(const wire::StatusReplyT& status) {
+std::map<std::string, pool_counts> count_pools(const wire::StatusReplyT& status,
+                                               const std::vector<std::string>& services) {
   std::map<std::string, pool_counts> out;
+  for (const auto& it : services) {
+    out[it] = {};
+  }
   for (const auto& it : status.nodes) {
     if (it->role != wire::NodeRole::agent) {
       continue;
@@ -125,8 +129,19 @@
   }
 }
 
-void judge_pools(const wire::StatusReplyT& status, fleet_health& out) {
-  for (const auto& [name, it] : count_pools(status)) {
+void judge_routers(const wire::StatusReplyT& status, fleet_health& out) {
+  const bool any =
+      std::any_of(status.nodes.begin(), status.nodes.end(), [](const auto& it) {
+        return it->role == wire::NodeRole::router && it->silent_ms < silent_limit_ms;
+      });
+  if (!any && status.accepted_version != 0) {
+    out.broken.emplace_back("no router is heard; callers are not served");
+  }
+}
+
+void judge_pools(const wire::StatusReplyT& status,
+                 const std::vector<std::string>& services, fleet_health& out) {
+  for (const auto& [name, it] : count_pools(status, services)) {
     if (it.serving == 0) {
       out.broken.push_back(name + " has no serving server");
     }
@@ -218,23 +233,26 @@
 
 } // namespace
 
-fleet_health judge(const wire::StatusReplyT& status) {
+fleet_health judge(const wire::StatusReplyT& status,
+                   const std::vector<std::string>& services) {
   fleet_health out;
   judge_configuration(status, out);
   judge_voters(status, out);
-  judge_pools(status, out);
+  judge_routers(status, out);
+  judge_pools(status, services, out);
   judge_pending(status, out);
   return out;
 }
 
-std::string status_text(const wire::StatusReplyT& status) {
-  const auto health = judge(status);
+std::string status_text(const wire::StatusReplyT& status,
+                        const std::vector<std::string>& services) {
+  const auto health = judge(status, services);
   std::string out = "promises        ";
   out += health.broken.empty() ? "all held\n" : "NOT all held:\n";
   append_list(out, health.broken);
   out += clip(leader_line(status)) + "\n" + clip(configuration_line(status)) + "\n";
   std::size_t listed = 0;
-  const auto pools = count_pools(status);
+  const auto pools = count_pools(status, services);
   for (const auto& [name, it] : pools) {
     if (++listed > max_pools) {
       out += "  and " + std::to_string(pools.size() - max_pools) + " more (--json)\n";
@@ -290,8 +308,9 @@
   return "change " + change_id + " is refused: " + reply.message + "\n";
 }
 
-QJsonObject to_json(const wire::StatusReplyT& status) {
-  const auto health = judge(status);
+QJsonObject to_json(const wire::StatusReplyT& status,
+                    const std::vector<std::string>& services) {
+  const auto health = judge(status, services);
   QJsonArray nodes;
   for (const auto& it : status.nodes) {
     nodes.append(QJsonObject{{"node_id", text(it->node_id)},
--- a/tools/ctl/status_text.h
+++ b/tools/ctl/status_text.h
@@ -15,15 +15,19 @@
   std::vector<std::string> to_do;  // what needs the operator, most urgent first
 };
 
-fleet_health judge(const wire::StatusReplyT& status);
+// services are the pools and plain services that the accepted configuration names.
+fleet_health judge(const wire::StatusReplyT& status,
+                   const std::vector<std::string>& services);
 
-// One screen: at most 20 lines of 100 characters.
-std::string status_text(const wire::StatusReplyT& status);
+// One screen: at most 24 lines of 100 characters.
+std::string status_text(const wire::StatusReplyT& status,
+                        const std::vector<std::string>& services);
 std::string history_text(const wire::HistoryReplyT& history);
 std::string members_text(const wire::StatusReplyT& status);
 std::string change_text(const wire::ChangeReplyT& reply, const std::string& change_id);
 
-QJsonObject to_json(const wire::StatusReplyT& status);
+QJsonObject to_json(const wire::StatusReplyT& status,
+                    const std::vector<std::string>& services);
 QJsonObject to_json(const wire::HistoryReplyT& history);
 QJsonObject to_json(const wire::ChangeReplyT& reply, const std::string& change_id);
 
