Time the load precisely and leave out routers that refused a connection

Callers now leave out a router that refused a connection for a second, as a load balancer does. The demo's engines are slower, which puts about six attempts on each, and skew is sampled only above the load floor.

--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -18,6 +18,14 @@
 from dataclasses import dataclass, field
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+# Heartbeats go out every 0.5 s; after two of them routers know every agent.
+MEMBERSHIP_DELAY_S = 1.0
+# Attempts that a server may always carry; below it the multiple of the mean does
+# not bound the load, and skew is not sampled.
+LOAD_FLOOR = 4
+# A token every 40 ms for a request that runs alone, so that the fleet carries
+# about six attempts on each engine.
+ENGINE_TOKENS_PER_SECOND = 25
 BIN = os.path.join(ROOT, "build", "bin")
 HOST = "127.0.0.1"
 
@@ -163,7 +171,8 @@
     plan_controls(fleet, controls, ports)
     plan_routers(fleet, routers, ports)
     for i in range(deployment.engines):
-        knobs = f"models: [{models}]\nchecks_fencing: {'true' if i % 2 else 'false'}\n"
+        knobs = f"models: [{models}]\ntokens_per_second: {ENGINE_TOKENS_PER_SECOND}\n"
+        knobs += f"checks_fencing: {'true' if i % 2 else 'false'}\n"
         plan_backend(fleet, fleet.engines, f"engine-{i}", "engine", deployment.pool, i, ports, knobs)
     for i in range(deployment.services):
         plan_backend(fleet, fleet.services, f"service-{i}", "service", deployment.service, i, ports, "")
@@ -252,6 +261,7 @@
             names = ended or [it.name for it in waiting]
             raise RuntimeError(f"not ready or ended: {', '.join(names)}")
         time.sleep(0.05)
+    time.sleep(MEMBERSHIP_DELAY_S)
 
 
 def is_ready(node):
@@ -320,8 +330,7 @@
                 + totals.get("marigoldstep_agent_queued_attempts", 0)
             )
         mean = sum(loads) / len(loads) if loads else 0
-        # With less than one attempt on each server the ratio says nothing.
-        if mean >= 1:
+        if mean >= LOAD_FLOOR:
             self.skews.append(max(loads) / mean)
 
     def sample_control(self, node):
--- a/tools/load/request_driver.cpp
+++ b/tools/load/request_driver.cpp
@@ -8,6 +8,13 @@
 
 constexpr auto longest_hint = duration(2000);
 
+// About the interval of a load balancer's health checks.
+constexpr auto refused_time = std::chrono::seconds(1);
+
+std::string target_name(const io::endpoint& it) {
+  return it.host + ":" + std::to_string(it.port);
+}
+
 std::vector<io::endpoint> find_targets(const load_settings& settings,
                                        const planned_request& request) {
   if (!request.direct) {
@@ -24,8 +31,8 @@
 } // namespace
 
 request_driver::request_driver(const load_settings& settings, planned_request request,
-                               std::mt19937_64& random, QObject* parent)
-    : QObject(parent), settings_(settings), random_(random),
+                               caller_state& callers, QObject* parent)
+    : QObject(parent), settings_(settings), callers_(callers),
       targets_(find_targets(settings, request)), sends_left_(settings.resend.sends) {
   record_.request = std::move(request);
 }
@@ -34,11 +41,14 @@
   started_ = std::chrono::steady_clock::now();
   // Without a router a chat stays with one engine, where its prefix is cached.
   next_target_ =
-      record_.request.direct ? stable_hash(record_.request.chat_id) : random_();
+      record_.request.direct ? stable_hash(record_.request.chat_id) : callers_.random();
   if (targets_.empty()) {
     finish();
     return;
   }
+  if (refused_lately(target())) {
+    next_target();
+  }
   send();
 }
 
@@ -47,14 +57,27 @@
   return std::chrono::duration<double, std::milli>(elapsed).count();
 }
 
-io::endpoint request_driver::pick_target() {
+io::endpoint request_driver::target() const {
   return targets_[next_target_ % targets_.size()];
 }
 
+bool request_driver::refused_lately(const io::endpoint& it) const {
+  const auto found = callers_.refused_at.find(target_name(it));
+  return found != callers_.refused_at.end() &&
+         std::chrono::steady_clock::now() - found->second < refused_time;
+}
+
+void request_driver::next_target() {
+  ++next_target_;
+  for (std::size_t i = 1; i < targets_.size() && refused_lately(target()); ++i) {
+    ++next_target_;
+  }
+}
+
 http_request request_driver::make_request() {
   const auto& it = record_.request;
   http_request out;
-  out.target = pick_target();
+  out.target = target();
   out.headers = {
       {"X-Marigoldstep-Workspace", QByteArray::fromStdString(it.workspace)},
       {"X-Marigoldstep-Priority", it.urgency == priority::patient ? "patient" : "short"},
@@ -98,6 +121,9 @@
 
 void request_driver::after_send(exchange_result result) {
   merged_ = std::move(result);
+  if (!merged_.sent) {
+    callers_.refused_at[target_name(target())] = std::chrono::steady_clock::now();
+  }
   const auto problem = read_problem(merged_);
   record_.code = problem ? problem->code : std::string();
   const bool not_run = judge(record_.request, merged_) == request_end::not_run;
@@ -109,7 +135,7 @@
   --sends_left_;
   ++record_.resumes;
   http_request request;
-  request.target = pick_target();
+  request.target = target();
   request.method = "GET";
   request.path = "/v1/attempts/" + merged_.resume_token +
                  "?offset=" + QByteArray::number(merged_.body.size());
@@ -134,14 +160,16 @@
     finish();
     return;
   }
-  ++next_target_;
+  next_target();
   const auto hint = std::min(merged_.retry_after, longest_hint);
   // Jitter of half the pause keeps callers that failed together apart.
   const auto jitter = duration(static_cast<std::int64_t>(
-      random_() % static_cast<std::uint64_t>(settings_.resend.pause.count() + 1)));
+      callers_.random() %
+      static_cast<std::uint64_t>(settings_.resend.pause.count() + 1)));
   const auto pause = std::max(hint, settings_.resend.pause / 2 + jitter);
-  QTimer::singleShot(
-      pause, this, [this, action] { action == next_action::resume ? resume() : send(); });
+  QTimer::singleShot(pause, Qt::PreciseTimer, this, [this, action] {
+    action == next_action::resume ? resume() : send();
+  });
 }
 
 void request_driver::finish() {
--- a/tools/load/request_driver.h
+++ b/tools/load/request_driver.h
@@ -19,12 +19,20 @@
   std::optional<stand_in::token_usage> usage;
 };
 
+// What the requests of a run share.
+struct caller_state {
+  std::mt19937_64 random;
+  // When a target last refused a connection, by "host:port". Callers reach the
+  // routers through a load balancer, which leaves out such a router for a while.
+  std::map<std::string, std::chrono::steady_clock::time_point> refused_at;
+};
+
 // Sends one request until it has an end, as a caller would: a cut answer is
 // resumed and an unanswered request sent again, each through another target.
 class request_driver : public QObject {
 public:
   request_driver(const load_settings& settings, planned_request request,
-                 std::mt19937_64& random, QObject* parent);
+                 caller_state& callers, QObject* parent);
 
   // Called once; the object deletes itself afterwards.
   std::function<void(request_record)> on_done;
@@ -39,12 +47,14 @@
   void after_resume(exchange_result result);
   void go_on();
   void finish();
-  io::endpoint pick_target();
+  void next_target();
+  [[nodiscard]] io::endpoint target() const;
+  [[nodiscard]] bool refused_lately(const io::endpoint& it) const;
   http_request make_request();
   [[nodiscard]] double elapsed_ms() const;
 
   const load_settings& settings_;
-  std::mt19937_64& random_;
+  caller_state& callers_;
   request_record record_;
   std::vector<io::endpoint> targets_;
   std::size_t next_target_ = 0;
--- a/tools/load/runner.cpp
+++ b/tools/load/runner.cpp
@@ -13,7 +13,8 @@
 } // namespace
 
 runner::runner(load_settings settings, QObject* parent)
-    : QObject(parent), settings_(std::move(settings)), random_(settings_.seed) {
+    : QObject(parent),
+      settings_(std::move(settings)), callers_{std::mt19937_64(settings_.seed), {}} {
   limit_.setSingleShot(true);
   last_end_.setSingleShot(true);
   connect(&limit_, &QTimer::timeout, this, [this] { stop_early(); });
@@ -29,12 +30,15 @@
   check_end();
 }
 
+// Precise timers here and below: Qt fires coarse ones together at aligned times,
+// which made bursts of requests out of evenly drawn starts.
 void runner::plan_chats() {
   for (std::uint32_t i = 0; i < settings_.chats; ++i) {
     expected_ += settings_.turns;
-    QTimer::singleShot(draw_start(settings_, "chat", i), this, [this, i] {
-      queue_turn(std::make_shared<planned_chat>(make_chat(settings_, i)));
-    });
+    QTimer::singleShot(
+        draw_start(settings_, "chat", i), Qt::PreciseTimer, this, [this, i] {
+          queue_turn(std::make_shared<planned_chat>(make_chat(settings_, i)));
+        });
   }
 }
 
@@ -42,19 +46,22 @@
   for (const auto& service : settings_.services) {
     expected_ += service.calls + service.lookups;
     for (std::uint32_t i = 0; i < service.calls; ++i) {
-      QTimer::singleShot(draw_start(settings_, "call", i), this, [this, &service, i] {
-        enqueue(make_call(settings_, service, i, io::wall_clock()),
-                [this](const request_record& record) {
-                  if (record.end == request_end::whole) {
-                    completed_calls_.push_back(record.request);
-                  }
-                });
-      });
+      QTimer::singleShot(draw_start(settings_, "call", i), Qt::PreciseTimer, this,
+                         [this, &service, i] {
+                           enqueue(make_call(settings_, service, i, io::wall_clock()),
+                                   [this](const request_record& record) {
+                                     if (record.end == request_end::whole) {
+                                       completed_calls_.push_back(record.request);
+                                     }
+                                   });
+                         });
     }
     for (std::uint32_t i = 0; i < service.lookups; ++i) {
-      QTimer::singleShot(draw_start(settings_, "lookup", i), this, [this, &service, i] {
-        enqueue(make_lookup(settings_, service, i), [](const request_record&) {});
-      });
+      QTimer::singleShot(draw_start(settings_, "lookup", i), Qt::PreciseTimer, this,
+                         [this, &service, i] {
+                           enqueue(make_lookup(settings_, service, i),
+                                   [](const request_record&) {});
+                         });
     }
   }
 }
@@ -78,7 +85,7 @@
     return;
   }
   next_turn(*chat, settings_);
-  QTimer::singleShot(draw_pause(*chat, settings_), this,
+  QTimer::singleShot(draw_pause(*chat, settings_), Qt::PreciseTimer, this,
                      [this, chat] { queue_turn(chat); });
 }
 
@@ -102,7 +109,7 @@
 void runner::run_request(planned_request request,
                          std::function<void(const request_record&)> then) {
   ++running_;
-  auto* driver = new request_driver(settings_, std::move(request), random_, this);
+  auto* driver = new request_driver(settings_, std::move(request), callers_, this);
   driver->on_done = [this, then = std::move(then)](request_record record) {
     if (phase_ != phase::load) {
       return; // the run has ended without it
@@ -156,7 +163,7 @@
   for (std::size_t i = 0; i < report_.rechecked; ++i) {
     // Evenly spaced over the run, so that early answers are among them.
     const auto& request = completed_calls_[i * completed_calls_.size() / *left];
-    auto* driver = new request_driver(settings_, request, random_, this);
+    auto* driver = new request_driver(settings_, request, callers_, this);
     driver->on_done = [this, left](const request_record& record) {
       report_.lost_answers += record.end == request_end::whole ? 0 : 1;
       if (--*left == 0 && phase_ == phase::recheck) {
--- a/tools/load/runner.h
+++ b/tools/load/runner.h
@@ -41,7 +41,7 @@
   };
 
   load_settings settings_;
-  std::mt19937_64 random_;
+  caller_state callers_;
   load_report report_;
   phase phase_ = phase::load;
   std::deque<queued_request> queue_;
--- a/tools/stand_in/service_server.cpp
+++ b/tools/stand_in/service_server.cpp
@@ -24,7 +24,7 @@
   made.body = call.body;
   // The call runs now even when its caller leaves before the answer.
   const auto answer = run_call(runs_, made);
-  QTimer::singleShot(work_, writer,
+  QTimer::singleShot(work_, Qt::PreciseTimer, writer,
                      [writer, answer] { writer->answer(200, json_type, answer); });
 }
 
--- a/tools/stand_in/stand_in_server.cpp
+++ b/tools/stand_in/stand_in_server.cpp
@@ -51,7 +51,7 @@
   if (faults.fail) {
     writer->answer(500, json_type, R"({"error":"fault on command"})");
   } else if (faults.delay.count() > 0) {
-    QTimer::singleShot(faults.delay, writer,
+    QTimer::singleShot(faults.delay, Qt::PreciseTimer, writer,
                        [this, call, writer] { dispatch(call, writer); });
   } else {
     dispatch(call, writer);
