--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -16,6 +16,7 @@
 #include "marigoldstep/log_record.h"
 #include "marigoldstep/membership.h"
 #include "marigoldstep/placement.h"
+#include "marigoldstep/questionnaire.h"
 #include "marigoldstep/report.h"
 #include "marigoldstep/request.h"
 #include "marigoldstep/retry.h"
