Add the chaos script

Processes are killed, restarted and suspended at seeded moments under bookings that are sent again through another router. Not run yet with three control processes.

--- /dev/null
+++ b/scripts/lib/chaos.py
@@ -0,0 +1,194 @@
+"""Kills, restarts and suspends parts of a fleet at seeded random moments while
+callers send bookings, and resend each unanswered one through another router."""
+
+import argparse
+import random
+import signal
+import sys
+import time
+
+import fleet as harness
+
+# Moments between two faults, how long a killed process stays away and how long a
+# control process is suspended, each drawn evenly from the range.
+GAP_S = (1.0, 3.0)
+AWAY_S = (0.5, 2.5)
+SUSPENDED_S = (2.0, 6.0)
+CALLS_PER_S = 25
+CHATS_PER_S = 4
+# After the last fault callers need this long for their last sends.
+SETTLE_S = 20
+LONGEST_RUN_S = 600
+
+
+class Faults:
+    """Draws faults from the seed and ends each in its time."""
+
+    def __init__(self, fleet, seed, started):
+        self.fleet = fleet
+        self.random = random.Random(seed)
+        self.started = started
+        self.away = []  # (when it comes back, node, what to do)
+        self.counts = {}
+
+    def say(self, text):
+        print(f"{time.monotonic() - self.started:6.1f} s  {text}", flush=True)
+
+    def pick(self, group):
+        """A member of the group that is in order now."""
+        busy = [node for _, node, _ in self.away]
+        free = [it for it in group if it.alive() and it not in busy]
+        return self.random.choice(free) if free else None
+
+    def pick_control(self, kind):
+        # A second control process away would leave no quorum: then nothing could
+        # run, and the run would test only refusals.
+        if len(self.fleet.controls) > 1 and any(
+            node in self.fleet.controls for _, node, _ in self.away
+        ):
+            return None
+        leader = harness.find_leader(self.fleet)
+        if kind == "leader":
+            return None if leader is None else self.fleet.controls[leader]
+        others = [it for i, it in enumerate(self.fleet.controls) if i != leader]
+        return self.pick(others or self.fleet.controls)
+
+    def pick_node(self, kind):
+        if kind in ("leader", "follower", "suspended control"):
+            return self.pick_control(kind)
+        if kind == "agent":
+            return self.pick(self.fleet.agents)
+        # One router must be left for the resends.
+        node = self.pick(self.fleet.routers)
+        others = [it for it in self.fleet.routers if it.alive() and it is not node]
+        return node if others else None
+
+    def draw(self):
+        kind = self.random.choice(
+            ["leader", "follower", "agent", "agent", "router", "suspended control"]
+        )
+        node = self.pick_node(kind)
+        if node is None:
+            return
+        self.counts[kind] = self.counts.get(kind, 0) + 1
+        if kind == "suspended control":
+            length = self.random.uniform(*SUSPENDED_S)
+            node.process.send_signal(signal.SIGSTOP)
+            self.away.append((time.monotonic() + length, node, "continue"))
+            self.say(f"suspended {node.name} for {length:.1f} s")
+            return
+        length = self.random.uniform(*AWAY_S)
+        harness.kill(node)
+        self.away.append((time.monotonic() + length, node, "restart"))
+        self.say(f"killed {node.name} ({kind}) for {length:.1f} s")
+
+    def end_due(self, now):
+        for it in [it for it in self.away if it[0] <= now]:
+            self.away.remove(it)
+            _, node, what = it
+            if what == "continue":
+                node.process.send_signal(signal.SIGCONT)
+            else:
+                harness.start(self.fleet, node)
+                node.ended_on_purpose = False
+
+    def run(self, seconds):
+        end = time.monotonic() + seconds
+        next_fault = time.monotonic() + self.random.uniform(*GAP_S)
+        while time.monotonic() < end:
+            time.sleep(0.05)
+            self.end_due(time.monotonic())
+            if time.monotonic() >= next_fault:
+                self.draw()
+                next_fault = time.monotonic() + self.random.uniform(*GAP_S)
+        self.end_due(float("inf"))
+
+
+def ended_alone(fleet, faults):
+    """Processes that ended although nobody ended them."""
+    busy = [node for _, node, _ in faults.away]
+    return [it.name for it in fleet.nodes() if not it.alive() and it not in busy]
+
+
+def load_values(seconds, seed):
+    return {
+        "seed": seed,
+        "chats": CHATS_PER_S * seconds,
+        "turns": 2,
+        "concurrency": 300,
+        "start_window_ms": 1000 * seconds,
+        "median_pause_ms": 1000,
+        "longest_pause_ms": 4000,
+        "run_limit_ms": 1000 * (seconds + SETTLE_S),
+        "idle_timeout_ms": 8000,
+        "rechecked_calls": 50,
+        "resend": "{sends: 12, pause_ms: 400, keep_not_run_share: 0.5}",
+    }
+
+
+def check(report, status, ended):
+    broken = []
+    if status != 0 or not report.get("holds"):
+        broken.append("an answer was wrong, doubled, lost or falsely called not run")
+    if ended:
+        broken.append(f"ended without being killed: {', '.join(ended)}")
+    return broken
+
+
+def run(options):
+    deployment = harness.DEPLOYMENTS["archive" if options.archive else "volta"]
+    with harness.Folder() as folder:
+        fleet = harness.plan_fleet(
+            deployment, folder.path, options.configuration, controls=options.controls
+        )
+        load = None
+        try:
+            harness.start_fleet(fleet)
+            settings = harness.write_load_settings(
+                fleet,
+                load_values(options.seconds, options.seed),
+                CALLS_PER_S * options.seconds,
+                options.seconds,
+            )
+            load = harness.start_load(fleet, settings)
+            faults = Faults(fleet, options.seed, time.monotonic())
+            faults.run(options.seconds)
+            status, report = harness.end_load(fleet, load, SETTLE_S + 60)
+            ended = ended_alone(fleet, faults)
+        finally:
+            if load is not None and load.poll() is None:
+                load.kill()
+            harness.stop_fleet(fleet)
+        broken = check(report, status, ended)
+        if report:
+            rows = [(f"faults: {kind}", n) for kind, n in sorted(faults.counts.items())]
+            print()
+            harness.print_table(rows + harness.report_rows(report))
+            print(f"codes: {report['problem_codes']}")
+        for text in (report.get("faults", []) if broken else []) + broken:
+            print(f"does not hold: {text}")
+        folder.keep = bool(broken) or options.keep
+        print("all of it holds" if not broken else "failed")
+        return 1 if broken else 0
+
+
+def seconds_in_range(text):
+    value = int(text)
+    if not 5 <= value <= LONGEST_RUN_S:
+        raise argparse.ArgumentTypeError(f"must be from 5 to {LONGEST_RUN_S}")
+    return value
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="scripts/chaos", description=__doc__)
+    parser.add_argument("--seconds", type=seconds_in_range, default=60)
+    parser.add_argument("--seed", type=int, default=1, help="seed of faults and load")
+    parser.add_argument("--archive", action="store_true", help="the archive deployment")
+    parser.add_argument("--controls", type=int, default=3, help="control processes (1 or 3)")
+    parser.add_argument("--configuration", help="use this instead of a generated one")
+    parser.add_argument("--keep", action="store_true", help="keep the logs")
+    sys.exit(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -135,6 +135,7 @@
 
 def models_of(text, pool):
     """Models of a pool in a generated configuration, in flow or block style."""
+    text = re.sub(r" +#.*", "", text).replace('"', "")
     section = re.search(r"^pools:\n((?:[ -].*\n)+)", text, re.M).group(1)
     entry = re.search(rf"- name: {re.escape(pool)}\n((?: (?!- name).*\n|\s+- (?!name).*\n)*)", section)
     body = entry.group(1) if entry else section
