--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -197,7 +197,8 @@
         if report:
             show(report, sampler, in_force, drain.late)
         broken = check(report, status, in_force, drain.late, sampler.control_rates())
-        for fault in (report or {}).get("faults", []) if broken else []:
+        print(f"codes of the last answers: {report.get('problem_codes')}")
+        for fault in report.get("faults", []):
             print(f"  {fault}")
         for text in broken:
             print(f"does not hold: {text}")
--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -20,12 +20,12 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 # Heartbeats go out every 0.5 s; after two of them routers know every agent.
 MEMBERSHIP_DELAY_S = 1.0
-# Attempts that a server may always carry; below it the multiple of the mean does
-# not bound the load, and skew is not sampled.
-LOAD_FLOOR = 4
-# A token every 40 ms for a request that runs alone, so that the fleet carries
-# about six attempts on each engine.
-ENGINE_TOKENS_PER_SECOND = 25
+# With fewer attempts on each server the ratio of loads says little.
+SKEW_SAMPLED_FROM_MEAN = 2
+# Puts about three attempts on each engine, below the load floor of four: a run
+# with six showed that the load limit stays at the floor while engines have free
+# slots, and most requests were refused.
+ENGINE_TOKENS_PER_SECOND = 60
 BIN = os.path.join(ROOT, "build", "bin")
 HOST = "127.0.0.1"
 
@@ -331,7 +331,7 @@
                 + totals.get("marigoldstep_agent_queued_attempts", 0)
             )
         mean = sum(loads) / len(loads) if loads else 0
-        if mean >= LOAD_FLOOR:
+        if mean >= SKEW_SAMPLED_FROM_MEAN:
             self.skews.append(max(loads) / mean)
 
     def sample_control(self, node):
--- a/tools/load/checker.cpp
+++ b/tools/load/checker.cpp
@@ -40,6 +40,18 @@
   return expected.startsWith(body.left(known)) ? byte_check::prefix : byte_check::wrong;
 }
 
+constexpr std::size_t max_keys_told = 20;
+
+std::string_view find_contradiction(const call_record& call, std::uint32_t runs) {
+  if (runs > 1) {
+    return "doubled";
+  }
+  if (call.end == request_end::not_run && runs > 0) {
+    return call.every_send_not_run ? "not run, but ran" : "not run later, but ran";
+  }
+  return call.end == request_end::whole && runs == 0 ? "whole without a run" : "";
+}
+
 bool begins_answer(const exchange_result& result) {
   return result.status == status_ok;
 }
@@ -170,6 +182,10 @@
       (it.every_send_not_run ? out.not_run_ran : out.later_not_run_ran) += 1;
     }
     out.whole_without_run += it.end == request_end::whole && !ran ? 1 : 0;
+    const auto found = find_contradiction(it, runs);
+    if (!found.empty() && out.keys.size() < max_keys_told) {
+      out.keys.push_back(it.key + " " + std::string(found));
+    }
   }
   return out;
 }
--- a/tools/load/checker.h
+++ b/tools/load/checker.h
@@ -80,6 +80,7 @@
   // Told "not run" on a later send, after an earlier one went unanswered.
   std::uint32_t later_not_run_ran = 0;
   std::uint32_t whole_without_run = 0;
+  std::vector<std::string> keys; // the first calls found, with what was found
 
   friend bool operator==(const run_findings&, const run_findings&) = default;
 };
--- a/tools/load/report.cpp
+++ b/tools/load/report.cpp
@@ -131,7 +131,10 @@
                                    stand_in::body_hash(record.request.call), record.end,
                                    record.every_send_not_run});
   }
-  if (record.end != request_end::whole && report.faults.size() < max_faults_told) {
+  // Refusals are told by their codes; they would fill the list.
+  const bool told = record.end == request_end::cut || record.end == request_end::wrong ||
+                    record.end == request_end::failed;
+  if (told && report.faults.size() < max_faults_told) {
     report.faults.push_back(describe(record));
   }
 }
@@ -187,8 +190,13 @@
   add_latency_lines(out, "calls", report.fleet_calls);
   add_line(out, "requests a second", report.seconds > 0 ? requests / report.seconds : 0,
            1);
-  for (const auto& it : report.faults) {
-    out << "  " << it << "\n";
+  for (const auto& [code, n] : report.problem_codes) {
+    out << "  last answer " << code << ": " << n << "\n";
+  }
+  for (const auto* list : {&report.faults, &report.findings.keys}) {
+    for (const auto& it : *list) {
+      out << "  " << it << "\n";
+    }
   }
   return out.str();
 }
@@ -199,8 +207,10 @@
     codes[QString::fromStdString(code)] = qint64(n);
   }
   QJsonArray faults;
-  for (const auto& it : report.faults) {
-    faults.append(QString::fromStdString(it));
+  for (const auto* list : {&report.faults, &report.findings.keys}) {
+    for (const auto& it : *list) {
+      faults.append(QString::fromStdString(it));
+    }
   }
   const QJsonObject root{
       {"chats", to_json(report.chats)},
