--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -18,6 +18,14 @@
 from dataclasses import dataclass, field
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+# Heartbeats go out every 0.5 s; after two of them routers know every agent.
+MEMBERSHIP_DELAY_S = 1.0
+# With fewer attempts on each server the ratio of loads says little.
+SKEW_SAMPLED_FROM_MEAN = 2
+# Puts about three attempts on each engine, below the load floor of four: a run
+# with six showed that the load limit stays at the floor while engines have free
+# slots, and most requests were refused.
+ENGINE_TOKENS_PER_SECOND = 60
 BIN = os.path.join(ROOT, "build", "bin")
 HOST = "127.0.0.1"
 
@@ -127,6 +135,7 @@
 
 def models_of(text, pool):
     """Models of a pool in a generated configuration, in flow or block style."""
+    text = re.sub(r" +#.*", "", text).replace('"', "")
     section = re.search(r"^pools:\n((?:[ -].*\n)+)", text, re.M).group(1)
     entry = re.search(rf"- name: {re.escape(pool)}\n((?: (?!- name).*\n|\s+- (?!name).*\n)*)", section)
     body = entry.group(1) if entry else section
@@ -163,7 +172,8 @@
     plan_controls(fleet, controls, ports)
     plan_routers(fleet, routers, ports)
     for i in range(deployment.engines):
-        knobs = f"models: [{models}]\nchecks_fencing: {'true' if i % 2 else 'false'}\n"
+        knobs = f"models: [{models}]\ntokens_per_second: {ENGINE_TOKENS_PER_SECOND}\n"
+        knobs += f"checks_fencing: {'true' if i % 2 else 'false'}\n"
         plan_backend(fleet, fleet.engines, f"engine-{i}", "engine", deployment.pool, i, ports, knobs)
     for i in range(deployment.services):
         plan_backend(fleet, fleet.services, f"service-{i}", "service", deployment.service, i, ports, "")
@@ -252,6 +262,7 @@
             names = ended or [it.name for it in waiting]
             raise RuntimeError(f"not ready or ended: {', '.join(names)}")
         time.sleep(0.05)
+    time.sleep(MEMBERSHIP_DELAY_S)
 
 
 def is_ready(node):
@@ -320,8 +331,7 @@
                 + totals.get("marigoldstep_agent_queued_attempts", 0)
             )
         mean = sum(loads) / len(loads) if loads else 0
-        # With less than one attempt on each server the ratio says nothing.
-        if mean >= 1:
+        if mean >= SKEW_SAMPLED_FROM_MEAN:
             self.skews.append(max(loads) / mean)
 
     def sample_control(self, node):
