--- /dev/null
+++ b/src/raft_election.cpp
@@ -0,0 +1,179 @@
+// Elections: pre-vote, votes and the change of roles.
+#include "marigoldstep/raft.h"
+
+namespace marigoldstep::detail {
+
+namespace {
+
+void send_to_voters(const raft_node& node, const raft_message& message,
+                    std::vector<raft_message>& out) {
+  for (const auto& it : members(node)) {
+    if (!it.learner && it.id != node.identity.id) {
+      out.push_back(message);
+      out.back().to = it.id;
+    }
+  }
+}
+
+// Learners wait longer, so that a voter wins whenever one can.
+constexpr int learner_timeout_factor = 3;
+
+// A member's own vote counts only while it is a voter.
+std::set<voter_id> own_vote(const raft_node& node) {
+  if (is_voter(members(node), node.identity.id)) {
+    return {node.identity.id};
+  }
+  return {};
+}
+
+void start_election(raft_node& node, time_point now, raft_output& out) {
+  node.role = raft_role::candidate;
+  node.state = {node.state.term + 1, node.identity.id};
+  store_state(node, out);
+  // The own vote counts once it is stored; see count_own_vote.
+  node.votes.clear();
+  reset_election_deadline(node, now);
+  auto request = make_message(node, 0);
+  request.body = vote_request{false, last_index(node.log), last_term(node.log)};
+  send_to_voters(node, request, out.messages);
+}
+
+} // namespace
+
+void reset_election_deadline(raft_node& node, time_point now) {
+  std::uniform_int_distribution<duration::rep> pick(node.settings.election_min.count(),
+                                                    node.settings.election_max.count());
+  const bool voter = is_voter(members(node), node.identity.id);
+  node.election_deadline =
+      now + duration(pick(node.random)) * (voter ? 1 : learner_timeout_factor);
+}
+
+bool may_campaign(const raft_node& node) {
+  const auto& history = node.member_history;
+  if (is_voter(history.back().members, node.identity.id)) {
+    return true;
+  }
+  // Until its removal is committed a voter may be the only one with the newest
+  // log, and the group would stay without a leader (section 4.2.2 of the
+  // thesis).
+  const bool removal_open =
+      history.size() > 1 && history.back().index > node.commit_index &&
+      is_voter(history[history.size() - 2].members, node.identity.id);
+  // The same holds for a learner whose promotion some voters have in their logs:
+  // they need its vote, and it refuses candidates with an older log. Its own
+  // vote doesn't count as long as its log says that it is a learner.
+  return removal_open || find_member(history.back().members, node.identity.id) != nullptr;
+}
+
+bool has_live_leader(const raft_node& node, time_point now) {
+  return node.role == raft_role::leader ||
+         (node.leader != 0 && now - node.leader_contact < node.settings.election_min);
+}
+
+bool is_up_to_date(const raft_node& node, const vote_request& body) {
+  const auto own_term = last_term(node.log);
+  return body.last_term > own_term ||
+         (body.last_term == own_term && body.last_index >= last_index(node.log));
+}
+
+void become_follower(raft_node& node, term_number term, voter_id leader, time_point now,
+                     raft_output& out) {
+  if (term != node.state.term) {
+    node.state = {term, 0};
+    store_state(node, out);
+  }
+  if (node.role == raft_role::leader) {
+    fail_reads(node, out);
+    node.progress.clear();
+  }
+  node.role = raft_role::follower;
+  node.leader = leader;
+  node.votes.clear();
+  reset_election_deadline(node, now);
+}
+
+void start_pre_vote(raft_node& node, time_point now, raft_output& out) {
+  node.role = raft_role::pre_candidate;
+  node.leader = 0;
+  node.votes = own_vote(node);
+  reset_election_deadline(node, now);
+  if (node.votes.size() >= quorum_size(members(node))) {
+    start_election(node, now, out);
+    return;
+  }
+  auto request = make_message(node, 0);
+  request.term = node.state.term + 1;
+  request.body = vote_request{true, last_index(node.log), last_term(node.log)};
+  send_to_voters(node, request, out.immediate);
+}
+
+void count_own_vote(raft_node& node, time_point now, raft_output& out) {
+  if (node.role != raft_role::candidate || node.durable_term != node.state.term) {
+    return;
+  }
+  node.votes.merge(own_vote(node));
+  if (node.votes.size() >= quorum_size(members(node))) {
+    become_leader(node, now, out);
+  }
+}
+
+void become_leader(raft_node& node, time_point now, raft_output& out) {
+  node.role = raft_role::leader;
+  node.leader = node.identity.id;
+  node.votes.clear();
+  node.reads.clear();
+  node.progress.clear();
+  node.incoming.reset();
+  sync_progress(node, now);
+  // Entries of earlier terms become committed with this one.
+  append_entry(node, {last_index(node.log) + 1, node.state.term, entry_kind::no_op, {}},
+               out);
+  send_heartbeats(node, now, out);
+}
+
+void handle(raft_node& node, const raft_message& message, const vote_request& body,
+            time_point now, raft_output& out) {
+  auto reply = make_message(node, message.from);
+  if (body.pre_vote) {
+    const bool granted = message.term > node.state.term && is_up_to_date(node, body) &&
+                         !has_live_leader(node, now);
+    reply.term = granted ? message.term : node.state.term;
+    reply.body = vote_reply{true, granted};
+    out.messages.push_back(std::move(reply));
+    return;
+  }
+  const bool free = node.state.voted_for == 0 || node.state.voted_for == message.from;
+  const bool granted = free && is_up_to_date(node, body);
+  if (granted && node.state.voted_for == 0) {
+    node.state.voted_for = message.from;
+    store_state(node, out);
+  }
+  if (granted) {
+    reset_election_deadline(node, now);
+  }
+  reply.body = vote_reply{false, granted};
+  out.messages.push_back(std::move(reply));
+}
+
+void handle(raft_node& node, const raft_message& message, const vote_reply& body,
+            time_point now, raft_output& out) {
+  if (!body.granted || !is_voter(members(node), message.from)) {
+    return;
+  }
+  const auto awaited = body.pre_vote ? raft_role::pre_candidate : raft_role::candidate;
+  const auto term = body.pre_vote ? node.state.term + 1 : node.state.term;
+  if (node.role != awaited || message.term != term) {
+    return;
+  }
+  node.votes.insert(message.from);
+  if (node.votes.size() < quorum_size(members(node))) {
+    return;
+  }
+  if (body.pre_vote) {
+    start_election(node, now, out);
+  } else {
+    become_leader(node, now, out);
+  }
+}
+
+} // namespace marigoldstep::detail
--- /dev/null
+++ b/src/raft_members.cpp
@@ -0,0 +1,125 @@
+// Changes of the group, one member at a time (section 4.1 of Ongaro's thesis).
+#include "marigoldstep/raft.h"
+
+#include <algorithm>
+
+namespace marigoldstep {
+
+namespace {
+
+std::size_t caught_up_voters(const raft_node& node, const group_members& list,
+                             time_point now) {
+  return static_cast<std::size_t>(
+      std::count_if(list.begin(), list.end(), [&](const auto& it) {
+        return !it.learner && is_caught_up(node, it.id, now);
+      }));
+}
+
+// The members after the change; empty, with words in why, when it makes no
+// sense for this group.
+group_members changed_members(const raft_node& node, member_change change,
+                              const group_member& target, std::string& why) {
+  auto list = members(node);
+  const auto it = std::find_if(list.begin(), list.end(),
+                               [&](const auto& m) { return m.id == target.id; });
+  const auto id = std::to_string(target.id);
+  if (change == member_change::add_learner) {
+    if (target.id == 0 || target.host.empty() || target.port == 0) {
+      why = "a new member needs an id, a host and a port";
+    } else if (it != list.end()) {
+      why = "member " + id + " belongs to the group already";
+    } else {
+      list.push_back({target.id, target.host, target.port, true});
+      return list;
+    }
+    return {};
+  }
+  if (it == list.end()) {
+    why = "there is no member " + id;
+    return {};
+  }
+  if (change == member_change::remove) {
+    list.erase(it);
+    return list;
+  }
+  if (!it->learner) {
+    why = "member " + id + " is a voter already";
+    return {};
+  }
+  it->learner = false;
+  return list;
+}
+
+// Words for the operator why the change must not start now; empty if it may.
+std::string refusal(const raft_node& node, member_change change, voter_id target,
+                    const group_members& next, time_point now) {
+  if (term_at(node.log, node.commit_index) != node.state.term) {
+    return "the leader is new and has not committed anything yet; try again in a second";
+  }
+  if (node.member_history.back().index > node.commit_index) {
+    return "another member change is not committed yet; wait for it";
+  }
+  if (change == member_change::promote && !is_caught_up(node, target, now)) {
+    return "learner " + std::to_string(target) +
+           " has not caught up with the log or is silent; wait until it has";
+  }
+  const auto needed = quorum_size(next);
+  const auto ready = caught_up_voters(node, next, now);
+  const bool voters_change =
+      change == member_change::promote || is_voter(members(node), target);
+  if (voters_change && (voter_count(next) == 0 || ready < needed)) {
+    return "only " + std::to_string(ready) + " of the " +
+           std::to_string(voter_count(next)) +
+           " voters that would remain are caught up, and " + std::to_string(needed) +
+           " are needed; repair or add voters first";
+  }
+  return {};
+}
+
+raft_output refuse(errc code, std::string why) {
+  raft_output out;
+  out.error = make_error_code(code);
+  out.detail = std::move(why);
+  return out;
+}
+
+} // namespace
+
+bool is_caught_up(const raft_node& node, voter_id id, time_point now) {
+  if (id == node.identity.id) {
+    return true;
+  }
+  const auto it = node.progress.find(id);
+  return it != node.progress.end() &&
+         now - it->second.heard_at < node.settings.caught_up_silence &&
+         it->second.match_index + node.settings.caught_up_entries >= node.commit_index &&
+         it->second.match_index > 0;
+}
+
+raft_output propose_member(raft_node& node, member_change change,
+                           const group_member& member, time_point now) {
+  if (node.role != raft_role::leader) {
+    return refuse(errc::not_leader, "this member does not lead the group");
+  }
+  std::string why;
+  const auto next = changed_members(node, change, member, why);
+  if (!why.empty()) {
+    return refuse(errc::bad_request, std::move(why));
+  }
+  why = refusal(node, change, member.id, next, now);
+  if (!why.empty()) {
+    return refuse(errc::unsafe_member_change, std::move(why));
+  }
+  raft_output out;
+  out.proposed_index = last_index(node.log) + 1;
+  detail::append_entry(
+      node,
+      {out.proposed_index, node.state.term, entry_kind::members, encode_members(next)},
+      out);
+  detail::sync_progress(node, now);
+  detail::send_heartbeats(node, now, out);
+  detail::finish(node, out);
+  return out;
+}
+
+} // namespace marigoldstep
--- /dev/null
+++ b/src/raft_replication.cpp
@@ -0,0 +1,264 @@
+// Replication of entries and quorum-confirmed reads.
+#include "marigoldstep/raft.h"
+
+#include <algorithm>
+
+namespace marigoldstep::detail {
+
+namespace {
+
+std::vector<log_entry> entries_to_send(const raft_node& node, const peer_progress& peer) {
+  std::vector<log_entry> out;
+  std::size_t size = 0;
+  const auto limit = peer.match_index + node.settings.max_in_flight;
+  const auto end = std::min(last_index(node.log), limit);
+  for (auto i = peer.next_index; i <= end; ++i) {
+    const auto& entry = node.log.entries[i - node.log.base_index - 1];
+    size += entry.data.size();
+    const bool full = out.size() >= node.settings.max_append_entries ||
+                      size > node.settings.max_append_bytes;
+    if (full && !out.empty()) {
+      break;
+    }
+    out.push_back(entry);
+  }
+  return out;
+}
+
+// First index of the term that holds the conflicting entry; the leader goes on
+// from there instead of stepping back one entry at a time.
+log_index conflict_hint(const raft_node& node, log_index previous) {
+  const auto last = last_index(node.log);
+  if (previous > last) {
+    return last + 1;
+  }
+  const auto term = term_at(node.log, previous);
+  auto index = previous;
+  while (index > node.commit_index + 1 && term_at(node.log, index - 1) == term) {
+    --index;
+  }
+  return index;
+}
+
+// Stores the entries that are new. Returns the index up to which the log now
+// agrees with the leader's.
+log_index store_entries(raft_node& node, const append_request& body, raft_output& out) {
+  for (const auto& it : body.entries) {
+    if (it.index <= node.log.base_index || term_at(node.log, it.index) == it.term) {
+      continue;
+    }
+    if (it.index <= last_index(node.log)) {
+      truncate_from(node, it.index);
+    }
+    append_entry(node, it, out);
+  }
+  return std::max(body.previous_index + body.entries.size(), node.log.base_index);
+}
+
+bool is_well_formed(const append_request& body) {
+  auto index = body.previous_index;
+  auto term = body.previous_term;
+  return std::all_of(body.entries.begin(), body.entries.end(), [&](const auto& it) {
+    const bool ok = it.index == index + 1 && it.term >= term;
+    index = it.index;
+    term = it.term;
+    return ok;
+  });
+}
+
+// Round that a quorum has acknowledged.
+std::uint64_t quorum_round(raft_node& node) {
+  std::vector<std::uint64_t> rounds;
+  for (const auto& it : members(node)) {
+    if (!it.learner) {
+      rounds.push_back(it.id == node.identity.id ? node.round
+                                                 : node.progress[it.id].acked_round);
+    }
+  }
+  if (rounds.empty()) {
+    return 0;
+  }
+  std::sort(rounds.begin(), rounds.end(), std::greater<>());
+  return rounds[rounds.size() / 2];
+}
+
+void handle_failure(raft_node& node, voter_id from, const append_reply& body,
+                    raft_output& out) {
+  auto& peer = node.progress[from];
+  const bool stale = peer.probing ? body.rejected_index + 1 != peer.next_index
+                                  : body.rejected_index <= peer.match_index;
+  if (peer.transfer || stale) {
+    return;
+  }
+  peer.probing = true;
+  peer.paused = false;
+  peer.next_index =
+      std::max(peer.match_index + 1, std::min(body.match_index, body.rejected_index));
+  send_append(node, from, out);
+}
+
+void handle_success(raft_node& node, voter_id from, const append_reply& body,
+                    time_point now, raft_output& out) {
+  auto& peer = node.progress[from];
+  if (body.match_index > last_index(node.log)) {
+    return;
+  }
+  peer.match_index = std::max(peer.match_index, body.match_index);
+  peer.next_index = std::max(peer.next_index, peer.match_index + 1);
+  if (peer.transfer && peer.transfer->snapshot.last_index <= peer.match_index) {
+    peer.transfer.reset();
+  }
+  peer.probing = false;
+  peer.paused = false;
+  advance_commit(node, now, out);
+  if (node.role == raft_role::leader && peer.next_index <= last_index(node.log) &&
+      peer.next_index <= peer.match_index + node.settings.max_in_flight) {
+    send_append(node, from, out);
+  }
+}
+
+} // namespace
+
+void sync_progress(raft_node& node, time_point now) {
+  std::map<voter_id, peer_progress> kept;
+  for (const auto& it : members(node)) {
+    if (it.id == node.identity.id) {
+      continue;
+    }
+    const auto known = node.progress.find(it.id);
+    if (known != node.progress.end()) {
+      kept[it.id] = std::move(known->second);
+    } else {
+      auto& peer = kept[it.id];
+      peer.next_index = last_index(node.log) + 1;
+      peer.heard_at = now;
+    }
+  }
+  node.progress = std::move(kept);
+}
+
+void send_append(raft_node& node, voter_id to, raft_output& out) {
+  auto& peer = node.progress[to];
+  if (peer.transfer || peer.paused) {
+    return;
+  }
+  const auto previous = peer.next_index - 1;
+  if (previous < node.log.base_index) {
+    start_transfer(node, to, out);
+    return;
+  }
+  auto message = make_message(node, to);
+  append_request body{previous, term_at(node.log, previous), node.commit_index,
+                      node.round, entries_to_send(node, peer)};
+  if (peer.probing) {
+    peer.paused = true;
+  } else {
+    peer.next_index += body.entries.size();
+  }
+  message.body = std::move(body);
+  out.immediate.push_back(std::move(message));
+}
+
+void send_heartbeats(raft_node& node, time_point now, raft_output& out) {
+  node.heartbeat_due = now + node.settings.heartbeat;
+  for (auto& [id, peer] : node.progress) {
+    if (peer.transfer) {
+      send_chunk(node, id, out);
+      // Keeps the member's part in rounds going during a long transfer.
+      auto message = make_message(node, id);
+      message.body = append_request{
+          node.log.base_index, node.log.base_term, node.commit_index, node.round, {}};
+      out.immediate.push_back(std::move(message));
+      continue;
+    }
+    peer.paused = false;
+    send_append(node, id, out);
+  }
+}
+
+void handle(raft_node& node, const raft_message& message, const append_request& body,
+            time_point now, raft_output& out) {
+  if (node.role == raft_role::leader || !is_well_formed(body)) {
+    return;
+  }
+  if (node.role != raft_role::follower || node.leader != message.from) {
+    become_follower(node, node.state.term, message.from, now, out);
+  }
+  node.leader_contact = now;
+  reset_election_deadline(node, now);
+  auto reply = make_message(node, message.from);
+  const bool known = body.previous_index <= node.log.base_index ||
+                     (body.previous_index <= last_index(node.log) &&
+                      term_at(node.log, body.previous_index) == body.previous_term);
+  if (!known) {
+    reply.body = append_reply{false, conflict_hint(node, body.previous_index), body.round,
+                              body.previous_index};
+    out.messages.push_back(std::move(reply));
+    return;
+  }
+  const auto before = out.records.size();
+  auto match = store_entries(node, body, out);
+  commit_up_to(node, std::min(body.commit_index, match), out);
+  // A reply that reports nothing new need not wait for the disk: a slow disk
+  // must not look like a lost member.
+  const bool prompt = out.records.size() == before && out.records.empty() &&
+                      node.durable_term == node.state.term;
+  if (prompt) {
+    match = std::min(match, node.durable_index);
+  }
+  reply.body = append_reply{true, match, body.round, 0};
+  (prompt ? out.immediate : out.messages).push_back(std::move(reply));
+}
+
+void handle(raft_node& node, const raft_message& message, const append_reply& body,
+            time_point now, raft_output& out) {
+  const auto it = node.progress.find(message.from);
+  if (node.role != raft_role::leader || it == node.progress.end()) {
+    return;
+  }
+  it->second.heard_at = now;
+  if (body.round <= node.round) {
+    it->second.acked_round = std::max(it->second.acked_round, body.round);
+  }
+  if (body.success) {
+    handle_success(node, message.from, body, now, out);
+  } else {
+    handle_failure(node, message.from, body, out);
+  }
+  if (node.role == raft_role::leader) {
+    confirm_reads(node, now, out);
+  }
+}
+
+void confirm_reads(raft_node& node, time_point now, raft_output& out) {
+  // A new leader learns what earlier ones committed when it commits an entry
+  // of its own term.
+  if (term_at(node.log, node.commit_index) != node.state.term) {
+    return;
+  }
+  while (!node.reads.empty()) {
+    const auto acked = quorum_round(node);
+    std::erase_if(node.reads, [&](const auto& it) {
+      if (it.round > acked) {
+        return false;
+      }
+      out.reads.push_back({it.token, true});
+      return true;
+    });
+    // Reads that came during a round wait for the next one.
+    if (node.reads.empty() || node.round > acked) {
+      return;
+    }
+    ++node.round;
+    send_heartbeats(node, now, out);
+  }
+}
+
+void fail_reads(raft_node& node, raft_output& out) {
+  for (const auto& it : node.reads) {
+    out.reads.push_back({it.token, false});
+  }
+  node.reads.clear();
+}
+
+} // namespace marigoldstep::detail
