Store the log in files

Cause: the replicated log needs durable storage that doesn't block the event loop. Change: log_file writes and syncs the planned steps on a thread of its own, one sync for all that is queued, and stores nothing after the first failure.

--- /dev/null
+++ b/src/io/log_file.cpp
@@ -0,0 +1,313 @@
+#include "marigoldstep/io/log_file.h"
+
+#include "marigoldstep/io/program.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <chrono>
+#include <fcntl.h>
+#include <filesystem>
+#include <optional>
+#include <sys/file.h>
+#include <unistd.h>
+
+namespace marigoldstep::io {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::string_view segment_prefix = "segment-";
+constexpr std::string_view snapshot_prefix = "snapshot-";
+constexpr std::string_view temporary_suffix = ".tmp";
+constexpr std::size_t number_digits = 20;
+constexpr mode_t file_mode = 0600;
+
+std::error_code last_error() {
+  return {errno, std::generic_category()};
+}
+
+std::string padded(std::uint64_t number) {
+  const auto text = std::to_string(number);
+  return std::string(number_digits - text.size(), '0') + text;
+}
+
+std::optional<std::uint64_t> number_in(std::string_view name, std::string_view prefix) {
+  if (!name.starts_with(prefix)) {
+    return std::nullopt;
+  }
+  const auto digits = name.substr(prefix.size());
+  std::uint64_t number = 0;
+  const auto* end = digits.data() + digits.size();
+  const auto [rest, ec] = std::from_chars(digits.data(), end, number);
+  if (ec != std::errc{} || rest != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::vector<std::uint64_t> numbers_in(const std::string& folder,
+                                      std::string_view prefix) {
+  std::vector<std::uint64_t> out;
+  std::error_code ec;
+  for (const auto& it : fs::directory_iterator(folder, ec)) {
+    if (const auto number = number_in(it.path().filename().string(), prefix)) {
+      out.push_back(*number);
+    }
+  }
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+void remove_temporary_files(const std::string& folder) {
+  std::error_code ec;
+  for (const auto& it : fs::directory_iterator(folder, ec)) {
+    if (it.path().filename().string().ends_with(temporary_suffix)) {
+      fs::remove(it.path(), ec);
+    }
+  }
+}
+
+bytes read_bytes(const std::string& path, std::error_code& ec) {
+  const auto text = read_file(path, ec);
+  return {text.begin(), text.end()};
+}
+
+} // namespace
+
+log_file::log_file(QObject* parent) : QObject(parent) {}
+
+log_file::~log_file() {
+  close();
+  for (const int fd : {segment_fd_, folder_fd_, lock_fd_}) {
+    if (fd >= 0) {
+      ::close(fd);
+    }
+  }
+}
+
+std::string log_file::segment_path(std::uint64_t number) const {
+  return folder_ + "/" + std::string(segment_prefix) + padded(number);
+}
+
+std::string log_file::snapshot_path(log_index index) const {
+  return folder_ + "/" + std::string(snapshot_prefix) + padded(index);
+}
+
+recovered_log log_file::open(const std::string& folder, std::error_code& ec,
+                             std::string& detail) {
+  folder_ = folder;
+  fs::create_directories(folder, ec);
+  folder_fd_ = ec ? -1 : ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  const auto lock_path = folder + "/lock";
+  lock_fd_ = ::open(lock_path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, file_mode);
+  if (folder_fd_ < 0 || lock_fd_ < 0 || ::flock(lock_fd_, LOCK_EX | LOCK_NB) != 0) {
+    detail = folder + " cannot be used: " + last_error().message();
+    ec = make_error_code(errc::storage_failed);
+    return {};
+  }
+  remove_temporary_files(folder);
+  std::vector<segment_image> images;
+  for (const auto number : numbers_in(folder, segment_prefix)) {
+    images.push_back({number, read_bytes(segment_path(number), ec)});
+    if (ec) {
+      detail = segment_path(number) + " cannot be read: " + ec.message();
+      ec = make_error_code(errc::storage_failed);
+      return {};
+    }
+  }
+  if (images.empty() && !numbers_in(folder, snapshot_prefix).empty()) {
+    detail = folder + " holds snapshots but no segments";
+    ec = make_error_code(errc::storage_corrupt);
+    return {};
+  }
+  auto found = recover_log(
+      images,
+      [this](log_index index, std::error_code& load_ec) {
+        const auto data = read_bytes(snapshot_path(index), load_ec);
+        return load_ec ? raft_snapshot{} : decode_snapshot_file(data, load_ec);
+      },
+      ec, detail);
+  if (!ec && cut_tail(found)) {
+    detail = "the torn tail of " + segment_path(found.last_segment) + " cannot be cut";
+    ec = make_error_code(errc::storage_failed);
+  }
+  if (!ec) {
+    worker_ = std::thread([this] { run(); });
+  }
+  return found;
+}
+
+std::error_code log_file::cut_tail(const recovered_log& found) {
+  if (found.last_segment == 0) {
+    return {};
+  }
+  position_ = {found.last_segment, found.valid_size};
+  segment_fd_ =
+      ::open(segment_path(found.last_segment).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  const bool ok = segment_fd_ >= 0 &&
+                  ::ftruncate(segment_fd_, static_cast<off_t>(found.valid_size)) == 0 &&
+                  ::fsync(segment_fd_) == 0;
+  return ok ? std::error_code() : last_error();
+}
+
+void log_file::store(std::uint64_t sync_id, std::vector<raft_record> records) {
+  {
+    const std::lock_guard lock(mutex_);
+    queue_.push_back({sync_id, std::move(records)});
+  }
+  wake_.notify_one();
+}
+
+void log_file::close() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_one();
+  if (worker_.joinable()) {
+    worker_.join();
+  }
+}
+
+void log_file::run() {
+  while (true) {
+    std::vector<request> requests;
+    {
+      std::unique_lock lock(mutex_);
+      wake_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
+      if (queue_.empty()) {
+        return;
+      }
+      requests.swap(queue_);
+    }
+    if (!failed_) {
+      store_all(std::move(requests));
+    }
+  }
+}
+
+void log_file::store_all(std::vector<request> requests) {
+  const auto begin = std::chrono::steady_clock::now();
+  const auto sync_id = requests.back().sync_id;
+  std::vector<raft_record> records;
+  for (auto& it : requests) {
+    std::move(it.records.begin(), it.records.end(), std::back_inserter(records));
+  }
+  for (const auto& op : plan_writes(position_, records)) {
+    const auto ec = execute(op);
+    if (!ec) {
+      continue;
+    }
+    failed_ = true;
+    const auto detail = "writing to " + folder_ + ": " + ec.message();
+    QMetaObject::invokeMethod(
+        this,
+        [this, detail] {
+          if (on_failed) {
+            on_failed(detail);
+          }
+        },
+        Qt::QueuedConnection);
+    return;
+  }
+  const std::chrono::duration<double> taken = std::chrono::steady_clock::now() - begin;
+  QMetaObject::invokeMethod(
+      this,
+      [this, sync_id, seconds = taken.count()] {
+        if (on_sync_time) {
+          on_sync_time(seconds);
+        }
+        if (on_synced) {
+          on_synced(sync_id);
+        }
+      },
+      Qt::QueuedConnection);
+}
+
+std::error_code log_file::execute(const storage_op& op) {
+  if (inject_error) {
+    if (const auto ec = inject_error(op)) {
+      return ec;
+    }
+  }
+  switch (op.action) {
+  case storage_action::store_snapshot:
+    return store_snapshot(op);
+  case storage_action::start_segment:
+    return start_segment(op);
+  case storage_action::append:
+    return write_and_sync(segment_fd_, op.data);
+  case storage_action::remove_before:
+    remove_before(op);
+    return {};
+  }
+  return make_error_code(errc::internal_error);
+}
+
+std::error_code log_file::write_and_sync(int fd, const bytes& data) {
+  std::size_t done = 0;
+  while (done < data.size()) {
+    const auto n = ::write(fd, data.data() + done, data.size() - done);
+    if (n < 0 && errno == EINTR) {
+      continue;
+    }
+    if (n <= 0) {
+      return last_error();
+    }
+    done += static_cast<std::size_t>(n);
+  }
+  return ::fdatasync(fd) == 0 ? std::error_code() : last_error();
+}
+
+std::error_code log_file::start_segment(const storage_op& op) {
+  if (segment_fd_ >= 0) {
+    ::close(segment_fd_);
+  }
+  segment_fd_ = ::open(segment_path(op.segment).c_str(),
+                       O_WRONLY | O_APPEND | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
+  if (segment_fd_ < 0) {
+    return last_error();
+  }
+  if (const auto ec = write_and_sync(segment_fd_, op.data)) {
+    return ec;
+  }
+  return ::fsync(folder_fd_) == 0 ? std::error_code() : last_error();
+}
+
+std::error_code log_file::store_snapshot(const storage_op& op) {
+  const auto path = snapshot_path(op.index);
+  const auto temporary = path + std::string(temporary_suffix);
+  const int fd =
+      ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
+  if (fd < 0) {
+    return last_error();
+  }
+  const auto ec = write_and_sync(fd, op.data);
+  ::close(fd);
+  if (ec) {
+    return ec;
+  }
+  const bool ok =
+      ::rename(temporary.c_str(), path.c_str()) == 0 && ::fsync(folder_fd_) == 0;
+  return ok ? std::error_code() : last_error();
+}
+
+// Files that stay behind after a failed removal are removed with the next
+// checkpoint; recovery doesn't read them.
+void log_file::remove_before(const storage_op& op) {
+  std::error_code ignored;
+  for (const auto number : numbers_in(folder_, segment_prefix)) {
+    if (number < op.segment) {
+      fs::remove(segment_path(number), ignored);
+    }
+  }
+  for (const auto index : numbers_in(folder_, snapshot_prefix)) {
+    if (index < op.index) {
+      fs::remove(snapshot_path(index), ignored);
+    }
+  }
+}
+
+} // namespace marigoldstep::io
--- a/src/raft_types.cpp
+++ b/src/raft_types.cpp
@@ -26,14 +26,14 @@
   native.pre_vote = body.pre_vote;
   native.last_index = body.last_index;
   native.last_term = body.last_term;
-  out.Set(std::move(native));
+  out.Set(native);
 }
 
 void set_body(wire::RaftBodyUnion& out, const vote_reply& body) {
   wire::VoteReplyT native;
   native.pre_vote = body.pre_vote;
   native.granted = body.granted;
-  out.Set(std::move(native));
+  out.Set(native);
 }
 
 void set_body(wire::RaftBodyUnion& out, const append_request& body) {
@@ -54,7 +54,7 @@
   native.match_index = body.match_index;
   native.round = body.round;
   native.rejected_index = body.rejected_index;
-  out.Set(std::move(native));
+  out.Set(native);
 }
 
 void set_body(wire::RaftBodyUnion& out, const snapshot_request& body) {
@@ -73,7 +73,7 @@
   native.next_offset = body.next_offset;
   native.done = body.done;
   native.last_index = body.last_index;
-  out.Set(std::move(native));
+  out.Set(native);
 }
 
 append_request append_from_wire(const wire::AppendRequestT& native) {
