--- /dev/null
+++ b/benchmark/first_version.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "marigoldstep/placement.h"
+
+namespace marigoldstep::bench {
+
+// Placement as in the project's first version, kept for comparison: one weighted
+// rendezvous pass with a logarithm per server, and the same overflow order.
+candidate_list first_version_candidates(const placement_table& table,
+                                        const placement_key& key, std::size_t wanted);
+
+choice first_version_choice(const candidate_list& candidates,
+                            std::span<const server_observation> observations,
+                            std::span<const std::uint32_t> tried, double reuse_bias,
+                            time_point now);
+
+} // namespace marigoldstep::bench
--- /dev/null
+++ b/benchmark/main.cpp
@@ -0,0 +1,39 @@
+#include "placement_bench.h"
+
+#include <cstdio>
+#include <popt.h>
+#include <string_view>
+
+namespace {
+
+constexpr int exit_usage = 2;
+
+} // namespace
+
+int main(int argc, char** argv) {
+  marigoldstep::bench::bench_options options;
+  long long seed = 1;
+  int json = 0;
+  char* only = nullptr;
+  poptOption table[] = {
+      {"seed", 0, POPT_ARG_LONGLONG, &seed, 0, "Seed of the model", "N"},
+      {"json", 0, POPT_ARG_NONE, &json, 0, "One JSON object a line", nullptr},
+      {"only", 0, POPT_ARG_STRING, &only, 0, "placement, capacity or raft", "PART"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context =
+      poptGetContext("mstep-bench", argc, const_cast<const char**>(argv), table, 0);
+  const int rc = poptGetNextOpt(context);
+  if (rc < -1) {
+    std::fprintf(stderr, "%s: %s\n", poptBadOption(context, 0), poptStrerror(rc));
+    poptFreeContext(context);
+    return exit_usage;
+  }
+  poptFreeContext(context);
+  options.seed = static_cast<std::uint64_t>(seed);
+  options.json = json != 0;
+  const std::string_view part = only == nullptr ? "" : only;
+  if (part.empty() || part == "placement") {
+    marigoldstep::bench::run_placement_bench(options);
+  }
+  return 0;
+}
--- /dev/null
+++ b/benchmark/placement_bench.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+
+namespace marigoldstep::bench {
+
+struct bench_options {
+  std::uint64_t seed = 1;
+  bool json = false;
+};
+
+// Prints the placement table of each fleet size and the trade of reuse_bias.
+// Returns whether every target was met.
+bool run_placement_bench(const bench_options& options);
+
+// Measures how bytes, processor time and memory grow with the fleet and writes
+// docs/capacity-slopes.json.
+bool run_capacity_bench(const bench_options& options);
+
+} // namespace marigoldstep::bench
--- /dev/null
+++ b/benchmark/placement_model.cpp
@@ -0,0 +1,554 @@
+#include "placement_model.h"
+
+#include "first_version.h"
+#include "prefix_cache.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <queue>
+#include <random>
+
+namespace marigoldstep::bench {
+
+namespace {
+
+constexpr double zipf_exponent = 1.1;
+constexpr double continue_probability = 0.85;
+constexpr double pause_median_ms = 4 * 60'000.0;
+constexpr double pause_sigma = 1.5; // 95% within 47 min, 1% above 2 h
+constexpr double token_ms = 40;
+constexpr double prefill_tokens_per_ms = 8;
+constexpr std::uint32_t system_tokens_low = 200;
+constexpr std::uint32_t system_tokens_high = 1000;
+constexpr std::uint32_t message_tokens = 200;
+constexpr std::uint32_t first_message_tokens = 600;
+constexpr double surge_factor = 20;
+constexpr auto sample_interval = duration(100);
+constexpr auto skew_interval = duration(1000);
+constexpr auto longest_mean_lag = duration(2000);
+constexpr auto refusal_hint = duration(250);
+constexpr auto circuit_time = duration(2000);
+constexpr auto retry_wait = duration(200);
+constexpr auto longest_view_lag = duration(3000);
+constexpr std::uint32_t longest_retries = 50; // 10 s
+constexpr std::size_t remembered_engines = 4;
+
+struct chat {
+  std::uint64_t key = 0;
+  std::uint32_t workspace = 0;
+  std::uint32_t history = 0; // tokens after the system prompt
+  std::uint32_t retries = 0;
+  bool returning = false;
+  bool measured_delay = false;
+  std::array<std::uint32_t, remembered_engines> engines{}; // served it, newest first
+  std::uint32_t known_engines = 0;
+};
+
+struct engine {
+  explicit engine(std::uint64_t cache_tokens) : cache(cache_tokens) {}
+  std::uint32_t load = 0;
+  std::uint32_t epoch = 0;
+  bool reachable = true;
+  bool leaving = false;
+  duration mean_lag{};
+  prefix_cache cache;
+};
+
+struct router {
+  duration view_lag{};
+  std::vector<server_observation> seen;
+};
+
+enum class event_kind : std::uint8_t { completion, arrival };
+
+struct event {
+  time_point at{};
+  event_kind kind = event_kind::arrival;
+  std::uint32_t chat = 0;
+  std::uint32_t engine = 0;
+  std::uint32_t epoch = 0;
+  std::uint32_t router = 0;
+
+  bool operator<(const event& other) const { return at > other.at; }
+};
+
+class model {
+public:
+  model(const model_size& size, const timeline& churn, policy rule, std::uint64_t seed);
+  model_result run();
+
+private:
+  void apply_churn();
+  void sample();
+  void handle(const event& it);
+  void complete(const event& it);
+  void route(std::uint32_t chat_index);
+  bool try_engine(std::uint32_t router_index, std::uint32_t chat_index, std::uint32_t at);
+  void admit(std::uint32_t router_index, std::uint32_t chat_index, std::uint32_t at);
+  std::uint32_t cached_tokens(const chat& it, std::uint32_t at) const;
+  int pick(std::uint32_t router_index, const chat& it, const candidate_list& candidates);
+  int pick_random();
+  template <typename Load> int pick_least(Load load);
+  int pick_known(const chat& it);
+  candidate_list candidates_for(std::uint32_t router_index, const chat& it);
+  const placement_table& view_of(const router& it) const;
+  std::uint32_t new_chat(std::uint32_t workspace);
+  std::uint32_t random_workspace();
+  double true_mean() const;
+  void count_live(const engine& it, int sign);
+  void add_load(engine& it, int change) {
+    count_live(it, -1);
+    it.load += change;
+    count_live(it, 1);
+  }
+  std::uint32_t limit_of(std::uint32_t at) const;
+  double unit() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  double token_count(double mean) { return -mean * std::log(1 - unit() * 0.999); }
+  bool warm() const { return now_ >= warm_from_; }
+  bool tried(std::uint32_t at) const {
+    return std::find(tried_.begin(), tried_.end(), at) != tried_.end();
+  }
+
+  const model_size& size_;
+  const timeline& churn_;
+  policy rule_;
+  std::mt19937_64 random_;
+  limit_settings limits_;
+  std::vector<engine> engines_;
+  std::vector<router> routers_;
+  std::vector<chat> chats_;
+  std::vector<double> cumulative_share_;
+  std::vector<std::uint64_t> workspace_keys_;
+  std::vector<std::uint32_t> workspace_spread_;
+  std::vector<std::uint32_t> system_tokens_;
+  std::priority_queue<event> events_;
+  std::priority_queue<event> due_; // chats that will return
+  std::deque<double> means_;       // true means, newest first
+  std::deque<std::vector<std::uint32_t>> past_loads_;
+  std::vector<std::uint32_t> tried_;
+  std::vector<double> skews_;
+  std::size_t next_change_ = 0;
+  std::int64_t live_load_ = 0;
+  std::int64_t live_ = 0;
+  std::uint32_t surging_workspace_ = 0;
+  time_point now_{};
+  time_point warm_from_{};
+  std::uint64_t wanted_tokens_ = 0;
+  std::uint64_t found_tokens_ = 0;
+  std::uint64_t refusals_ = 0;
+  std::uint64_t unreachable_ = 0;
+  std::uint64_t delayed_ = 0;
+  model_result result_;
+};
+
+model::model(const model_size& size, const timeline& churn, policy rule,
+             std::uint64_t seed)
+    : size_(size), churn_(churn), rule_(rule), random_(seed) {
+  warm_from_ = time_point(size.modelled * 4 / 10);
+  const auto capacity = static_cast<std::uint64_t>(size.cache_tokens / size.time_scale);
+  engines_.assign(churn.engines, engine(capacity));
+  for (std::uint32_t i = 0; i < churn.engines; ++i) {
+    engines_[i].reachable = i < size.engines;
+    count_live(engines_[i], 1);
+    engines_[i].mean_lag = duration(static_cast<long>(unit() * longest_mean_lag.count()));
+  }
+  routers_.resize(size.routers);
+  for (auto& it : routers_) {
+    it.view_lag = duration(static_cast<long>(unit() * longest_view_lag.count()));
+    it.seen.resize(churn.engines);
+  }
+  double sum = 0;
+  for (const double share : workspace_shares(size.workspaces)) {
+    const auto index = cumulative_share_.size();
+    cumulative_share_.push_back(sum += share);
+    workspace_keys_.push_back(stable_hash("workspace-" + std::to_string(index)));
+    workspace_spread_.push_back(recommended_spread(share, size.engines));
+    system_tokens_.push_back(system_tokens_low +
+                             static_cast<std::uint32_t>(unit() * (system_tokens_high - system_tokens_low)));
+    // The surge comes from a workspace of about 1% of the traffic.
+    if (share >= 0.01 || index == 0) {
+      surging_workspace_ = static_cast<std::uint32_t>(index);
+    }
+  }
+}
+
+double model::true_mean() const {
+  return live_ == 0 ? 0 : static_cast<double>(live_load_) / live_;
+}
+
+void model::count_live(const engine& it, int sign) {
+  if (it.reachable && !it.leaving) {
+    live_load_ += sign * static_cast<std::int64_t>(it.load);
+    live_ += sign;
+  }
+}
+
+void model::apply_churn() {
+  for (; next_change_ < churn_.changes.size() && churn_.changes[next_change_].at <= now_;
+       ++next_change_) {
+    const auto& change = churn_.changes[next_change_];
+    auto& it = engines_[change.engine];
+    count_live(it, -1);
+    it.reachable = change.reachable;
+    it.leaving = change.leaving;
+    if (change.cache_lost) {
+      it.cache.clear();
+      it.load = 0;
+      ++it.epoch;
+    }
+    count_live(it, 1);
+  }
+}
+
+void model::sample() {
+  const double mean = true_mean();
+  means_.push_front(mean);
+  means_.resize(std::min<std::size_t>(means_.size(), longest_mean_lag / sample_interval + 1));
+  if (rule_ == policy::least_loaded_lagging) {
+    auto& loads = past_loads_.emplace_front();
+    for (const auto& it : engines_) {
+      loads.push_back(it.load);
+    }
+    past_loads_.resize(std::min<std::size_t>(past_loads_.size(), longest_mean_lag / sample_interval + 1));
+  }
+  if (!warm() || mean <= 0 || now_.time_since_epoch() % skew_interval != duration(0)) {
+    return;
+  }
+  for (const auto& it : engines_) {
+    if (it.reachable && !it.leaving) {
+      skews_.push_back(it.load / mean);
+    }
+  }
+}
+
+std::uint32_t model::limit_of(std::uint32_t at) const {
+  const auto lag = static_cast<std::size_t>(engines_[at].mean_lag / sample_interval);
+  const double mean = means_.empty() ? 0 : means_[std::min(lag, means_.size() - 1)];
+  return load_limit(limits_, static_cast<std::uint32_t>(mean * 1000));
+}
+
+std::uint32_t model::random_workspace() {
+  const auto it = std::upper_bound(cumulative_share_.begin(), cumulative_share_.end(), unit());
+  return static_cast<std::uint32_t>(
+      std::min<std::ptrdiff_t>(it - cumulative_share_.begin(), size_.workspaces - 1));
+}
+
+std::uint32_t model::new_chat(std::uint32_t workspace) {
+  chat it;
+  it.workspace = workspace;
+  it.key = stable_hash("chat-" + std::to_string(chats_.size()), workspace_keys_[workspace]);
+  it.history = first_message_tokens;
+  chats_.push_back(it);
+  return static_cast<std::uint32_t>(chats_.size() - 1);
+}
+
+const placement_table& model::view_of(const router& it) const {
+  const auto seen_at = now_ - it.view_lag;
+  auto after = std::upper_bound(churn_.views.begin(), churn_.views.end(), seen_at,
+                                [](time_point at, const auto& view) { return at < view.at; });
+  return after == churn_.views.begin() ? *after->table : *std::prev(after)->table;
+}
+
+candidate_list model::candidates_for(std::uint32_t router_index, const chat& it) {
+  const auto& table = view_of(routers_[router_index]);
+  const placement_key key{workspace_keys_[it.workspace], it.key,
+                          workspace_spread_[it.workspace]};
+  if (rule_ == policy::current) {
+    return find_candidates(table, key, max_candidates);
+  }
+  if (rule_ == policy::rendezvous || rule_ == policy::first_version) {
+    return first_version_candidates(table, key, max_candidates);
+  }
+  return {};
+}
+
+int model::pick_random() {
+  for (int i = 0; i < 64; ++i) {
+    const auto at = std::uniform_int_distribution<std::uint32_t>(0, churn_.engines - 1)(random_);
+    if (!tried(at) && engines_[at].reachable && !engines_[at].leaving) {
+      return static_cast<int>(at);
+    }
+  }
+  return -1;
+}
+
+template <typename Load> int model::pick_least(Load load) {
+  int best = -1;
+  double least = 0;
+  // Starts anywhere, so that equal loads do not always favour the same engine.
+  const auto start = std::uniform_int_distribution<std::uint32_t>(0, churn_.engines - 1)(random_);
+  for (std::uint32_t i = 0; i < churn_.engines; ++i) {
+    const auto at = (start + i) % churn_.engines;
+    const auto& it = engines_[at];
+    if (!it.reachable || it.leaving || tried(at)) {
+      continue;
+    }
+    const double value = load(at);
+    if (best < 0 || value < least) {
+      best = static_cast<int>(at);
+      least = value;
+    }
+  }
+  return best;
+}
+
+// The engine with most of the chat's prefix among those that may admit it; the
+// least loaded one when none has it.
+int model::pick_known(const chat& it) {
+  int best = -1;
+  std::uint32_t most = 0;
+  for (std::uint32_t i = 0; i < it.known_engines; ++i) {
+    const auto at = it.engines[i];
+    const auto& candidate = engines_[at];
+    const bool usable = candidate.reachable && !candidate.leaving && !tried(at) &&
+                        candidate.load < limit_of(at);
+    const auto found = usable ? cached_tokens(it, at) : 0;
+    if (found > most) {
+      most = found;
+      best = static_cast<int>(at);
+    }
+  }
+  return best >= 0 ? best : pick_least([this](std::uint32_t at) { return engines_[at].load; });
+}
+
+int model::pick(std::uint32_t router_index, const chat& it,
+                const candidate_list& candidates) {
+  const auto& seen = routers_[router_index].seen;
+  switch (rule_) {
+  case policy::random:
+    return pick_random();
+  case policy::least_loaded_replies:
+    return pick_least([&](std::uint32_t at) { return seen[at].running; });
+  case policy::least_loaded_lagging:
+    return pick_least([&](std::uint32_t at) { return past_loads_.back()[at]; });
+  case policy::rendezvous:
+    for (std::size_t i = 0; i < candidates.count; ++i) {
+      if (!tried(candidates.index[i])) {
+        return static_cast<int>(candidates.index[i]);
+      }
+    }
+    return -1;
+  case policy::first_version: {
+    const auto chosen =
+        first_version_choice(candidates, seen, tried_, size_.reuse_bias, now_);
+    return chosen.reason == choice_reason::none ? -1 : static_cast<int>(chosen.server);
+  }
+  case policy::current: {
+    const auto chosen = choose_server(view_of(routers_[router_index]), candidates, seen,
+                                      tried_, size_.reuse_bias, now_);
+    return chosen.reason == choice_reason::none ? -1 : static_cast<int>(chosen.server);
+  }
+  case policy::full_knowledge:
+    return pick_known(it);
+  }
+  return -1;
+}
+
+std::uint32_t model::cached_tokens(const chat& it, std::uint32_t at) const {
+  const auto& cache = engines_[at].cache;
+  const auto system = cache.find(workspace_keys_[it.workspace]);
+  return system == 0 ? 0 : system + std::min(cache.find(it.key), it.history);
+}
+
+bool model::try_engine(std::uint32_t router_index, std::uint32_t chat_index,
+                       std::uint32_t at) {
+  auto& it = engines_[at];
+  auto& seen = routers_[router_index].seen[at];
+  if (!it.reachable) {
+    unreachable_ += warm() ? 1 : 0;
+    seen.avoid_until = now_ + circuit_time;
+    return false;
+  }
+  const auto limit = limit_of(at);
+  seen = {it.load, 0, limit, static_cast<std::uint32_t>(means_.front() * 1000), now_, {}, false};
+  if (it.leaving || it.load + 1 > limit) {
+    refusals_ += warm() ? 1 : 0;
+    seen.avoid_until = now_ + refusal_hint;
+    return false;
+  }
+  admit(router_index, chat_index, at);
+  return true;
+}
+
+void model::admit(std::uint32_t router_index, std::uint32_t chat_index, std::uint32_t at) {
+  auto& it = engines_[at];
+  auto& talk = chats_[chat_index];
+  const auto system = system_tokens_[talk.workspace];
+  const auto found = cached_tokens(talk, at);
+  // A returning chat's new message cannot have been cached anywhere.
+  const auto possible = system + talk.history;
+  if (warm()) {
+    ++result_.requests;
+    wanted_tokens_ += talk.returning ? possible : 0;
+    found_tokens_ += talk.returning ? found : 0;
+  }
+  add_load(it, 1);
+  if (warm()) {
+    const double floor = limits_.load_floor;
+    const double bound = std::max(floor, std::floor(limits_.load_multiple * true_mean()));
+    result_.bound_acknowledged =
+        std::max(result_.bound_acknowledged, static_cast<double>(it.load) / limit_of(at));
+    result_.bound_true = std::max(result_.bound_true, it.load / bound);
+  }
+  const double answer = 1 + token_count(size_.answer_tokens);
+  const double prompt = talk.returning ? message_tokens : 0;
+  const double prefill = (possible - found + prompt) / prefill_tokens_per_ms;
+  talk.history += static_cast<std::uint32_t>(answer + prompt);
+  it.cache.store(talk.key, talk.history);
+  it.cache.store(workspace_keys_[talk.workspace], system);
+  talk.returning = true;
+  talk.retries = 0;
+  talk.measured_delay = false;
+  if (talk.known_engines == 0 || talk.engines[0] != at) {
+    std::rotate(talk.engines.begin(), talk.engines.end() - 1, talk.engines.end());
+    talk.engines[0] = at;
+    talk.known_engines = std::min<std::uint32_t>(talk.known_engines + 1, remembered_engines);
+  }
+  const auto took = duration(static_cast<long>(prefill + answer * token_ms) + 1);
+  events_.push({now_ + took, event_kind::completion, chat_index, at, it.epoch, router_index});
+}
+
+void model::complete(const event& it) {
+  auto& from = engines_[it.engine];
+  if (from.epoch == it.epoch) {
+    add_load(from, -1);
+    if (from.reachable) {
+      routers_[it.router].seen[it.engine] = {from.load, 0, limit_of(it.engine),
+                                             static_cast<std::uint32_t>(means_.front() * 1000), now_, {}, false};
+    }
+  }
+  if (unit() < continue_probability) {
+    std::lognormal_distribution<double> pause(std::log(pause_median_ms), pause_sigma);
+    const auto wait = duration(static_cast<long>(pause(random_) / size_.time_scale));
+    due_.push({now_ + wait, event_kind::arrival, it.chat});
+  }
+}
+
+void model::route(std::uint32_t chat_index) {
+  tried_.clear();
+  const auto router_index =
+      std::uniform_int_distribution<std::uint32_t>(0, size_.routers - 1)(random_);
+  const auto candidates = candidates_for(router_index, chats_[chat_index]);
+  while (tried_.size() < max_candidates) {
+    const int at = pick(router_index, chats_[chat_index], candidates);
+    if (at < 0) {
+      break;
+    }
+    if (try_engine(router_index, chat_index, static_cast<std::uint32_t>(at))) {
+      return;
+    }
+    tried_.push_back(static_cast<std::uint32_t>(at));
+  }
+  auto& it = chats_[chat_index];
+  if (warm() && !it.measured_delay) {
+    ++delayed_;
+    it.measured_delay = true;
+  }
+  if (++it.retries > longest_retries) {
+    result_.abandoned += warm() ? 1 : 0;
+    return;
+  }
+  events_.push({now_ + retry_wait, event_kind::arrival, chat_index});
+}
+
+void model::handle(const event& it) {
+  if (it.kind == event_kind::completion) {
+    complete(it);
+  } else {
+    route(it.chat);
+  }
+}
+
+model_result model::run() {
+  const time_point end(size_.modelled);
+  const double surge_share = (cumulative_share_[surging_workspace_] -
+                              (surging_workspace_ == 0 ? 0 : cumulative_share_[surging_workspace_ - 1])) *
+                             (surge_factor - 1);
+  double next_arrival = 0;
+  time_point next_sample{};
+  while (now_ < end) {
+    const auto arrival = time_point(duration(static_cast<long>(next_arrival)));
+    const auto next_event = events_.empty() ? end : events_.top().at;
+    now_ = std::min({arrival, next_event, next_sample});
+    apply_churn();
+    if (now_ == next_sample) {
+      sample();
+      next_sample += sample_interval;
+    } else if (now_ == next_event) {
+      const auto it = events_.top();
+      events_.pop();
+      handle(it);
+    } else {
+      const bool surge = now_ >= churn_.surge_from && now_ < churn_.surge_until;
+      const double extra = surge ? surge_share : 0;
+      next_arrival += -std::log(1 - unit()) * 1000 / (size_.requests_per_s * (1 + extra));
+      if (unit() < extra / (1 + extra)) {
+        route(new_chat(surging_workspace_));
+      } else if (!due_.empty() && due_.top().at <= now_) {
+        const auto it = due_.top();
+        due_.pop();
+        route(it.chat);
+      } else {
+        route(new_chat(random_workspace()));
+      }
+    }
+  }
+  const auto quantile = [this](double q) {
+    const auto at = static_cast<std::ptrdiff_t>(q * static_cast<double>(skews_.size() - 1));
+    std::nth_element(skews_.begin(), skews_.begin() + at, skews_.end());
+    return skews_[static_cast<std::size_t>(at)];
+  };
+  const auto requests = static_cast<double>(std::max<std::uint64_t>(result_.requests, 1));
+  result_.reuse = static_cast<double>(found_tokens_) /
+                  static_cast<double>(std::max<std::uint64_t>(wanted_tokens_, 1));
+  result_.skew_p50 = quantile(0.5);
+  result_.skew_p99 = quantile(0.99);
+  result_.skew_largest = quantile(1);
+  result_.refusals_per_request = static_cast<double>(refusals_) / requests;
+  result_.unreachable_per_request = static_cast<double>(unreachable_) / requests;
+  result_.delayed_share = static_cast<double>(delayed_) / requests;
+  return result_;
+}
+
+} // namespace
+
+std::string_view name(policy value) {
+  switch (value) {
+  case policy::random:
+    return "random";
+  case policy::least_loaded_replies:
+    return "least loaded, from replies";
+  case policy::least_loaded_lagging:
+    return "least loaded, 2 s old";
+  case policy::rendezvous:
+    return "plain rendezvous";
+  case policy::first_version:
+    return "first version";
+  case policy::current:
+    return "current";
+  case policy::full_knowledge:
+    return "full knowledge";
+  }
+  return "";
+}
+
+std::vector<double> workspace_shares(std::uint32_t workspaces) {
+  std::vector<double> out;
+  double sum = 0;
+  for (std::uint32_t i = 0; i < workspaces; ++i) {
+    out.push_back(std::pow(i + 1.0, -zipf_exponent));
+    sum += out.back();
+  }
+  for (auto& it : out) {
+    it /= sum;
+  }
+  return out;
+}
+
+model_result run_model(const model_size& size, const timeline& churn, policy rule,
+                       std::uint64_t seed) {
+  return model(size, churn, rule, seed).run();
+}
+
+} // namespace marigoldstep::bench
--- a/include/marigoldstep/membership.h
+++ b/include/marigoldstep/membership.h
@@ -50,6 +50,33 @@
 std::vector<server_info> changes_since(const membership_table& table,
                                        std::uint64_t version);
 
+// Where a router's view stands, as its heartbeat tells.
+struct router_position {
+  std::uint64_t term = 0;
+  std::uint64_t version = 0;
+};
+
+// What one acknowledgement tells a router.
+struct membership_update {
+  std::uint64_t term = 0;
+  std::uint64_t version = 0; // the view holds all changes up to this one
+  bool full = false;
+  std::vector<server_info> changes;
+  std::vector<std::string> lost_zones;
+};
+
+// Bytes of changes on one acknowledgement. With two heartbeats a second and the
+// fixed part of both messages this keeps a router under 2 KB/s.
+inline constexpr std::size_t update_budget_bytes = 640;
+
+// The oldest changes that a router has not seen, as many as fit into budget
+// bytes, but at least one. A router of another term gets the whole table.
+membership_update next_update(const membership_table& table, std::uint64_t term,
+                              const router_position& position, std::size_t budget);
+
+// Upper estimate of the encoded size of an entry, in bytes.
+std::size_t encoded_size(const server_info& server);
+
 // Availability zones in which more than half of the servers are not heard.
 std::vector<std::string> lost_zones(const membership_table& table);
 
--- a/include/marigoldstep/placement.h
+++ b/include/marigoldstep/placement.h
@@ -12,6 +12,15 @@
 struct placement_table {
   std::vector<server_info> servers;
   std::vector<std::uint64_t> seeds; // one per server, from its node id
+
+  // The serving ones alone, packed: a decision reads each of them.
+  struct serving_server {
+    std::uint64_t seed = 0;
+    std::uint32_t index = 0; // into servers
+    std::uint32_t weight_milli = 0;
+  };
+  std::vector<serving_server> serving;
+  std::uint32_t largest_weight_milli = 0;
 };
 
 placement_table make_placement_table(std::span<const server_info> servers,
@@ -40,10 +49,17 @@
 
 // Order of candidates by rendezvous hashing (Thaler and Ravishankar, 1998),
 // weighted by server_info::weight_milli. Servers that are not serving are left
-// out.
+// out. With a spread, the chats of a workspace are divided into that many groups
+// by jump consistent hash (Lamping and Veach, 2014); each group has one preferred
+// server, and each chat its own order of the others.
 candidate_list find_candidates(const placement_table& table, const placement_key& key,
                                std::size_t wanted);
 
+// Spread for a workspace that brings load_share (0 to 1) of a pool's load to
+// servers servers: few enough groups that its system prompt stays cached, enough
+// that no group is a large part of a server's load. 0 means all servers.
+std::uint32_t recommended_spread(double load_share, std::size_t servers);
+
 // What a router has learned of one server from its replies.
 struct server_observation {
   std::uint32_t running = 0;
@@ -72,4 +88,9 @@
                      std::span<const std::uint32_t> tried, double reuse_bias,
                      time_point now);
 
+// Weight of a server that started age ago and has full_weight_milli when warm.
+// Agents announce it; it rises in steps, so that a newcomer with an empty cache
+// takes over its chats gradually and routers get few updates.
+std::uint32_t slow_start_weight(duration age, std::uint32_t full_weight_milli);
+
 } // namespace marigoldstep
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -97,6 +97,56 @@
   return out;
 }
 
+std::size_t encoded_size(const server_info& server) {
+  // Table, vtable and fixed fields, then length, terminator and padding of each string.
+  constexpr std::size_t fixed_bytes = 64;
+  constexpr std::size_t string_bytes = 12;
+  std::size_t sum = fixed_bytes + 4 * string_bytes + server.node_id.size() +
+                    server.service.size() + server.zone.size() + server.host.size();
+  for (const auto& it : server.models) {
+    sum += string_bytes + it.size();
+  }
+  return sum;
+}
+
+membership_update next_update(const membership_table& table, std::uint64_t term,
+                              const router_position& position, std::size_t budget) {
+  membership_update out;
+  out.term = term;
+  out.version = table.version;
+  out.lost_zones = lost_zones(table);
+  out.full = position.term != term;
+  if (out.full) {
+    out.changes = changes_since(table, 0);
+    return out;
+  }
+  if (position.version == table.version) {
+    return out;
+  }
+  std::vector<const member*> changed;
+  for (const auto& [id, it] : table.members) {
+    if (it.changed_version > position.version) {
+      changed.push_back(&it);
+    }
+  }
+  std::sort(changed.begin(), changed.end(), [](const member* a, const member* b) {
+    return a->changed_version < b->changed_version;
+  });
+  std::size_t used = 0;
+  for (const auto* it : changed) {
+    used += encoded_size(it->report.server);
+    if (used > budget && !out.changes.empty()) {
+      break;
+    }
+    out.changes.push_back(it->report.server);
+    out.version = it->changed_version;
+  }
+  if (out.changes.size() == changed.size()) {
+    out.version = table.version;
+  }
+  return out;
+}
+
 std::vector<std::string> lost_zones(const membership_table& table) {
   std::map<std::string, std::pair<std::size_t, std::size_t>> zones; // silent, all
   for (const auto& [id, it] : table.members) {
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -16,11 +16,81 @@
   return x ^ (x >> 32U);
 }
 
-double score(std::uint64_t hash, std::uint32_t weight_milli) {
-  const double unit = (static_cast<double>(hash >> 11U) + 1.0) * 0x1.0p-53;
-  return -static_cast<double>(weight_milli) / std::log(unit);
+using serving_server = placement_table::serving_server;
+
+// Rendezvous score of a server, comparable between servers. The order is that of
+// -weight / log(unit hash), but only servers below the largest weight need the
+// costly function.
+std::uint64_t weighted_score(std::uint64_t hash, std::uint32_t weight_milli,
+                             std::uint32_t largest_weight_milli) {
+  if (weight_milli == largest_weight_milli) {
+    return hash;
+  }
+  if (weight_milli == 0) {
+    return 0;
+  }
+  const double unit = (static_cast<double>(hash >> 11U) + 0.5) * 0x1.0p-53;
+  const double exponent = static_cast<double>(largest_weight_milli) / weight_milli;
+  return static_cast<std::uint64_t>(std::pow(unit, exponent) * 0x1.0p64);
+}
+
+struct scored_server {
+  std::uint64_t score = 0;
+  std::uint32_t index = 0;
+};
+using best_servers = std::array<scored_server, max_candidates>;
+
+// Keeps the list sorted; the last entry falls out.
+void insert_sorted(best_servers& best, std::size_t size, scored_server entry) {
+  std::size_t at = size - 1;
+  for (; at > 0 && best[at - 1].score < entry.score; --at) {
+    best[at] = best[at - 1];
+  }
+  best[at] = entry;
+}
+
+// Group of a chat among spread groups; when spread grows, chats only move to the
+// new groups.
+std::uint32_t jump_hash(std::uint64_t key, std::uint32_t spread) {
+  std::int64_t last = -1;
+  std::int64_t next = 0;
+  while (next < spread) {
+    last = next;
+    key = key * 2862933555777941757ULL + 1;
+    const double divisor = static_cast<double>((key >> 33U) + 1);
+    next = static_cast<std::int64_t>(static_cast<double>(last + 1) * (0x1.0p31 / divisor));
+  }
+  return static_cast<std::uint32_t>(last);
+}
+
+bool is_grouped(const placement_table& table, const placement_key& key) {
+  return key.spread > 0 && key.spread < table.serving.size();
+}
+
+std::uint64_t rendezvous_key(const placement_table& table, const placement_key& key) {
+  return is_grouped(table, key) ? mix(key.workspace, jump_hash(key.chat, key.spread) + 1)
+                                : key.chat;
+}
+
+// Gives each chat of a group its own order of overflow, so that one full server
+// does not send its whole overflow to the same next one.
+void reorder_overflow(const placement_table& table, std::uint64_t chat,
+                      candidate_list& out) {
+  if (out.count < 2) {
+    return;
+  }
+  std::sort(out.index.begin() + 1, out.index.begin() + static_cast<std::ptrdiff_t>(out.count),
+            [&](std::uint32_t a, std::uint32_t b) {
+              return mix(chat, table.seeds[a]) > mix(chat, table.seeds[b]);
+            });
 }
 
+// Groups into which a workspace that fills one server is divided.
+constexpr double groups_per_load = 8;
+
+constexpr auto slow_start_step = duration(5000);
+constexpr std::int64_t slow_start_steps = 4;
+
 // Observations older than this say nothing about the load of now.
 constexpr auto observation_lifetime = duration(2000);
 
@@ -40,6 +110,16 @@
   return load >= soft_limit ? std::string_view("near_limit") : std::string_view();
 }
 
+void add_serving(placement_table& table) {
+  const auto& server = table.servers.back();
+  if (server.state != server_state::serving) {
+    return;
+  }
+  const auto index = static_cast<std::uint32_t>(table.servers.size() - 1);
+  table.serving.push_back({table.seeds.back(), index, server.weight_milli});
+  table.largest_weight_milli = std::max(table.largest_weight_milli, server.weight_milli);
+}
+
 } // namespace
 
 placement_table make_placement_table(std::span<const server_info> servers,
@@ -49,6 +129,7 @@
     if (it.service == service) {
       table.servers.push_back(it);
       table.seeds.push_back(stable_hash(it.node_id));
+      add_serving(table);
     }
   }
   return table;
@@ -62,33 +143,42 @@
 
 candidate_list find_candidates(const placement_table& table, const placement_key& key,
                                std::size_t wanted) {
-  candidate_list out;
-  std::array<double, max_candidates> best{};
-  const auto limit = std::min(wanted, max_candidates);
-  for (std::uint32_t i = 0; i < table.servers.size(); ++i) {
-    const auto& server = table.servers[i];
-    if (server.state != server_state::serving) {
-      continue;
-    }
-    const double value = score(mix(key.chat, table.seeds[i]), server.weight_milli);
-    std::size_t at = out.count;
-    while (at > 0 && best[at - 1] < value) {
-      --at;
-    }
-    if (at >= limit) {
+  best_servers best{};
+  const auto size = std::min({wanted, max_candidates, table.serving.size()});
+  const auto by = rendezvous_key(table, key);
+  std::size_t found = 0;
+  for (const auto& it : table.serving) {
+    const auto hash = mix(by, it.seed);
+    // The weighted score is at most the hash, so most servers end here.
+    if (found == size && (size == 0 || hash <= best[size - 1].score)) {
       continue;
     }
-    out.count = std::min(out.count + 1, limit);
-    for (std::size_t j = out.count - 1; j > at; --j) {
-      best[j] = best[j - 1];
-      out.index[j] = out.index[j - 1];
+    const auto score = weighted_score(hash, it.weight_milli, table.largest_weight_milli);
+    if (found < size) {
+      insert_sorted(best, ++found, {score, it.index});
+    } else if (score > best[size - 1].score) {
+      insert_sorted(best, size, {score, it.index});
     }
-    best[at] = value;
-    out.index[at] = i;
+  }
+  candidate_list out;
+  out.count = found;
+  for (std::size_t i = 0; i < found; ++i) {
+    out.index[i] = best[i].index;
+  }
+  if (is_grouped(table, key)) {
+    reorder_overflow(table, key.chat, out);
   }
   return out;
 }
 
+std::uint32_t recommended_spread(double load_share, std::size_t servers) {
+  const double groups = std::ceil(load_share * static_cast<double>(servers) * groups_per_load);
+  if (groups * 2 >= static_cast<double>(servers)) {
+    return 0;
+  }
+  return std::max(1U, static_cast<std::uint32_t>(groups));
+}
+
 std::string_view name(choice_reason value) {
   switch (value) {
   case choice_reason::preferred:
@@ -132,4 +222,9 @@
   return out;
 }
 
+std::uint32_t slow_start_weight(duration age, std::uint32_t full_weight_milli) {
+  const auto step = std::clamp<std::int64_t>(age / slow_start_step, 0, slow_start_steps - 1);
+  return static_cast<std::uint32_t>(full_weight_milli * (step + 1) / slow_start_steps);
+}
+
 } // namespace marigoldstep
