Accept changes only from operators with a key, once there is an operator

The control daemon checks it after a quorum has confirmed the leader, because a new leader that has not applied the operators yet would accept everybody. Orders to engines are passed to the log as well.

A configuration whose pool and service share a name is refused again: their servers would be mixed in one placement table.

--- a/include/marigoldstep/fleet_state.h
+++ b/include/marigoldstep/fleet_state.h
@@ -3,6 +3,7 @@
 #include "marigoldstep/changes.h"
 #include "marigoldstep/claims.h"
 #include "marigoldstep/configuration.h"
+#include "marigoldstep/operators.h"
 #include "marigoldstep/wire.h"
 
 #include <deque>
@@ -14,6 +15,7 @@
 struct fleet_state : change_book {
   unix_seconds time = 0; // newest leader clock seen; never falls
   claim_table claims;
+  operator_table operators;
   std::uint64_t fencing = 0;           // last token given out
   std::deque<unix_seconds> load_times; // loads granted within the last minute
 };
--- /dev/null
+++ b/include/marigoldstep/operators.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "marigoldstep/wire.h"
+
+#include <map>
+#include <string>
+
+namespace marigoldstep {
+
+// What the replicated state holds of an operator's key. The shell computes the
+// digest; see io/operator_key.h.
+struct operator_record {
+  bytes salt;
+  bytes digest; // SHA-256 of salt and key
+
+  friend bool operator==(const operator_record&, const operator_record&) = default;
+};
+
+using operator_table = std::map<std::string, operator_record>;
+
+inline constexpr std::size_t operator_salt_size = 16;
+inline constexpr std::size_t operator_digest_size = 32;
+inline constexpr std::size_t max_operators = 64;
+
+// Applies one request that has been authorized. Adding a known name replaces its
+// key. The last operator cannot be removed, because then every peer could send
+// changes.
+wire::OperatorReplyT apply_operator(operator_table& table,
+                                    const wire::OperatorRequestT& request);
+
+} // namespace marigoldstep
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -154,18 +154,17 @@
   out.version = version;
   auto map = parse_yaml(text, report);
   out.fleet = read_string(map, "fleet");
-  std::set<std::string> pools;
-  std::set<std::string> services;
+  std::set<std::string> servers; // pools and services share their names' space
   std::set<std::string> models;
   std::set<std::string> workspaces;
   for (auto& it : read_mappings(map, "pools")) {
     out.pools.push_back(parse_pool(it));
-    check_new_name(it, pools, out.pools.back().name);
+    check_new_name(it, servers, out.pools.back().name);
     check_pool_models(it, out.pools.back(), models);
   }
   for (auto& it : read_mappings(map, "services")) {
     out.services.push_back(parse_service(it));
-    check_new_name(it, services, out.services.back().name);
+    check_new_name(it, servers, out.services.back().name);
   }
   workspace_settings defaults;
   auto defaults_map = read_mapping(map, "workspace_defaults");
--- a/src/fleet_state.cpp
+++ b/src/fleet_state.cpp
@@ -140,6 +140,8 @@
     reply.Set(apply_change(state, *change, facts, state.time));
   } else if (const auto* order = body.AsOrderRequest()) {
     reply.Set(apply_order(state, *order));
+  } else if (const auto* request = body.AsOperatorRequest()) {
+    reply.Set(apply_operator(state.operators, *request));
   }
   return reply;
 }
@@ -186,6 +188,34 @@
   }
 }
 
+void pack_operators(const fleet_state& state, wire::FleetEntryT& out) {
+  for (const auto& [name, it] : state.operators) {
+    auto entry = std::make_unique<wire::OperatorEntryT>();
+    entry->name = name;
+    entry->salt = it.salt;
+    entry->digest = it.digest;
+    out.operators.push_back(std::move(entry));
+  }
+}
+
+// Encodes the request without the operator's key: the log holds no secrets.
+bytes encode_without_key(const wire::ControlFrameT& request) {
+  if (request.body.AsClaimRequest() != nullptr) {
+    return wire::encode(request); // holds no key, and may hold a long answer
+  }
+  wire::ControlFrameT out;
+  out.correlation = request.correlation;
+  out.body = request.body;
+  if (auto* change = out.body.AsChangeRequest()) {
+    change->operator_key.clear();
+  } else if (auto* member = out.body.AsMemberRequest()) {
+    member->operator_key.clear();
+  } else if (auto* other = out.body.AsOperatorRequest()) {
+    other->operator_key.clear();
+  }
+  return wire::encode(out);
+}
+
 void pack_claims_state(const fleet_state& state, wire::FleetEntryT& out) {
   out.claim_horizon_s = state.claims.horizon;
   for (const auto& [id, it] : state.claims.holders) {
@@ -223,17 +253,10 @@
   wire::LoggedCommandT command;
   command.time_s = time;
   const auto* change = request.body.AsChangeRequest();
-  if (change == nullptr) {
-    command.frame = wire::encode(request);
-  } else {
-    wire::ChangeRequestT body = *change;
-    body.operator_key.clear();
-    if (body.kind == wire::ChangeKind::propose) {
-      command.facts = to_wire(inspect_configuration(body.text));
-    }
-    command.frame =
-        wire::encode(wire::control_frame(std::move(body), request.correlation));
+  if (change != nullptr && change->kind == wire::ChangeKind::propose) {
+    command.facts = to_wire(inspect_configuration(change->text));
   }
+  command.frame = encode_without_key(request);
   flatbuffers::FlatBufferBuilder builder(initial_buffer_size);
   builder.FinishSizePrefixed(wire::LoggedCommand::Pack(builder, &command),
                              command_identifier);
@@ -258,6 +281,7 @@
   fleet.time_s = state.time;
   pack_changes(state, fleet);
   pack_claims_state(state, fleet);
+  pack_operators(state, fleet);
   fleet.fencing = state.fencing;
   fleet.load_times_s.assign(state.load_times.begin(), state.load_times.end());
   flatbuffers::FlatBufferBuilder builder(initial_buffer_size + state.claims.usage.total);
@@ -294,6 +318,9 @@
     return {};
   }
   state.fencing = fleet.fencing;
+  for (auto& it : fleet.operators) {
+    state.operators[it->name] = {std::move(it->salt), std::move(it->digest)};
+  }
   state.load_times.assign(fleet.load_times_s.begin(), fleet.load_times_s.end());
   ec.clear();
   return state;
--- a/tests/programs/ctl_test.cpp
+++ b/tests/programs/ctl_test.cpp
@@ -1,3 +1,4 @@
+#include "control/authorization.h"
 #include "ctl/files.h"
 #include "ctl/fleet.h"
 #include "ctl/status_text.h"
@@ -34,7 +35,9 @@
         const auto frame = wire::decode_control(buf, ec);
         wire::ControlFrameT reply;
         reply.correlation = frame->correlation;
-        if (frame->body.AsStatusRequest() != nullptr) {
+        if (!control::is_authorized(state.operators, *frame)) {
+          reply = control::refusal_of(*frame);
+        } else if (frame->body.AsStatusRequest() != nullptr) {
           reply.body.Set(wire::StatusReplyT(status));
         } else if (frame->body.AsFetchConfig() != nullptr) {
           wire::ConfigReplyT accepted;
@@ -160,6 +163,34 @@
   CHECK(contains(run_stop(control.options("stop", {"second"})).out, "version is 3"));
 }
 
+// Guards against changes from somebody without a key, against a key that can be read
+// from the state, and against a fleet that nobody can change or everybody can.
+TEST_CASE("with operators only their keys are accepted") {
+  application();
+  stand_in_control control;
+  const auto added = run_operators(control.options("operators", {"add", "ana"}));
+  REQUIRE(added.status == exit_done);
+  const auto key = added.out.substr(added.out.size() - 65, 64);
+  CHECK_FALSE(contains(std::string(as_text(encode_snapshot(control.state))), key));
+  std::error_code ec;
+  control.state = decode_snapshot(encode_snapshot(control.state), ec);
+
+  auto options = control.options("propose", {example("volta.yaml")});
+  CHECK(run_propose(options).status == exit_refused);
+  options.key = std::string(64, '0');
+  CHECK(run_propose(options).status == exit_refused);
+  options.key = key;
+  options.author = "ben";
+  CHECK(run_propose(options).status == exit_refused);
+  options.author = "ana";
+  CHECK(run_propose(options).status == exit_done);
+
+  auto remove = control.options("operators", {"remove", "ana"});
+  CHECK(run_operators(remove).status == exit_refused);
+  remove.key = key;
+  CHECK(contains(run_operators(remove).err, "the last operator cannot be removed"));
+}
+
 // Guards against a status that hides a broken promise or does not fit the screen.
 TEST_CASE("status says whether every promise is held and what to do") {
   wire::StatusReplyT status;
--- a/tools/control/service.cpp
+++ b/tools/control/service.cpp
@@ -1,5 +1,7 @@
 #include "control/service.h"
 
+#include "control/authorization.h"
+
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/logging.h"
 
@@ -98,8 +100,11 @@
   } else if (frame.body.AsFetchConfig() != nullptr) {
     handle_fetch(to, frame.correlation);
   } else if (frame.body.AsClaimRequest() != nullptr ||
-             frame.body.AsChangeRequest() != nullptr) {
+             frame.body.AsOrderRequest() != nullptr) {
     handle_command(to, frame);
+  } else if (frame.body.AsChangeRequest() != nullptr ||
+             frame.body.AsOperatorRequest() != nullptr) {
+    handle_operator(to, frame);
   } else if (const auto* history = frame.body.AsHistoryRequest()) {
     handle_history(to, frame.correlation, *history);
   } else if (frame.body.AsStatusRequest() != nullptr) {
@@ -131,6 +136,20 @@
   });
 }
 
+void service::handle_operator(const link& to, const wire::ControlFrameT& frame) {
+  // A new leader that has not applied every entry yet may miss the operators, and
+  // without operators everybody is authorized.
+  group_.confirm([this, to, frame](std::error_code ec) {
+    if (ec) {
+      send_not_leader(to, frame.correlation);
+    } else if (!is_authorized(group_.state().operators, frame)) {
+      send(to, refusal_of(frame));
+    } else {
+      handle_command(to, frame);
+    }
+  });
+}
+
 void service::handle_command(const link& to, const wire::ControlFrameT& frame) {
   const auto correlation = frame.correlation;
   group_.propose(
--- a/tools/control/service.h
+++ b/tools/control/service.h
@@ -56,6 +56,7 @@
   void handle_history(const link& to, std::uint64_t correlation,
                       const wire::HistoryRequestT& body);
   void handle_status(const link& to, std::uint64_t correlation);
+  void handle_operator(const link& to, const wire::ControlFrameT& frame);
   void handle_command(const link& to, const wire::ControlFrameT& frame);
 
   [[nodiscard]] wire::HeartbeatAckT make_ack(const wire::HeartbeatT& body);
--- a/tools/ctl/fleet.cpp
+++ b/tools/ctl/fleet.cpp
@@ -3,6 +3,7 @@
 #include "ctl/files.h"
 #include "ctl/status_text.h"
 #include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/operator_key.h"
 
 #include <QEventLoop>
 
@@ -297,4 +298,44 @@
   return usage("members takes add ID HOST:PORT, promote ID or remove ID");
 }
 
+command_result run_operators(const ctl_options& options) {
+  const auto& args = options.args;
+  const bool add = args.size() == 2 && args[0] == "add";
+  const bool remove = args.size() == 2 && args[0] == "remove";
+  if (!args.empty() && !add && !remove) {
+    return usage("operators takes add NAME or remove NAME");
+  }
+  wire::OperatorRequestT body;
+  body.author = options.author;
+  body.operator_key = options.key;
+  body.kind = add      ? wire::OperatorKind::add
+              : remove ? wire::OperatorKind::remove
+                       : wire::OperatorKind::list;
+  body.name = args.empty() ? "" : args[1];
+  std::string key;
+  if (add) {
+    key = io::make_operator_key();
+    auto record = io::hash_operator_key(key);
+    body.salt = std::move(record.salt);
+    body.digest = std::move(record.digest);
+  }
+  const auto got = ask<wire::OperatorReplyT>(
+      options, std::move(body),
+      args.empty() ? "" : "mstepctl operators " + args[0] + " " + args[1]);
+  if (got.reply == nullptr) {
+    return got.failure;
+  }
+  if (got.reply->error_code != 0) {
+    return {exit_refused, "", "refused: " + got.reply->message + "\n"};
+  }
+  std::string out;
+  for (const auto& it : got.reply->names) {
+    out += it + "\n";
+  }
+  if (add) {
+    out += "key of " + args[1] + ", shown only now: " + key + "\n";
+  }
+  return {exit_done, std::move(out), ""};
+}
+
 } // namespace marigoldstep::ctl
--- a/tools/ctl/fleet.h
+++ b/tools/ctl/fleet.h
@@ -13,5 +13,6 @@
 command_result run_stop(const ctl_options& options);
 command_result run_history(const ctl_options& options);
 command_result run_members(const ctl_options& options);
+command_result run_operators(const ctl_options& options);
 
 } // namespace marigoldstep::ctl
--- a/tools/ctl/main.cpp
+++ b/tools/ctl/main.cpp
@@ -15,7 +15,7 @@
   command_result (*run)(const ctl_options&);
 };
 
-constexpr std::array<command_entry, 11> commands = {{
+constexpr std::array<command_entry, 12> commands = {{
     {"init", run_init},
     {"check", run_check},
     {"generate", run_generate},
@@ -27,6 +27,7 @@
     {"stop", run_stop},
     {"history", run_history},
     {"members", run_members},
+    {"operators", run_operators},
 }};
 
 command_result run(const ctl_options& options) {
--- a/tools/ctl/options.cpp
+++ b/tools/ctl/options.cpp
@@ -34,6 +34,9 @@
   history [COUNT]        the last changes
   members                the members of the control group
   members add ID HOST:PORT | promote ID | remove ID
+  operators              who may send changes; everybody while there are none
+  operators add NAME     prints a new key for NAME
+  operators remove NAME
 
 Exit status:
   0  done
