Run the control daemon on the replicated log

Cause: the single in-memory voter lost everything at its end. Change: replica runs the algorithm over files and connections: forms the first group once all listed processes say that they have none, proposes the bootstrap configuration into an empty log, batches the commands of one event-loop turn, answers reads after a confirmed round, and leaves service after a failed sync.

--- a/include/marigoldstep/raft.h
+++ b/include/marigoldstep/raft.h
@@ -163,6 +163,9 @@
 raft_node make_raft_node(const raft_settings& settings, raft_recovery recovered,
                          std::uint64_t seed, time_point now);
 
+// Records a new member's identity. Its messages wait until it is stored.
+raft_output store_identity(raft_node& node);
+
 // Makes an empty member the first of a new group. The other members adopt the
 // group with the first message from it.
 raft_output form_group(raft_node& node, std::uint64_t group, const group_members& members,
--- a/src/raft.cpp
+++ b/src/raft.cpp
@@ -43,6 +43,13 @@
   return node;
 }
 
+raft_output store_identity(raft_node& node) {
+  raft_output out;
+  out.records.emplace_back(log_item(node.identity));
+  finish(node, out);
+  return out;
+}
+
 raft_output form_group(raft_node& node, std::uint64_t group, const group_members& list,
                        time_point now) {
   raft_output out;
--- /dev/null
+++ b/tools/control/peers.cpp
@@ -0,0 +1,203 @@
+#include "control/peers.h"
+
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/logging.h"
+
+#include <algorithm>
+
+namespace marigoldstep::control {
+
+namespace {
+
+constexpr auto reconnect_delay = duration(100);
+// A silently isolated VM answers nothing; slower connects count as failed.
+constexpr auto connect_timeout = duration(1000);
+constexpr auto introduction_interval = duration(1000);
+// A process that doesn't read gets no more messages until it does; the
+// algorithm repeats what it needs.
+constexpr std::size_t max_queued_bytes = 16U << 20U;
+// Five voters, learners and reconnects.
+constexpr std::size_t max_incoming = 64;
+// Identities of replaced members stay known for a while; no more than this.
+constexpr std::size_t max_known = 256;
+
+} // namespace
+
+peer_network::peer_network(QObject* parent) : QObject(parent), listener_(this) {
+  listener_.on_connection = [this](io::framed_connection* it) { accept(it); };
+}
+
+std::error_code peer_network::listen(const io::endpoint& address) {
+  return listener_.listen(QString::fromStdString(address.host), address.port);
+}
+
+void peer_network::introduce_as(peer_info self) {
+  self_ = std::move(self);
+  introduce_at_ = {};
+}
+
+void peer_network::set_targets(std::set<io::endpoint> targets) {
+  for (auto it = outgoing_.begin(); it != outgoing_.end();) {
+    if (targets.contains(it->first)) {
+      ++it;
+      continue;
+    }
+    drop(it->second, {});
+    it = outgoing_.erase(it);
+  }
+  for (const auto& it : targets) {
+    outgoing_.try_emplace(it);
+  }
+}
+
+void peer_network::connect_to(const io::endpoint& target, outgoing& it) {
+  it.retry_at = io::now() + connect_timeout;
+  it.connection =
+      new io::framed_connection(QString::fromStdString(target.host), target.port, this);
+  auto* connection = it.connection;
+  connection->on_open = [this, connection] { introduce(connection); };
+  connection->on_frame = [this, connection](byte_view buf) {
+    handle_frame(connection, buf, false);
+  };
+  connection->on_closed = [this, target](std::error_code) {
+    const auto known = outgoing_.find(target);
+    if (known != outgoing_.end()) {
+      drop(known->second, io::now() + reconnect_delay);
+    }
+  };
+}
+
+void peer_network::drop(outgoing& it, time_point retry_at) {
+  it.retry_at = retry_at;
+  if (it.connection == nullptr) {
+    return;
+  }
+  it.connection->on_closed = nullptr;
+  it.connection->on_open = nullptr;
+  it.connection->on_frame = nullptr;
+  it.connection->close();
+  it.connection->deleteLater();
+  it.connection = nullptr;
+}
+
+void peer_network::accept(io::framed_connection* connection) {
+  if (incoming_.size() >= max_incoming) {
+    connection->close();
+    connection->deleteLater();
+    return;
+  }
+  incoming_.insert(connection);
+  connection->on_frame = [this, connection](byte_view buf) {
+    handle_frame(connection, buf, true);
+  };
+  connection->on_closed = [this, connection](std::error_code) {
+    incoming_.erase(connection);
+    connection->deleteLater();
+  };
+}
+
+void peer_network::handle_frame(io::framed_connection* connection, byte_view buf,
+                                bool answer) {
+  bytes_received_ += buf.size();
+  std::error_code ec;
+  const auto frame = wire::decode_raft(buf, ec);
+  if (!frame) {
+    io::log_event(io::log_level::warning, "peer_frame_dropped",
+                  {{"error", ec.message()}});
+    connection->close();
+    return;
+  }
+  if (const auto* hello = frame->body.AsPeerHello()) {
+    note_peer(*hello);
+    if (answer) {
+      introduce(connection);
+    }
+    return;
+  }
+  auto message = from_wire(*frame, ec);
+  if (!ec && on_message) {
+    on_message(std::move(message));
+  }
+}
+
+void peer_network::note_peer(const wire::PeerHelloT& hello) {
+  const peer_info info{hello.node_id,
+                       {hello.peer_host, hello.peer_port},
+                       {hello.client_host, hello.client_port},
+                       hello.has_group};
+  if (known_.size() >= max_known && !known_.contains(info.id)) {
+    known_.erase(known_.begin());
+  }
+  // A new identity at an address replaces the one that was there.
+  std::erase_if(known_, [&](const auto& it) {
+    return it.second.peer == info.peer && it.first != info.id;
+  });
+  known_[info.id] = info;
+  if (on_peer) {
+    on_peer(info);
+  }
+}
+
+void peer_network::introduce(io::framed_connection* connection) {
+  wire::PeerHelloT hello;
+  hello.node_id = self_.id;
+  hello.peer_host = self_.peer.host;
+  hello.peer_port = self_.peer.port;
+  hello.client_host = self_.client.host;
+  hello.client_port = self_.client.port;
+  hello.has_group = self_.has_group;
+  wire::RaftFrameT frame;
+  frame.from = self_.id;
+  frame.body.Set(std::move(hello));
+  const auto buf = wire::encode(frame);
+  if (connection->send(buf)) {
+    bytes_sent_ += buf.size();
+  }
+}
+
+void peer_network::send(const io::endpoint& target, const raft_message& message) {
+  const auto it = outgoing_.find(target);
+  if (it == outgoing_.end() || it->second.connection == nullptr ||
+      !it->second.connection->is_open() ||
+      it->second.connection->queued_bytes() > max_queued_bytes) {
+    return;
+  }
+  const auto buf = wire::encode(to_wire(message));
+  if (it->second.connection->send(buf)) {
+    bytes_sent_ += buf.size();
+  }
+}
+
+void peer_network::tick(time_point now) {
+  const bool introduce_now = now >= introduce_at_;
+  if (introduce_now) {
+    introduce_at_ = now + introduction_interval;
+  }
+  for (auto& [target, it] : outgoing_) {
+    const bool open = it.connection != nullptr && it.connection->is_open();
+    if (open && introduce_now) {
+      introduce(it.connection);
+    } else if (!open && now >= it.retry_at) {
+      drop(it, now);
+      connect_to(target, it);
+    }
+  }
+}
+
+void peer_network::close() {
+  listener_.close();
+  set_targets({});
+}
+
+const peer_info* peer_network::find(voter_id id) const {
+  const auto it = known_.find(id);
+  return it == known_.end() ? nullptr : &it->second;
+}
+
+const peer_info* peer_network::find(const io::endpoint& peer) const {
+  const auto it = std::find_if(known_.begin(), known_.end(),
+                               [&](const auto& k) { return k.second.peer == peer; });
+  return it == known_.end() ? nullptr : &it->second;
+}
+
+} // namespace marigoldstep::control
--- /dev/null
+++ b/tools/control/replica_requests.cpp
@@ -0,0 +1,182 @@
+// What the service asks of the replica, and how a group begins.
+#include "control/replica.h"
+
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/logging.h"
+#include "marigoldstep/io/program.h"
+
+#include <algorithm>
+
+namespace marigoldstep::control {
+
+namespace {
+
+wire::ControlFrameT bootstrap_change(wire::ChangeKind kind, const std::string& text) {
+  wire::ChangeRequestT body;
+  body.kind = kind;
+  body.change_id = "bootstrap";
+  body.author = "bootstrap";
+  body.base_version = 0;
+  body.text = text;
+  return wire::control_frame(std::move(body), 0);
+}
+
+} // namespace
+
+std::vector<bytes> bootstrap_commands(const std::string& text, unix_seconds time) {
+  return {encode_command(bootstrap_change(wire::ChangeKind::propose, text), time),
+          encode_command(bootstrap_change(wire::ChangeKind::approve, ""), time)};
+}
+
+void replica::propose(bytes command, propose_callback done) {
+  if (!is_leader()) {
+    done(make_error_code(errc::not_leader), {});
+    return;
+  }
+  queue_.push_back({std::move(command), std::move(done)});
+  if (queue_.size() == 1) {
+    // All commands of one turn of the event loop share one write and sync.
+    QMetaObject::invokeMethod(
+        this, [this] { flush_commands(); }, Qt::QueuedConnection);
+  }
+}
+
+void replica::flush_commands() {
+  auto queue = std::move(queue_);
+  queue_.clear();
+  std::vector<bytes> commands;
+  commands.reserve(queue.size());
+  for (auto& it : queue) {
+    commands.push_back(std::move(it.command));
+  }
+  raft_output out;
+  if (out_of_service_) {
+    out.error = make_error_code(errc::not_leader);
+  } else {
+    out = marigoldstep::propose(*node_, std::move(commands), io::now());
+  }
+  if (out.error) {
+    for (auto& it : queue) {
+      it.done(out.error, {});
+    }
+    return;
+  }
+  auto index = out.proposed_index;
+  for (auto& it : queue) {
+    waiting_[index++] = {node_->state.term, std::move(it.done)};
+  }
+  process(std::move(out));
+}
+
+void replica::confirm(confirm_callback done) {
+  if (!is_leader()) {
+    done(make_error_code(errc::not_leader));
+    return;
+  }
+  const auto token = next_token_++;
+  reads_[token] = std::move(done);
+  process(read_index(*node_, token, io::now()));
+}
+
+void replica::change_member(member_change change, const group_member& member,
+                            member_callback done) {
+  if (!is_leader()) {
+    done(make_error_code(errc::not_leader), "this process does not lead the group");
+    return;
+  }
+  auto out = propose_member(*node_, change, member, io::now());
+  io::log_event(out.error ? io::log_level::warning : io::log_level::info, "member_change",
+                {{"member", std::to_string(member.id)},
+                 {"result", out.error ? out.detail : "started"}});
+  if (out.error) {
+    done(out.error, out.detail);
+    return;
+  }
+  waiting_[out.proposed_index] = {
+      node_->state.term, [done](std::error_code ec, const wire::ControlBodyUnion&) {
+        done(ec, ec ? "the leader changed meanwhile; look at the status" : "");
+      }};
+  process(std::move(out));
+}
+
+bool replica::is_ready() const {
+  return node_ && !out_of_service_ && node_->identity.group != 0 && node_->leader != 0;
+}
+
+io::endpoint replica::leader() const {
+  if (!node_ || out_of_service_ || node_->leader == 0) {
+    return {};
+  }
+  if (node_->leader == node_->identity.id) {
+    return settings_.advertise;
+  }
+  const auto* info = network_.find(node_->leader);
+  return info == nullptr ? io::endpoint() : info->client;
+}
+
+void replica::handle_peer(const peer_info& info) {
+  if (node_ && info.id == node_->identity.id && info.peer != settings_.advertise_peer) {
+    io::log_event(io::log_level::error, "identity_used_twice",
+                  {{"other", info.peer.host + ":" + std::to_string(info.peer.port)}});
+  }
+}
+
+// A group begins only while no process of the first list has one: the process
+// with the lowest address waits for all others to say so. A process that lost
+// its disk therefore never begins a second group; it waits to be admitted.
+void replica::try_to_form_group() {
+  if (node_->identity.group != 0 || synced_id_ == 0) {
+    return;
+  }
+  group_members list = {{node_->identity.id, settings_.advertise_peer.host,
+                         settings_.advertise_peer.port, false}};
+  for (const auto& it : settings_.peers) {
+    const auto* info = network_.find(it);
+    if (info == nullptr || info->has_group || it < settings_.advertise_peer) {
+      return;
+    }
+    list.push_back({info->id, it.host, it.port, false});
+  }
+  const auto group = std::max<std::uint64_t>(1, io::make_attempt_id().hi);
+  io::log_event(
+      io::log_level::info, "group_formed",
+      {{"group", std::to_string(group)}, {"members", std::to_string(list.size())}});
+  process(form_group(*node_, group, list, io::now()));
+  update_targets();
+}
+
+bool replica::has_commands() const {
+  const auto& entries = node_->log.entries;
+  return node_->log.snapshot.last_index > 0 ||
+         std::any_of(entries.begin(), entries.end(),
+                     [](const auto& it) { return it.kind == entry_kind::normal; });
+}
+
+void replica::bootstrap() {
+  if (bootstrapped_ || !is_leader() || node_->commit_index == 0) {
+    return;
+  }
+  bootstrapped_ = true;
+  if (settings_.bootstrap_configuration.empty() || has_commands()) {
+    return;
+  }
+  std::error_code ec;
+  const auto text = io::read_file(settings_.bootstrap_configuration, ec);
+  if (ec) {
+    io::log_event(io::log_level::error, "bootstrap_failed",
+                  {{"file", settings_.bootstrap_configuration}, {"error", ec.message()}});
+    return;
+  }
+  for (auto& it : bootstrap_commands(text, io::wall_clock())) {
+    propose(std::move(it),
+            [](std::error_code result, const wire::ControlBodyUnion& body) {
+              const auto* reply = body.AsChangeReply();
+              io::log_event(io::log_level::info, "bootstrap",
+                            {{"error", result ? result.message() : "none"},
+                             {"version", reply ? std::to_string(reply->version) : ""},
+                             {"message", reply ? reply->message : ""}});
+            });
+  }
+}
+
+} // namespace marigoldstep::control
