--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -7,6 +7,7 @@
 #include "marigoldstep/changes.h"
 #include "marigoldstep/claims.h"
 #include "marigoldstep/configuration.h"
+#include "marigoldstep/configuration_diff.h"
 #include "marigoldstep/error.h"
 #include "marigoldstep/fair_queue.h"
 #include "marigoldstep/fleet_state.h"
--- a/tools/router/router.cpp
+++ b/tools/router/router.cpp
@@ -30,6 +30,7 @@
       session_(settings.control, wire::NodeRole::router, settings.node_id, this),
       admin_(this), callers_(settings.limits, this), metrics_(admin_.registry()) {
   budget_.refilled_at = io::now();
+  summary_.since = io::now();
   callers_.on_request = [this](const QHttpServerRequest& request,
                                caller_connection& connection) {
     handle_request(request, connection);
@@ -37,6 +38,9 @@
   session_.on_configuration = [this](const std::shared_ptr<const configuration>& config) {
     handle_configuration(config);
   };
+  session_.on_ack = [this](const wire::HeartbeatAckT& ack) {
+    newest_version_ = std::max(newest_version_, ack.accepted_version);
+  };
   session_.on_membership = [this](const membership_view& view) {
     handle_membership(view);
   };
@@ -110,6 +114,7 @@
     wakes_.erase(wakes_.begin());
     next->wake(now);
   }
+  log_when_due(summary_, client().bytes_sent() + client().bytes_received(), now);
   if (stopping_) {
     finish_stop();
   }
@@ -156,7 +161,7 @@
 }
 
 server_choice router::choose_server(const checked_request& request,
-                                    std::span<const std::string> tried) {
+                                    std::span<const tried_server> tried) {
   const auto bias = session_.config()->limits.reuse_bias;
   return choose(fleet_, request.service, request.placement, tried, bias, io::now());
 }
