--- a/include/marigoldstep/load_limit.h
+++ b/include/marigoldstep/load_limit.h
@@ -23,13 +23,25 @@
   friend bool operator==(const mean_report&, const mean_report&) = default;
 };
 
+// The last report, and the last one over the most servers within mean_lifetime.
+// After a change of leader the first reports cover only the few servers that the
+// new leader has heard, in the extreme only this one.
+struct mean_history {
+  mean_report latest;
+  mean_report widest;
+};
+
+void note_report(mean_history& history, const mean_report& report);
+
 // The mean to use now: the reported one, less what this server's own load has
-// fallen since, and 0 when the report is too old. docs/decisions/load-bound.md
-// gives the reasons.
-std::uint32_t usable_mean(const mean_report& report, std::uint32_t load, time_point now);
+// fallen since, and 0 when the report is too old. A report over fewer servers
+// does not raise it within mean_lifetime. docs/decisions/load-bound.md gives the
+// reasons.
+std::uint32_t usable_mean(const mean_history& history, std::uint32_t load,
+                          time_point now);
 
 // load_limit for usable_mean.
-std::uint32_t current_limit(const limit_settings& limits, const mean_report& report,
+std::uint32_t current_limit(const limit_settings& limits, const mean_history& history,
                             std::uint32_t load, time_point now);
 
 } // namespace marigoldstep
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -71,7 +71,8 @@
     for (const auto it : loads) {
       sum += it;
     }
-    mean_report report{sum * 1000 / 5, 5, loads[0], time_point(duration(0))};
+    mean_history report;
+    note_report(report, {sum * 1000 / 5, 5, loads[0], time_point(duration(0))});
     const auto load = loads[0] - fall;
     const double mean_now = (sum - fall) / 5.0;
     const auto limit = current_limit(limits, report, load, time_point(duration(2000)));
@@ -81,6 +82,22 @@
   }));
 }
 
+// Guards against a leader that has only heard this server letting it double its
+// load: its own load would be the mean.
+TEST_CASE("a report over fewer servers does not raise the limit") {
+  limit_settings limits;
+  mean_history history;
+  const auto at = [](int ms) { return time_point(duration(ms)); };
+  note_report(history, {8000, 10, 10, at(0)});
+  CHECK(current_limit(limits, history, 10, at(100)) == 10);
+  note_report(history, {20'000, 1, 20, at(500)});
+  CHECK(current_limit(limits, history, 20, at(600)) == 10);
+  note_report(history, {2000, 3, 10, at(1000)}); // a lower one counts at once
+  CHECK(current_limit(limits, history, 10, at(1100)) == 4);
+  note_report(history, {12'000, 3, 10, at(2100)}); // the pool did shrink
+  CHECK(current_limit(limits, history, 10, at(2200)) == 15);
+}
+
 // Guards against bytes beyond the window, gaps, and offsets made up by a peer.
 TEST_CASE("chunks cover the answer in order and within the window") {
   CHECK(rc::check([] {
--- a/tests/programs/agent_harness.h
+++ b/tests/programs/agent_harness.h
@@ -112,7 +112,7 @@
   std::uint64_t version = 3;
   std::uint32_t mean_milli = 4000;
   std::string text = "fleet: test\n"
-                     "pools: [{name: pool, models: [m]}]\n"
+                     "pools: [{name: engines, models: [m]}]\n"
                      "services: [{name: pool, rules: [{method: POST, path: /book, "
                      "repeatable: false}, {method: '*', path: /, repeatable: true}]}]\n"
                      "workspaces: [{name: w}]\n"
--- a/tests/programs/agent_test.cpp
+++ b/tests/programs/agent_test.cpp
@@ -15,7 +15,7 @@
   CHECK(router.last_end() == "completed/ok");
   CHECK(router.status == 200);
   CHECK(router.body == "hello");
-  CHECK(all.backend->calls.size() == 1);
+  REQUIRE(all.backend->calls.size() == 1);
   CHECK(all.backend->calls[0]->head.contains("X-Priority: 0"));
   CHECK(all.backend->calls[0]->body == "q");
 }
@@ -166,6 +166,7 @@
   struct row {
     ClaimOutcome outcome;
     const char* expected;
+    errc error = errc::ok;
   };
   const std::vector<row> rows = {
       {ClaimOutcome::running, "may_have_run/already_running"},
@@ -175,6 +176,7 @@
       {ClaimOutcome::in_future, "not_run/idempotency_key_in_future"},
       {ClaimOutcome::may_have_run, "may_have_run/already_running"},
       {ClaimOutcome::unknown, "may_have_run/control_unavailable"},
+      {ClaimOutcome::unavailable, "not_run/rate_limited", errc::rate_limited},
       {ClaimOutcome::completed, "completed/ok"},
   };
   fleet all;
@@ -182,6 +184,7 @@
   for (const auto& it : rows) {
     all.control->on_claim = [&it](const wire::ClaimRequestT&) {
       auto reply = fake_control::claim_reply(it.outcome);
+      reply->error_code = static_cast<std::uint16_t>(it.error);
       reply->answer = std::make_unique<wire::StoredAnswerT>();
       reply->answer->complete = true;
       reply->answer->status = 201;
--- a/tools/agent/attempt_runner.cpp
+++ b/tools/agent/attempt_runner.cpp
@@ -89,11 +89,11 @@
 
 std::uint32_t attempt_runner::limit() const {
   const auto config = session_.config();
-  return config ? current_limit(config->limits, mean_, load(), io::now()) : 0;
+  return config ? current_limit(config->limits, means_, load(), io::now()) : 0;
 }
 
 std::uint32_t attempt_runner::mean_milli() const {
-  return usable_mean(mean_, load(), io::now());
+  return usable_mean(means_, load(), io::now());
 }
 
 void attempt_runner::apply_configuration(const configuration& config) {
@@ -322,7 +322,10 @@
   }
   std::vector<attempt*> late;
   store_.for_each([&late, now](attempt& it) {
-    if (is_active(it) && !it.abandoned && it.deadline <= now) {
+    // An answer that began in time and has a reader is not cut off; its silences
+    // are bounded by the idle timeout.
+    const bool in_time = it.has_head && it.link != nullptr;
+    if (is_active(it) && !it.abandoned && !in_time && it.deadline <= now) {
       late.push_back(&it);
     }
   });
--- a/tools/agent/attempt_runner.h
+++ b/tools/agent/attempt_runner.h
@@ -31,7 +31,7 @@
 
   void apply_configuration(const configuration& config);
   void note_version(std::uint64_t version);
-  void note_mean(const mean_report& report) { mean_ = report; }
+  void note_mean(const mean_report& report) { note_report(means_, report); }
   // From now on new attempts are refused.
   void start_draining() { draining_ = true; }
   // Ends what is left when the drain limit is over.
@@ -90,7 +90,7 @@
   claim_service claims_;
   backend_client backend_;
   fair_queue queue_;
-  mean_report mean_;
+  mean_history means_;
   std::uint64_t newest_version_ = 0;
   std::uint32_t running_ = 0;
   bool draining_ = false;
--- a/tools/agent/claim_service.cpp
+++ b/tools/agent/claim_service.cpp
@@ -27,6 +27,18 @@
           std::make_unique<wire::StoredAnswerT>(*reply.answer)};
 }
 
+// The group refused the request as such, and changed nothing.
+outcome refused_request(unsigned error_code) {
+  const auto code = errc_from_number(error_code);
+  return code == errc::ok ? may_have_run(errc::control_unavailable) : not_run(code);
+}
+
+// Whether asking again would get the same answer. An unavailable group that names
+// no error knows nothing.
+bool is_final(const wire::ClaimReplyT& reply) {
+  return reply.outcome != ClaimOutcome::unavailable || reply.error_code != 0;
+}
+
 const wire::ClaimReplyT* reply_of(const io::control_result& result) {
   return result.reply ? result.reply->body.AsClaimReply() : nullptr;
 }
@@ -60,9 +72,10 @@
     return refuse(not_run(errc::idempotency_key_in_future));
   case ClaimOutcome::may_have_run:
     return refuse(may_have_run(errc::already_running));
-  case ClaimOutcome::unknown:
   case ClaimOutcome::unavailable:
-    return refuse(may_have_run(errc::control_unavailable));
+    return refuse(refused_request(reply.error_code));
+  case ClaimOutcome::unknown:
+    break;
   }
   return refuse(may_have_run(errc::control_unavailable));
 }
@@ -92,7 +105,7 @@
           claim_seconds->Observe(seconds_since(started));
         }
         const auto* reply = reply_of(result);
-        if (reply != nullptr && reply->outcome != ClaimOutcome::unavailable) {
+        if (reply != nullptr && is_final(*reply)) {
           done(decide_claim(*reply));
         } else if (!result.may_have_arrived) {
           done(refuse(not_run(errc::control_unavailable)));
@@ -122,18 +135,17 @@
 }
 
 void claim_service::settle(const std::shared_ptr<settlement>& job) {
-  session_.client().request(
-      wire::ClaimRequestT(job->request), timeout_,
-      [this, job](const io::control_result& result) {
-        const auto* reply = reply_of(result);
-        const bool settled =
-            reply != nullptr && reply->outcome != ClaimOutcome::unavailable;
-        if (settled || io::now() >= job->give_up_at) {
-          job->done(settled ? reply : nullptr);
-          return;
-        }
-        QTimer::singleShot(settle_retry, this, [this, job] { settle(job); });
-      });
+  session_.client().request(wire::ClaimRequestT(job->request), timeout_,
+                            [this, job](const io::control_result& result) {
+                              const auto* reply = reply_of(result);
+                              const bool settled = reply != nullptr && is_final(*reply);
+                              if (settled || io::now() >= job->give_up_at) {
+                                job->done(settled ? reply : nullptr);
+                                return;
+                              }
+                              QTimer::singleShot(settle_retry, this,
+                                                 [this, job] { settle(job); });
+                            });
 }
 
 void claim_service::complete(const attempt& it, std::function<void(bool)> done) {
