--- a/tools/router/relay.cpp
+++ b/tools/router/relay.cpp
@@ -16,9 +16,10 @@
 // A quarter of the agent's send window, so that acknowledgements open it before
 // it is used up.
 constexpr std::uint64_t acknowledge_every = 64U << 10U;
-// How often all candidates are asked again. Patient requests tolerate waiting.
-constexpr unsigned short_rounds = 3;
-constexpr unsigned patient_rounds = 20;
+// A request waits for a free server during this part of its deadline: a quarter,
+// or a half for patient requests.
+constexpr int short_wait_share = 4;
+constexpr int patient_wait_share = 2;
 constexpr auto default_retry_after = duration(1000);
 // Fetching a newer configuration takes one round trip to the control group; a
 // router that cannot get it within a second refuses.
@@ -106,9 +107,10 @@
   auto found = owner_.choose_server(job_.request, tried_);
   owner_.log_choice(job_.request_id, state_.attempts, found);
   if (found.server == nullptr || found.all_refuse) {
-    handle_no_server();
+    wait_for_server(last_refusal_.error ? last_refusal_.error
+                                        : make_error_code(errc::no_server_available));
   } else if (state_.attempts > 0 && !is_free_retry_ && !owner_.take_retry()) {
-    apply(give_up(state_, not_run(errc::retry_budget_exhausted, default_retry_after)));
+    wait_for_server(errc::retry_budget_exhausted);
   } else {
     start_attempt(*found.server);
   }
@@ -125,18 +127,19 @@
   wait_until(io::now() + version_wait);
 }
 
-void relay::handle_no_server() {
-  const auto limit =
-      job_.request.priority == priority::patient ? patient_rounds : short_rounds;
-  if (rounds_ >= limit) {
-    const auto error = last_refusal_.error ? last_refusal_.error
-                                           : make_error_code(errc::no_server_available);
+// Nothing can be sent now. Waiting costs the fleet nothing, but a caller must
+// learn early enough that it has to send elsewhere or later.
+void relay::wait_for_server(std::error_code why) {
+  const bool is_patient = job_.request.priority == priority::patient;
+  const auto share = is_patient ? patient_wait_share : short_wait_share;
+  const auto now = io::now();
+  if (now - job_.received_at >= job_.request.deadline / share) {
     const auto hint = std::max(last_refusal_.retry_after, default_retry_after);
-    apply(give_up(state_, {verdict::not_run, error, hint}));
+    apply(give_up(state_, {verdict::not_run, why, hint}));
     return;
   }
   tried_.clear();
-  wait_until(io::now() + backoff_delay(rounds_, io::random_engine()));
+  wait_until(now + backoff_delay(rounds_, io::random_engine()));
   ++rounds_;
 }
 
--- a/tools/router/relay.h
+++ b/tools/router/relay.h
@@ -59,7 +59,7 @@
   void leave_link();
   void apply(const relay_decision& decision);
   void handle_retry(const outcome& why);
-  void handle_no_server();
+  void wait_for_server(std::error_code why);
   void wait_for_version();
   [[nodiscard]] bool may_wait_for_version() const;
   void handle_data(const wire::AttemptDataT& data);
