--- a/tools/router/settings.cpp
+++ b/tools/router/settings.cpp
@@ -57,6 +57,9 @@
 router_settings parse_settings(yaml_mapping& map) {
   router_settings out;
   out.node_id = read_string(map, "node_id");
+  if (has(map, "node_id") && out.node_id.empty()) {
+    add_problem(map, "node_id", "must not be empty");
+  }
   out.zone = read_string(map, "zone");
   out.listen = read_endpoint(map, "listen");
   out.admin = read_endpoint(map, "admin");
