--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -22,10 +22,10 @@
 MEMBERSHIP_DELAY_S = 1.0
 # With fewer attempts on each server the ratio of loads says little.
 SKEW_SAMPLED_FROM_MEAN = 2
-# Puts about three attempts on each engine, below the load floor of four: a run
+# Puts about two attempts on each engine, below the load floor of four: a run
 # with six showed that the load limit stays at the floor while engines have free
 # slots, and most requests were refused.
-ENGINE_TOKENS_PER_SECOND = 60
+ENGINE_TOKENS_PER_SECOND = 100
 BIN = os.path.join(ROOT, "build", "bin")
 HOST = "127.0.0.1"
 
