--- /dev/null
+++ b/tools/ctl/fleet.cpp
@@ -0,0 +1,300 @@
+#include "ctl/fleet.h"
+
+#include "ctl/files.h"
+#include "ctl/status_text.h"
+#include "marigoldstep/io/clock.h"
+
+#include <QEventLoop>
+
+#include <charconv>
+
+namespace marigoldstep::ctl {
+
+namespace {
+
+constexpr std::size_t change_id_digits = 16;
+constexpr std::uint32_t default_history = 20;
+
+// A request's reply, or how the command ends without one.
+template <typename Reply> struct answer {
+  std::unique_ptr<wire::ControlFrameT> frame;
+  const Reply* reply = nullptr; // points into frame
+  command_result failure;
+};
+
+command_result usage(const std::string& text) {
+  return {exit_usage, "", "mstepctl: " + text + "; see mstepctl --help\n"};
+}
+
+template <typename Body> io::control_result send(const ctl_options& options, Body body) {
+  io::control_client client(options.control, nullptr);
+  io::control_result result;
+  QEventLoop loop;
+  client.request(std::move(body), options.timeout, [&](io::control_result got) {
+    result = std::move(got);
+    loop.quit();
+  });
+  loop.exec();
+  return result;
+}
+
+// Sends a body. resend is the command that repeats it; empty for requests that
+// change nothing.
+template <typename Reply, typename Body>
+answer<Reply> ask(const ctl_options& options, Body body, const std::string& resend = "") {
+  answer<Reply> out;
+  if (options.control.empty()) {
+    out.failure = usage("--control is required");
+    return out;
+  }
+  auto result = send(options, std::move(body));
+  if (result.error && (resend.empty() || !result.may_have_arrived)) {
+    out.failure = {exit_refused, "",
+                   "mstepctl: the control group did not answer; nothing was changed\n"};
+    return out;
+  }
+  if (result.error) {
+    out.failure = {exit_unknown, "",
+                   "mstepctl: no answer came; the outcome is unknown. Run again:\n  " +
+                       resend + "\n"};
+    return out;
+  }
+  out.frame = std::move(result.reply);
+  out.reply = static_cast<const Reply*>(out.frame->body.value);
+  if (out.frame->body.type != wire::ControlBodyUnionTraits<Reply>::enum_value) {
+    out.reply = nullptr;
+    out.failure = {exit_refused, "", "mstepctl: the control group sent another reply\n"};
+  }
+  return out;
+}
+
+command_result change_result(const ctl_options& options, const wire::ChangeReplyT& reply,
+                             const std::string& change_id) {
+  const bool refused = reply.outcome == wire::ChangeOutcome::refused;
+  command_result out;
+  out.status = refused ? exit_refused : exit_done;
+  if (options.json) {
+    out.out = json_line(to_json(reply, change_id));
+  } else {
+    (refused ? out.err : out.out) = change_text(reply, change_id);
+  }
+  return out;
+}
+
+command_result decide(const ctl_options& options, wire::ChangeKind kind) {
+  if (options.args.size() != 1) {
+    return usage(options.command + " takes one change id");
+  }
+  wire::ChangeRequestT body;
+  body.kind = kind;
+  body.change_id = options.args.front();
+  body.author = options.author;
+  body.operator_key = options.key;
+  const auto got =
+      ask<wire::ChangeReplyT>(options, std::move(body),
+                              "mstepctl " + options.command + " " + options.args.front());
+  return got.reply == nullptr ? got.failure
+                              : change_result(options, *got.reply, options.args.front());
+}
+
+// The accepted configuration. Unlike show it makes no log entry.
+answer<wire::ConfigReplyT> fetch_accepted(const ctl_options& options) {
+  return ask<wire::ConfigReplyT>(options, wire::FetchConfigT{});
+}
+
+configuration parse(const std::string& text) {
+  yaml_report report;
+  return parse_configuration(text, 0, report);
+}
+
+std::vector<std::string> services_of(const configuration& config) {
+  std::vector<std::string> out;
+  for (const auto& it : config.pools) {
+    out.push_back(it.name);
+  }
+  for (const auto& it : config.services) {
+    out.push_back(it.name);
+  }
+  return out;
+}
+
+answer<wire::ChangeReplyT> fetch_text(const ctl_options& options,
+                                      const std::string& change_id) {
+  wire::ChangeRequestT body;
+  body.kind = wire::ChangeKind::show;
+  body.change_id = change_id;
+  body.author = options.author;
+  body.operator_key = options.key;
+  return ask<wire::ChangeReplyT>(options, std::move(body));
+}
+
+std::vector<server_info> known_servers(const wire::StatusReplyT& status) {
+  std::vector<server_info> out;
+  for (const auto& it : status.nodes) {
+    if (it->role != wire::NodeRole::agent || it->state == wire::ServerState::dead) {
+      continue;
+    }
+    server_info server;
+    server.node_id = it->node_id;
+    server.service = it->service;
+    server.zone = it->zone;
+    out.push_back(std::move(server));
+  }
+  return out;
+}
+
+bool parse_number(const std::string& text, std::uint64_t& value) {
+  const auto* end = text.data() + text.size();
+  const auto [rest, ec] = std::from_chars(text.data(), end, value);
+  return ec == std::errc{} && rest == end;
+}
+
+command_result change_members(const ctl_options& options, wire::MemberRequestT body) {
+  body.operator_key = options.key;
+  // A member change that is sent again finds it done, so it needs no id.
+  std::string resend = "mstepctl members";
+  for (const auto& it : options.args) {
+    resend += " " + it;
+  }
+  const auto got = ask<wire::MemberReplyT>(options, std::move(body), resend);
+  if (got.reply == nullptr) {
+    return got.failure;
+  }
+  if (got.reply->error_code != 0) {
+    return {exit_refused, "", "refused: " + got.reply->message + "\n"};
+  }
+  return {exit_done, "done\n", ""};
+}
+
+} // namespace
+
+command_result run_status(const ctl_options& options) {
+  const auto got = ask<wire::StatusReplyT>(options, wire::StatusRequestT{});
+  if (got.reply == nullptr) {
+    return got.failure;
+  }
+  const auto accepted = fetch_accepted(options);
+  if (accepted.reply == nullptr) {
+    return accepted.failure;
+  }
+  const auto services = services_of(parse(accepted.reply->text));
+  const auto held = judge(*got.reply, services).broken.empty();
+  return {held ? exit_done : exit_refused,
+          options.json ? json_line(to_json(*got.reply, services))
+                       : status_text(*got.reply, services),
+          ""};
+}
+
+command_result run_propose(const ctl_options& options) {
+  if (options.args.size() != 1) {
+    return usage("propose takes one file");
+  }
+  const auto file = read_fleet_file(options.args.front());
+  if (!file.problems.empty()) {
+    return {exit_usage, "", file.problems};
+  }
+  wire::ChangeRequestT body;
+  body.kind = wire::ChangeKind::propose;
+  body.change_id =
+      options.change_id.empty()
+          ? "c-" + to_string(io::make_attempt_id()).substr(0, change_id_digits)
+          : options.change_id;
+  body.author = options.author;
+  body.operator_key = options.key;
+  body.text = file.configuration;
+  if (options.base) {
+    body.base_version = *options.base;
+  } else {
+    const auto accepted = fetch_accepted(options);
+    if (accepted.reply == nullptr) {
+      return accepted.failure;
+    }
+    body.base_version = accepted.reply->version;
+  }
+  const auto id = body.change_id;
+  const auto resend = "mstepctl propose " + options.args.front() + " --change-id " + id +
+                      " --base " + std::to_string(body.base_version);
+  const auto got = ask<wire::ChangeReplyT>(options, std::move(body), resend);
+  return got.reply == nullptr ? got.failure : change_result(options, *got.reply, id);
+}
+
+command_result run_approve(const ctl_options& options) {
+  return decide(options, wire::ChangeKind::approve);
+}
+
+command_result run_stop(const ctl_options& options) {
+  return decide(options, wire::ChangeKind::stop);
+}
+
+command_result run_diff(const ctl_options& options) {
+  if (options.args.size() == 2) {
+    return run_file_diff(options);
+  }
+  if (options.args.size() != 1) {
+    return usage("diff takes one change id or two files");
+  }
+  const auto accepted = fetch_accepted(options);
+  if (accepted.reply == nullptr) {
+    return accepted.failure;
+  }
+  const auto proposed = fetch_text(options, options.args.front());
+  if (proposed.reply == nullptr) {
+    return proposed.failure;
+  }
+  if (proposed.reply->outcome == wire::ChangeOutcome::refused) {
+    return change_result(options, *proposed.reply, options.args.front());
+  }
+  const auto status = ask<wire::StatusReplyT>(options, wire::StatusRequestT{});
+  if (status.reply == nullptr) {
+    return status.failure;
+  }
+  const auto before = parse(accepted.reply->text);
+  const auto after = parse(proposed.reply->text);
+  const auto servers = known_servers(*status.reply);
+  return {exit_done, describe_change(before, servers, after, servers), ""};
+}
+
+command_result run_history(const ctl_options& options) {
+  std::uint64_t limit = default_history;
+  if (options.args.size() > 1 ||
+      (options.args.size() == 1 && !parse_number(options.args.front(), limit))) {
+    return usage("history takes at most a number");
+  }
+  wire::HistoryRequestT body;
+  body.limit = static_cast<std::uint32_t>(limit);
+  const auto got = ask<wire::HistoryReplyT>(options, body);
+  if (got.reply == nullptr) {
+    return got.failure;
+  }
+  return {exit_done,
+          options.json ? json_line(to_json(*got.reply)) : history_text(*got.reply), ""};
+}
+
+command_result run_members(const ctl_options& options) {
+  const auto& args = options.args;
+  if (args.empty()) {
+    const auto got = ask<wire::StatusReplyT>(options, wire::StatusRequestT{});
+    return got.reply == nullptr ? got.failure
+                                : command_result{exit_done, members_text(*got.reply), ""};
+  }
+  wire::MemberRequestT body;
+  const bool has_id = args.size() >= 2 && parse_number(args[1], body.node_id);
+  if (has_id && args[0] == "add" && args.size() == 3) {
+    const auto address = io::parse_endpoint(args[2]);
+    if (address.port == 0) {
+      return usage("members add takes an address as host:port");
+    }
+    body.kind = wire::MemberKind::add_learner;
+    body.host = address.host;
+    body.port = address.port;
+    return change_members(options, std::move(body));
+  }
+  if (has_id && args.size() == 2 && (args[0] == "promote" || args[0] == "remove")) {
+    body.kind =
+        args[0] == "promote" ? wire::MemberKind::promote : wire::MemberKind::remove;
+    return change_members(options, std::move(body));
+  }
+  return usage("members takes add ID HOST:PORT, promote ID or remove ID");
+}
+
+} // namespace marigoldstep::ctl
