--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -32,7 +32,7 @@
 
 def mstepctl(fleet, *arguments):
     command = [os.path.join(harness.BIN, "mstepctl"), *arguments]
-    command += ["--control", ",".join(fleet.control_addresses)]
+    command += ["--author", "demo", "--control", ",".join(fleet.control_addresses)]
     return subprocess.run(command, capture_output=True, text=True, timeout=20, check=False)
 
 
