--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -1,3 +1,4 @@
+#include "control/metrics.h"
 #include "control/replica.h"
 #include "control/service.h"
 #include "control/settings.h"
@@ -20,16 +21,17 @@
 
 int run(const control::control_settings& settings) {
   io::process_incarnation();
-  io::start_logging(program, settings.advertise_peer.host, settings.log_level,
-                    settings.log_file);
-  control::replica group(settings, nullptr);
-  std::error_code ec;
-  group.start(ec);
+  io::start_logging(program,
+                    settings.advertise_peer.host + ":" +
+                        std::to_string(settings.advertise_peer.port),
+                    settings.log_level, settings.log_file);
+  std::error_code ec = io::use_tls(settings.tls);
   if (ec) {
-    std::cerr << program << ": " << ec.message() << "\n";
+    std::cerr << program << ": the TLS files cannot be used\n";
     return io::exit_failed;
   }
-  control::service service(group, nullptr);
+  control::replica group(settings, nullptr);
+  control::service service(group, settings.operators, nullptr);
   io::admin_server admin(nullptr);
   ec = service.listen(settings.listen);
   if (!ec) {
@@ -39,6 +41,15 @@
     std::cerr << program << ": cannot listen: " << ec.message() << "\n";
     return io::exit_failed;
   }
+  auto client = settings.advertise;
+  client.port = client.port == 0 ? service.port() : client.port;
+  control::metrics metrics(admin, group, service);
+  std::string detail;
+  group.start(client, ec, detail);
+  if (ec) {
+    std::cerr << program << ": " << ec.message() << ": " << detail << "\n";
+    return io::exit_failed;
+  }
   io::log_event(io::log_level::info, "started",
                 {{"port", std::to_string(service.port())},
                  {"admin_port", std::to_string(admin.port())}});
@@ -47,7 +58,9 @@
     service.stop();
     QTimer::singleShot(stop_limit, [] { QCoreApplication::quit(); });
   });
-  return QCoreApplication::exec();
+  const int status = QCoreApplication::exec();
+  group.stop();
+  return status;
 }
 
 } // namespace
--- a/tools/control/replica.h
+++ b/tools/control/replica.h
@@ -1,44 +1,124 @@
 #pragma once
 
+#include "control/peers.h"
 #include "control/settings.h"
 #include "marigoldstep/fleet_state.h"
+#include "marigoldstep/io/log_file.h"
+#include "marigoldstep/raft.h"
 
 #include <QObject>
+#include <QTimer>
 
 #include <functional>
+#include <optional>
 
 namespace marigoldstep::control {
 
-// This process's copy of the replicated fleet state.
+// This process's copy of the replicated fleet state: runs the pure algorithm of
+// raft.h over files and connections.
 class replica : public QObject {
 public:
   replica(control_settings settings, QObject* parent);
 
   // Called with the reply of the committed command. With an error the command's
-  // fate is unknown, unless it is errc::not_leader.
+  // fate is unknown, unless it is errc::not_leader or errc::rate_limited.
   using propose_callback = std::function<void(std::error_code, wire::ControlBodyUnion)>;
   using confirm_callback = std::function<void(std::error_code)>;
+  // detail holds words for the operator.
+  using member_callback = std::function<void(std::error_code, const std::string& detail)>;
+
+  // Reports the time of each write and sync, in seconds.
+  std::function<void(double)> on_sync_time;
+
+  // Recovers the log and starts the protocol; client is where nodes reach this
+  // process. On a problem sets ec and detail.
+  void start(const io::endpoint& client, std::error_code& ec, std::string& detail);
+  void stop();
 
-  // Starts the group's protocol. On a storage problem sets ec.
-  void start(std::error_code& ec);
   void propose(bytes command, propose_callback done);
   // Calls done when a quorum has confirmed, after this call, that this process
   // leads; state() then holds every earlier committed command.
   void confirm(confirm_callback done);
+  void change_member(member_change change, const group_member& member,
+                     member_callback done);
 
-  [[nodiscard]] bool is_leader() const { return true; }
-  [[nodiscard]] std::uint64_t term() const { return 1; }
-  [[nodiscard]] std::uint64_t commit_index() const { return commit_index_; }
+  [[nodiscard]] bool is_leader() const {
+    return node_ && !out_of_service_ && node_->role == raft_role::leader;
+  }
+  // Whether this process takes part in a group that has a leader.
+  [[nodiscard]] bool is_ready() const;
+  [[nodiscard]] std::uint64_t term() const { return node_ ? node_->state.term : 0; }
   // Where nodes reach the leader; port 0 when unknown.
-  [[nodiscard]] io::endpoint leader() const { return settings_.advertise; }
+  [[nodiscard]] io::endpoint leader() const;
   [[nodiscard]] const fleet_state& state() const { return state_; }
+  [[nodiscard]] const raft_node* node() const { return node_ ? &*node_ : nullptr; }
+  [[nodiscard]] bool out_of_service() const { return out_of_service_; }
+  [[nodiscard]] io::log_file& log() { return log_; }
+  [[nodiscard]] const peer_network& network() const { return network_; }
 
 private:
+  struct queued_command {
+    bytes command;
+    propose_callback done;
+  };
+  struct waiting_command {
+    term_number term = 0;
+    propose_callback done;
+  };
+  struct held_message {
+    std::uint64_t sync_id = 0;
+    raft_message message;
+  };
+
+  // A member change that waits for a round begun after it was asked for.
+  struct pending_change {
+    member_change change = member_change::add_learner;
+    group_member member;
+    std::uint64_t round = 0;
+    time_point give_up_at{};
+    member_callback done;
+  };
+
+  void try_changes();
+  void prepare_node(recovered_log found);
+  void tick();
+  void process(raft_output out);
+  void note_role();
+  void flush_commands();
+  void apply(const std::vector<log_entry>& entries);
+  void install(const raft_snapshot& snapshot);
+  void answer_reads(const std::vector<read_result>& reads);
+  void fail_waiting();
+  void send(const raft_message& message);
+  void release_messages(std::uint64_t sync_id);
+  void handle_synced(std::uint64_t sync_id);
+  void handle_peer(const peer_info& info);
+  void update_targets();
+  void try_to_form_group();
   void bootstrap();
+  void leave_service(const std::string& detail);
+  [[nodiscard]] io::endpoint address_of(voter_id id) const;
+  [[nodiscard]] bool has_commands() const;
 
   control_settings settings_;
+  std::optional<raft_node> node_;
+  io::log_file log_;
+  peer_network network_;
   fleet_state state_;
-  std::uint64_t commit_index_ = 0;
+  QTimer timer_;
+  bool out_of_service_ = false;
+  bool bootstrapped_ = false;
+  raft_role seen_role_ = raft_role::follower;
+  term_number seen_term_ = 0;
+  voter_id seen_leader_ = 0;
+  log_index seen_members_ = 0;
+  std::uint64_t synced_id_ = 0;
+  std::vector<held_message> held_;
+  std::vector<queued_command> queue_;
+  std::map<log_index, waiting_command> waiting_;
+  std::map<std::uint64_t, confirm_callback> reads_;
+  std::vector<pending_change> changes_;
+  std::uint64_t next_token_ = 1;
 };
 
 // Log entries that make a text the accepted version 1.
--- a/tools/control/settings.cpp
+++ b/tools/control/settings.cpp
@@ -44,6 +44,15 @@
   return out;
 }
 
+std::vector<operator_account> read_operators(yaml_mapping& map) {
+  std::vector<operator_account> out;
+  for (auto& it : read_mappings(map, "operators")) {
+    out.push_back({read_string(it, "name"), read_string(it, "key")});
+    finish(it);
+  }
+  return out;
+}
+
 } // namespace
 
 control_settings parse_control_settings(yaml_mapping& map) {
@@ -60,6 +69,8 @@
   out.log_level = io::parse_log_level(
       read_choice(map, "log_level", "info", {"debug", "info", "warning", "error"}));
   out.log_file = read_string(map, "log_file", "");
+  out.operators = read_operators(map);
+  out.tls = io::parse_tls(map);
   out.zone = read_string(map, "zone", "");
   return out;
 }
