Plan attempts with conditions checked by the agents

Cause: overflow at the load bound lost the cached prefix of one returning chat in eight, because routers cannot know where an earlier turn ran. Change: plan_attempts asks candidates in their fixed order whether they hold the chat, and sends chats without a prefix to a candidate below the mean load.

--- a/benchmark/main.cpp
+++ b/benchmark/main.cpp
@@ -15,10 +15,12 @@
   long long seed = 1;
   int json = 0;
   char* only = nullptr;
+  char* size = nullptr;
   poptOption table[] = {
       {"seed", 0, POPT_ARG_LONGLONG, &seed, 0, "Seed of the model", "N"},
       {"json", 0, POPT_ARG_NONE, &json, 0, "One JSON object a line", nullptr},
       {"only", 0, POPT_ARG_STRING, &only, 0, "placement, capacity or raft", "PART"},
+      {"size", 0, POPT_ARG_STRING, &size, 0, "archive, volta or large", "SIZE"},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context =
       poptGetContext("mstep-bench", argc, const_cast<const char**>(argv), table, 0);
@@ -31,6 +33,7 @@
   poptFreeContext(context);
   options.seed = static_cast<std::uint64_t>(seed);
   options.json = json != 0;
+  options.size = size == nullptr ? "" : size;
   const std::string_view part = only == nullptr ? "" : only;
   if (part.empty() || part == "placement") {
     marigoldstep::bench::run_placement_bench(options);
--- a/benchmark/placement_bench.cpp
+++ b/benchmark/placement_bench.cpp
@@ -19,6 +19,10 @@
 // Models run at the same time; few, because the machine is shared.
 constexpr std::size_t parallel_models = 4;
 
+// With more engines all routers pick the same few least loaded ones for 2 s, and
+// the retries of the refused requests outgrow the model.
+constexpr std::uint32_t largest_lagging_engines = 100;
+
 constexpr std::array all_policies = {
     policy::random,        policy::least_loaded_replies, policy::least_loaded_lagging,
     policy::rendezvous,    policy::first_version,        policy::current,
@@ -135,7 +139,7 @@
   for (std::size_t i = 0; i < decisions_measured; ++i) {
     const auto found = candidates_by(rule, table, keys[i % keys.size()], max_candidates);
     sum += rule == policy::current
-               ? choose_server(table, found, seen, {}, size.reuse_bias, {}).server
+               ? plan_attempts(found, seen, true, size.reuse_bias, {}).steps[0].server
                : first_version_choice(found, seen, {}, size.reuse_bias, {}).server;
   }
   const auto took = static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
@@ -170,10 +174,10 @@
 
 void print_row(const row& it, const timeline& churn) {
   const auto& r = it.result;
-  std::printf("%-28s %6.1f%% %6.2f %6.2f %7.2f %6.2f %6.2f %8.4f %8.4f %8.4f %6llu",
+  std::printf("%-28s %6.1f%% %6.2f %6.2f %7.2f %6.2f %6.2f %8.4f %7.3f %8.4f %8.4f %6llu",
               std::string(name(it.rule)).c_str(), r.reuse * 100, r.skew_p50, r.skew_p99,
               r.skew_largest, r.bound_acknowledged, r.bound_true, r.refusals_per_request,
-              r.unreachable_per_request, r.delayed_share,
+              r.conditions_per_request, r.unreachable_per_request, r.delayed_share,
               static_cast<unsigned long long>(r.abandoned));
   if (is_hashed(it.rule)) {
     std::printf(" %6.2f %9.0f %8.2f\n", it.moved, churn.router_traffic.largest_bytes_per_s,
@@ -187,13 +191,13 @@
   const auto& r = it.result;
   std::printf("{\"bench\":\"placement\",\"size\":\"%s\",\"policy\":\"%s\",\"reuse_bias\":%.2f,"
               "\"reuse\":%.4f,\"skew_p50\":%.3f,\"skew_p99\":%.3f,\"skew_largest\":%.3f,"
-              "\"bound_acknowledged\":%.3f,\"bound_true\":%.3f,\"refusals\":%.5f,"
+              "\"bound_acknowledged\":%.3f,\"bound_true\":%.3f,\"refusals\":%.5f,\"conditions\":%.5f,"
               "\"unreachable\":%.5f,\"delayed\":%.5f,\"abandoned\":%llu,\"moved\":%.3f,"
               "\"control_bytes_per_s\":%.0f,\"control_bytes_per_s_largest\":%.0f,"
               "\"decision_us\":%.3f}\n",
               size.name.c_str(), std::string(name(it.rule)).c_str(), size.reuse_bias, r.reuse,
               r.skew_p50, r.skew_p99, r.skew_largest, r.bound_acknowledged, r.bound_true,
-              r.refusals_per_request, r.unreachable_per_request, r.delayed_share,
+              r.refusals_per_request, r.conditions_per_request, r.unreachable_per_request, r.delayed_share,
               static_cast<unsigned long long>(r.abandoned), it.moved,
               churn.router_traffic.mean_bytes_per_s, churn.router_traffic.largest_bytes_per_s,
               it.decision_us);
@@ -226,7 +230,10 @@
 
 bool run_size(const model_size& size, const bench_options& options) {
   const auto churn = make_timeline(size, options.seed);
-  const std::vector<policy> rules(all_policies.begin(), all_policies.end());
+  std::vector<policy> rules(all_policies.begin(), all_policies.end());
+  if (size.engines > largest_lagging_engines) {
+    std::erase(rules, policy::least_loaded_lagging);
+  }
   const auto results = run_models(std::vector<model_size>(rules.size(), size), churn, rules, options.seed);
   std::vector<row> rows;
   for (std::size_t i = 0; i < rules.size(); ++i) {
@@ -245,8 +252,8 @@
                 size.requests_per_s, size.modelled.count() / 1000.0, size.time_scale,
                 size.restarts, size.failures, size.flaps, size.reuse_bias,
                 static_cast<unsigned long long>(options.seed));
-    std::printf("%-28s %7s %6s %6s %7s %6s %6s %8s %8s %8s %6s %6s %9s %8s\n", "", "reuse",
-                "skew50", "skew99", "largest", "bound", "true", "refused", "unreach", "delayed",
+    std::printf("%-28s %7s %6s %6s %7s %6s %6s %8s %7s %8s %8s %6s %6s %9s %8s\n", "", "reuse",
+                "skew50", "skew99", "largest", "bound", "true", "refused", "asked", "unreach", "delayed",
                 "abandn", "moved", "B/s", "M dec/s");
   }
   for (const auto& it : rows) {
@@ -261,6 +268,9 @@
   std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
   bool met = true;
   for (const auto& size : sizes()) {
+    if (!options.size.empty() && options.size != size.name) {
+      continue;
+    }
     met = run_size(size, options) && met;
   }
   return met;
--- a/benchmark/placement_bench.h
+++ b/benchmark/placement_bench.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 namespace marigoldstep::bench {
 
 struct bench_options {
   std::uint64_t seed = 1;
   bool json = false;
+  std::string size; // archive, volta or large; empty for all
 };
 
 // Prints the placement table of each fleet size and the trade of reuse_bias.
--- a/benchmark/placement_model.cpp
+++ b/benchmark/placement_model.cpp
@@ -26,6 +26,7 @@
 constexpr double surge_factor = 20;
 constexpr auto sample_interval = duration(100);
 constexpr auto skew_interval = duration(1000);
+constexpr auto startup_time = duration(30'000);
 constexpr auto longest_mean_lag = duration(2000);
 constexpr auto refusal_hint = duration(250);
 constexpr auto circuit_time = duration(2000);
@@ -84,7 +85,12 @@
   void handle(const event& it);
   void complete(const event& it);
   void route(std::uint32_t chat_index);
-  bool try_engine(std::uint32_t router_index, std::uint32_t chat_index, std::uint32_t at);
+  bool try_engine(std::uint32_t router_index, std::uint32_t chat_index, std::uint32_t at,
+                  const attempt_condition& condition);
+  bool route_by_plan(std::uint32_t router_index, std::uint32_t chat_index,
+                     const candidate_list& candidates);
+  bool route_by_choice(std::uint32_t router_index, std::uint32_t chat_index,
+                       const candidate_list& candidates);
   void admit(std::uint32_t router_index, std::uint32_t chat_index, std::uint32_t at);
   std::uint32_t cached_tokens(const chat& it, std::uint32_t at) const;
   int pick(std::uint32_t router_index, const chat& it, const candidate_list& candidates);
@@ -103,6 +109,7 @@
     count_live(it, 1);
   }
   std::uint32_t limit_of(std::uint32_t at) const;
+  std::uint32_t mean_known(std::uint32_t at) const;
   double unit() { return std::uniform_real_distribution<double>(0, 1)(random_); }
   double token_count(double mean) { return -mean * std::log(1 - unit() * 0.999); }
   bool warm() const { return now_ >= warm_from_; }
@@ -137,6 +144,7 @@
   std::uint64_t wanted_tokens_ = 0;
   std::uint64_t found_tokens_ = 0;
   std::uint64_t refusals_ = 0;
+  std::uint64_t conditional_ = 0;
   std::uint64_t unreachable_ = 0;
   std::uint64_t delayed_ = 0;
   model_result result_;
@@ -203,7 +211,9 @@
 
 void model::sample() {
   const double mean = true_mean();
-  means_.push_front(mean);
+  // The fleet has run for long before the model starts; agents know its mean load.
+  const double expected = size_.requests_per_s * size_.answer_tokens * token_ms / 1000 / size_.engines;
+  means_.push_front(now_ < time_point(startup_time) ? std::max(mean, expected) : mean);
   means_.resize(std::min<std::size_t>(means_.size(), longest_mean_lag / sample_interval + 1));
   if (rule_ == policy::least_loaded_lagging) {
     auto& loads = past_loads_.emplace_front();
@@ -223,9 +233,14 @@
 }
 
 std::uint32_t model::limit_of(std::uint32_t at) const {
+  return load_limit(limits_, mean_known(at));
+}
+
+// The pool's mean load, in thousandths, as last acknowledged to the engine's agent.
+std::uint32_t model::mean_known(std::uint32_t at) const {
   const auto lag = static_cast<std::size_t>(engines_[at].mean_lag / sample_interval);
   const double mean = means_.empty() ? 0 : means_[std::min(lag, means_.size() - 1)];
-  return load_limit(limits_, static_cast<std::uint32_t>(mean * 1000));
+  return static_cast<std::uint32_t>(mean * 1000);
 }
 
 std::uint32_t model::random_workspace() {
@@ -334,11 +349,8 @@
         first_version_choice(candidates, seen, tried_, size_.reuse_bias, now_);
     return chosen.reason == choice_reason::none ? -1 : static_cast<int>(chosen.server);
   }
-  case policy::current: {
-    const auto chosen = choose_server(view_of(routers_[router_index]), candidates, seen,
-                                      tried_, size_.reuse_bias, now_);
-    return chosen.reason == choice_reason::none ? -1 : static_cast<int>(chosen.server);
-  }
+  case policy::current:
+    return -1; // goes by its plan
   case policy::full_knowledge:
     return pick_known(it);
   }
@@ -352,12 +364,13 @@
 }
 
 bool model::try_engine(std::uint32_t router_index, std::uint32_t chat_index,
-                       std::uint32_t at) {
+                       std::uint32_t at, const attempt_condition& condition) {
   auto& it = engines_[at];
   auto& seen = routers_[router_index].seen[at];
   if (!it.reachable) {
     unreachable_ += warm() ? 1 : 0;
     seen.avoid_until = now_ + circuit_time;
+    tried_.push_back(at);
     return false;
   }
   const auto limit = limit_of(at);
@@ -365,6 +378,12 @@
   if (it.leaving || it.load + 1 > limit) {
     refusals_ += warm() ? 1 : 0;
     seen.avoid_until = now_ + refusal_hint;
+    tried_.push_back(at);
+    return false;
+  }
+  const bool cached = it.cache.find(chats_[chat_index].key) > 0;
+  if (!meets_condition(condition, cached, it.load, mean_known(at))) {
+    conditional_ += warm() ? 1 : 0;
     return false;
   }
   admit(router_index, chat_index, at);
@@ -425,20 +444,42 @@
   }
 }
 
-void model::route(std::uint32_t chat_index) {
-  tried_.clear();
-  const auto router_index =
-      std::uniform_int_distribution<std::uint32_t>(0, size_.routers - 1)(random_);
-  const auto candidates = candidates_for(router_index, chats_[chat_index]);
+bool model::route_by_plan(std::uint32_t router_index, std::uint32_t chat_index,
+                          const candidate_list& candidates) {
+  const auto plan = plan_attempts(candidates, routers_[router_index].seen,
+                                  chats_[chat_index].returning, size_.reuse_bias, now_);
+  for (std::size_t i = 0; i < plan.count; ++i) {
+    const auto& step = plan.steps[i];
+    if (!tried(step.server) &&
+        try_engine(router_index, chat_index, step.server, step.condition)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool model::route_by_choice(std::uint32_t router_index, std::uint32_t chat_index,
+                            const candidate_list& candidates) {
   while (tried_.size() < max_candidates) {
     const int at = pick(router_index, chats_[chat_index], candidates);
     if (at < 0) {
-      break;
+      return false;
     }
-    if (try_engine(router_index, chat_index, static_cast<std::uint32_t>(at))) {
-      return;
+    if (try_engine(router_index, chat_index, static_cast<std::uint32_t>(at), {})) {
+      return true;
     }
-    tried_.push_back(static_cast<std::uint32_t>(at));
+  }
+  return false;
+}
+
+void model::route(std::uint32_t chat_index) {
+  tried_.clear();
+  const auto router_index =
+      std::uniform_int_distribution<std::uint32_t>(0, size_.routers - 1)(random_);
+  const auto candidates = candidates_for(router_index, chats_[chat_index]);
+  if (rule_ == policy::current ? route_by_plan(router_index, chat_index, candidates)
+                               : route_by_choice(router_index, chat_index, candidates)) {
+    return;
   }
   auto& it = chats_[chat_index];
   if (warm() && !it.measured_delay) {
@@ -506,6 +547,7 @@
   result_.skew_p99 = quantile(0.99);
   result_.skew_largest = quantile(1);
   result_.refusals_per_request = static_cast<double>(refusals_) / requests;
+  result_.conditions_per_request = static_cast<double>(conditional_) / requests;
   result_.unreachable_per_request = static_cast<double>(unreachable_) / requests;
   result_.delayed_share = static_cast<double>(delayed_) / requests;
   return result_;
--- a/benchmark/placement_model.h
+++ b/benchmark/placement_model.h
@@ -26,6 +26,7 @@
   double bound_acknowledged = 0; // against the mean that the agent knew
   double bound_true = 0;         // against the mean at that moment
   double refusals_per_request = 0;
+  double conditions_per_request = 0; // refused because a condition was not met
   double unreachable_per_request = 0;
   double delayed_share = 0; // requests that no candidate took at the first pass
   std::uint64_t requests = 0;
--- a/include/marigoldstep/placement.h
+++ b/include/marigoldstep/placement.h
@@ -88,6 +88,41 @@
                      std::span<const std::uint32_t> tried, double reuse_bias,
                      time_point now);
 
+// What a router asks of an agent beyond the agent's own load limit. A refusal for
+// an unmet condition costs one round trip and means not run.
+struct attempt_condition {
+  bool only_if_cached = false;       // the agent served this chat since its start
+  std::uint32_t ceiling_percent = 0; // of the pool's mean load; 0 for none
+
+  friend bool operator==(const attempt_condition&, const attempt_condition&) = default;
+};
+
+// Whether an agent that carries load attempts may admit under the condition.
+bool meets_condition(const attempt_condition& condition, bool cached, std::uint32_t load,
+                     std::uint32_t mean_milli);
+
+struct placement_step {
+  std::uint32_t server = 0; // index into placement_table::servers
+  choice_reason reason = choice_reason::none;
+  attempt_condition condition;
+};
+
+// The steps of one pass of a request, in order. A server that refused without a
+// condition, or could not be reached, is left out of the later steps.
+struct placement_plan {
+  std::array<placement_step, 3 * max_candidates> steps{};
+  std::size_t count = 0;
+};
+
+// Plans the attempts of a request. A returning chat first asks the candidates
+// whether they hold its prefix, so that it finds an earlier overflow without
+// state in the router. A chat without a prefix goes to the first candidate below
+// the ceiling, which leaves room under the load limit for those that return.
+// Candidates whose circuit breaker is open are left out unless none remains.
+placement_plan plan_attempts(const candidate_list& candidates,
+                             std::span<const server_observation> observations,
+                             bool returning, double reuse_bias, time_point now);
+
 // Weight of a server that started age ago and has full_weight_milli when warm.
 // Agents announce it; it rises in steps, so that a newcomer with an empty cache
 // takes over its chats gradually and routers get few updates.
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -91,6 +91,13 @@
 constexpr auto slow_start_step = duration(5000);
 constexpr std::int64_t slow_start_steps = 4;
 
+// Ceiling for chats without a cached prefix, in percent of the mean load.
+constexpr std::uint32_t new_chat_percent = 100;
+// Ceiling for chats at the server that holds their prefix, at reuse_bias 1 and
+// how far it falls at 0.
+constexpr std::uint32_t most_cached_percent = 1000;
+constexpr std::uint32_t cached_range_percent = 890;
+
 // Observations older than this say nothing about the load of now.
 constexpr auto observation_lifetime = duration(2000);
 
@@ -222,6 +229,61 @@
   return out;
 }
 
+bool meets_condition(const attempt_condition& condition, bool cached, std::uint32_t load,
+                     std::uint32_t mean_milli) {
+  if (condition.only_if_cached && !cached) {
+    return false;
+  }
+  const auto ceiling = static_cast<std::uint64_t>(condition.ceiling_percent) * mean_milli;
+  return condition.ceiling_percent == 0 || load * 100'000ULL < ceiling;
+}
+
+namespace {
+
+void add_step(placement_plan& plan, std::uint32_t server, choice_reason reason,
+              const attempt_condition& condition) {
+  plan.steps[plan.count++] = {server, reason, condition};
+}
+
+// Candidates to use, those that refused lately after the others.
+candidate_list usable_candidates(const candidate_list& candidates,
+                                 std::span<const server_observation> observations,
+                                 time_point now) {
+  candidate_list out;
+  for (const bool refused : {false, true}) {
+    for (std::size_t i = 0; i < candidates.count; ++i) {
+      const auto& seen = observations[candidates.index[i]];
+      if (!seen.circuit_open && (now < seen.avoid_until) == refused) {
+        out.index[out.count++] = candidates.index[i];
+      }
+    }
+  }
+  return out;
+}
+
+} // namespace
+
+placement_plan plan_attempts(const candidate_list& candidates,
+                             std::span<const server_observation> observations,
+                             bool returning, double reuse_bias, time_point now) {
+  placement_plan plan;
+  const auto usable = usable_candidates(candidates, observations, now);
+  const attempt_condition cached{
+      true, most_cached_percent - static_cast<std::uint32_t>((1 - reuse_bias) * cached_range_percent)};
+  for (std::size_t i = 0; returning && i < usable.count; ++i) {
+    add_step(plan, usable.index[i], choice_reason::preferred, cached);
+  }
+  const attempt_condition below{false, new_chat_percent};
+  for (std::size_t i = 0; i < usable.count; ++i) {
+    const auto reason = i == 0 ? choice_reason::preferred : choice_reason::overflow;
+    add_step(plan, usable.index[i], reason, below);
+  }
+  for (std::size_t i = 0; i < usable.count; ++i) {
+    add_step(plan, usable.index[i], choice_reason::last_resort, {});
+  }
+  return plan;
+}
+
 std::uint32_t slow_start_weight(duration age, std::uint32_t full_weight_milli) {
   const auto step = std::clamp<std::int64_t>(age / slow_start_step, 0, slow_start_steps - 1);
   return static_cast<std::uint32_t>(full_weight_milli * (step + 1) / slow_start_steps);
