--- a/tests/programs/ctl_test.cpp
+++ b/tests/programs/ctl_test.cpp
@@ -1,10 +1,10 @@
-#include "control/authorization.h"
 #include "ctl/files.h"
 #include "ctl/fleet.h"
 #include "ctl/status_text.h"
 #include "marigoldstep/configuration_diff.h"
 #include "marigoldstep/fleet_state.h"
 #include "marigoldstep/io/framed_connection.h"
+#include "marigoldstep/io/operator_key.h"
 
 #include <catch2/catch.hpp>
 
@@ -35,8 +35,8 @@
         const auto frame = wire::decode_control(buf, ec);
         wire::ControlFrameT reply;
         reply.correlation = frame->correlation;
-        if (!control::is_authorized(state.operators, *frame)) {
-          reply = control::refusal_of(*frame);
+        if (!is_authorized(*frame)) {
+          refuse(*frame, reply);
         } else if (frame->body.AsStatusRequest() != nullptr) {
           reply.body.Set(wire::StatusReplyT(status));
         } else if (frame->body.AsFetchConfig() != nullptr) {
@@ -55,6 +55,27 @@
       };
     };
   }
+  [[nodiscard]] bool is_authorized(const wire::ControlFrameT& frame) const {
+    if (const auto* change = frame.body.AsChangeRequest()) {
+      return io::authorize(state.operators, change->author, change->operator_key);
+    }
+    const auto* request = frame.body.AsOperatorRequest();
+    return request == nullptr ||
+           io::authorize(state.operators, request->author, request->operator_key);
+  }
+  static void refuse(const wire::ControlFrameT& frame, wire::ControlFrameT& reply) {
+    const auto code = static_cast<std::uint16_t>(errc::not_authorized);
+    if (frame.body.AsChangeRequest() != nullptr) {
+      wire::ChangeReplyT body;
+      body.outcome = wire::ChangeOutcome::refused;
+      body.error_code = code;
+      reply.body.Set(std::move(body));
+    } else {
+      wire::OperatorReplyT body;
+      body.error_code = code;
+      reply.body.Set(std::move(body));
+    }
+  }
   [[nodiscard]] ctl_options options(std::string command,
                                     std::vector<std::string> args) const {
     ctl_options out;
--- a/tools/control/leader_duties.cpp
+++ b/tools/control/leader_duties.cpp
@@ -36,14 +36,21 @@
 
 } // namespace
 
+// A new leader begins with an empty table.
+void service::note_term() {
+  if (table_term_ == group_.term()) {
+    return;
+  }
+  table_term_ = group_.term();
+  leads_since_ = io::now();
+  table_ = make_membership_table(leads_since_);
+  nodes_.clear();
+}
+
 void service::handle_heartbeat(const link& to, std::uint64_t correlation,
                                const wire::HeartbeatT& body) {
   const auto now = io::now();
-  if (table_term_ != group_.term()) {
-    table_ = make_membership_table(now);
-    table_term_ = group_.term();
-    nodes_.clear();
-  }
+  note_term();
   if (body.role == wire::NodeRole::agent && body.server) {
     observe_heartbeat(table_, to_report(body), now);
   }
@@ -89,7 +96,8 @@
     version_since_ = now;
     in_force_ = false;
   }
-  if (in_force_ || accepted == 0) {
+  // A new leader has not heard every node yet.
+  if (in_force_ || accepted == 0 || now - leads_since_ < in_force_window) {
     return;
   }
   for (const auto& [id, it] : nodes_) {
@@ -104,11 +112,34 @@
                  {"after_ms", std::to_string(in_force_after_ms_)}});
 }
 
+void service::add_voters(wire::StatusReplyT& reply) const {
+  const auto& node = *group_.node();
+  const auto now = io::now();
+  for (const auto& it : members(node)) {
+    wire::VoterStatusT voter;
+    voter.node_id = it.id;
+    voter.host = it.host;
+    voter.port = it.port;
+    voter.learner = it.learner;
+    const auto peer = node.progress.find(it.id);
+    if (peer != node.progress.end()) {
+      voter.match_index = peer->second.match_index;
+      voter.silent_ms = milliseconds(now - peer->second.heard_at);
+    } else {
+      voter.match_index = node.durable_index;
+    }
+    reply.voters.push_back(std::make_unique<wire::VoterStatusT>(voter));
+  }
+}
+
 wire::StatusReplyT service::make_status() {
   const auto now = io::now();
   wire::StatusReplyT reply;
   reply.term = group_.term();
-  reply.commit_index = group_.commit_index();
+  reply.commit_index = group_.node()->commit_index;
+  reply.leader = group_.node()->identity.id;
+  reply.claims = group_.state().claims.records.size();
+  add_voters(reply);
   reply.accepted_version = group_.state().accepted_version;
   reply.in_force = in_force_;
   reply.in_force_after_ms = in_force_after_ms_;
--- a/tools/control/replica.cpp
+++ b/tools/control/replica.cpp
@@ -1,59 +1,273 @@
 #include "control/replica.h"
 
 #include "marigoldstep/io/clock.h"
-#include "marigoldstep/io/program.h"
+#include "marigoldstep/io/logging.h"
+
+#include <algorithm>
 
 namespace marigoldstep::control {
 
 namespace {
 
-wire::ControlFrameT bootstrap_change(wire::ChangeKind kind, const std::string& text) {
-  wire::ChangeRequestT body;
-  body.kind = kind;
-  body.change_id = "bootstrap";
-  body.author = "bootstrap";
-  body.base_version = 0;
-  body.text = text;
-  return wire::control_frame(std::move(body), 0);
+// Short against the heartbeat interval of 75 ms.
+constexpr auto tick_interval = duration(15);
+
+voter_id random_id() {
+  return std::max<voter_id>(1, io::make_attempt_id().hi);
 }
 
 } // namespace
 
-std::vector<bytes> bootstrap_commands(const std::string& text, unix_seconds time) {
-  return {encode_command(bootstrap_change(wire::ChangeKind::propose, text), time),
-          encode_command(bootstrap_change(wire::ChangeKind::approve, ""), time)};
+replica::replica(control_settings settings, QObject* parent)
+    : QObject(parent), settings_(std::move(settings)), log_(this), network_(this) {
+  log_.on_synced = [this](std::uint64_t id) { handle_synced(id); };
+  log_.on_failed = [this](const std::string& detail) { leave_service(detail); };
+  log_.on_sync_time = [this](double seconds) {
+    if (on_sync_time) {
+      on_sync_time(seconds);
+    }
+  };
+  network_.on_message = [this](const raft_message& message) {
+    if (node_ && !out_of_service_) {
+      process(step(*node_, message, io::now()));
+    }
+  };
+  network_.on_peer = [this](const peer_info& info) { handle_peer(info); };
+  connect(&timer_, &QTimer::timeout, this, [this] { tick(); });
 }
 
-replica::replica(control_settings settings, QObject* parent)
-    : QObject(parent), settings_(std::move(settings)) {}
+void replica::start(const io::endpoint& client, std::error_code& ec,
+                    std::string& detail) {
+  auto found = log_.open(settings_.data_dir, ec, detail);
+  if (ec) {
+    return;
+  }
+  ec = network_.listen(settings_.listen_peer);
+  if (ec) {
+    detail = "cannot listen for members: " + ec.message();
+    return;
+  }
+  settings_.advertise = client;
+  if (settings_.advertise_peer.port == 0) {
+    settings_.advertise_peer.port = network_.port();
+  }
+  if (found.cut_bytes > 0) {
+    io::log_event(io::log_level::warning, "torn_tail_cut",
+                  {{"segment", std::to_string(found.last_segment)},
+                   {"bytes", std::to_string(found.cut_bytes)}});
+  }
+  if (found.raft.snapshot.data) {
+    state_ = decode_snapshot(*found.raft.snapshot.data, ec);
+    if (ec) {
+      detail = "the snapshot's contents cannot be read";
+      return;
+    }
+  }
+  prepare_node(std::move(found));
+  timer_.start(tick_interval);
+}
 
-void replica::start(std::error_code& ec) {
-  ec.clear();
+void replica::prepare_node(recovered_log found) {
+  const bool is_new = found.raft.identity.id == 0;
+  if (is_new) {
+    found.raft.identity = {random_id(), 0};
+  }
+  const auto identity = found.raft.identity;
+  const auto entries = found.raft.entries.size();
+  node_ = make_raft_node({}, std::move(found.raft), io::random_engine()(), io::now());
+  if (is_new) {
+    process(store_identity(*node_));
+  }
+  io::log_event(io::log_level::info, "log_opened",
+                {{"member", std::to_string(identity.id)},
+                 {"group", std::to_string(identity.group)},
+                 {"new", is_new ? "true" : "false"},
+                 {"snapshot", std::to_string(node_->log.snapshot.last_index)},
+                 {"entries", std::to_string(entries)}});
+  update_targets();
+}
+
+void replica::stop() {
+  timer_.stop();
+  network_.close();
+  log_.close();
+}
+
+void replica::tick() {
+  const auto now = io::now();
+  network_.tick(now);
+  if (out_of_service_) {
+    return;
+  }
+  process(marigoldstep::tick(*node_, now));
+  try_changes();
+  try_to_form_group();
   bootstrap();
 }
 
-void replica::bootstrap() {
+void replica::process(raft_output out) {
+  if (!out.records.empty()) {
+    log_.store(out.sync_id, std::move(out.records));
+  }
+  for (const auto& it : out.immediate) {
+    send(it);
+  }
+  for (auto& it : out.messages) {
+    if (out.sync_id <= synced_id_) {
+      send(it);
+    } else {
+      held_.push_back({out.sync_id, std::move(it)});
+    }
+  }
+  if (out.install) {
+    install(*out.install);
+  }
+  apply(out.committed);
+  note_role();
+  answer_reads(out.reads);
+  if (out.snapshot_wanted && !out_of_service_) {
+    process(compact(*node_, encode_snapshot(state_), io::now()));
+  }
+}
+
+void replica::note_role() {
+  if (node_->member_history.back().index != seen_members_) {
+    seen_members_ = node_->member_history.back().index;
+    update_targets();
+    io::log_event(io::log_level::info, "members_changed",
+                  {{"index", std::to_string(seen_members_)},
+                   {"voters", std::to_string(voter_count(members(*node_)))},
+                   {"members", std::to_string(members(*node_).size())}});
+  }
+  if (node_->role == seen_role_ && node_->state.term == seen_term_ &&
+      node_->leader == seen_leader_) {
+    return;
+  }
+  const bool led = seen_role_ == raft_role::leader;
+  seen_role_ = node_->role;
+  seen_term_ = node_->state.term;
+  seen_leader_ = node_->leader;
+  io::log_event(io::log_level::info, "election",
+                {{"role", std::string(name(seen_role_))},
+                 {"term", std::to_string(seen_term_)},
+                 {"leader", std::to_string(seen_leader_)}});
+  if (led && seen_role_ != raft_role::leader) {
+    fail_waiting();
+  }
+}
+
+void replica::handle_synced(std::uint64_t sync_id) {
+  if (out_of_service_) {
+    return;
+  }
+  synced_id_ = std::max(synced_id_, sync_id);
+  release_messages(synced_id_);
+  process(synced(*node_, synced_id_, io::now()));
+}
+
+void replica::release_messages(std::uint64_t sync_id) {
+  for (const auto& it : held_) {
+    if (it.sync_id <= sync_id) {
+      send(it.message);
+    }
+  }
+  std::erase_if(held_, [&](const auto& it) { return it.sync_id <= sync_id; });
+}
+
+io::endpoint replica::address_of(voter_id id) const {
+  if (const auto* it = find_member(members(*node_), id)) {
+    return {it->host, it->port};
+  }
+  // A learner that has no members yet answers the leader that introduced
+  // itself.
+  const auto* info = network_.find(id);
+  return info == nullptr ? io::endpoint() : info->peer;
+}
+
+void replica::send(const raft_message& message) {
+  network_.send(address_of(message.to), message);
+}
+
+void replica::update_targets() {
+  std::set<io::endpoint> targets;
+  for (const auto& it : members(*node_)) {
+    if (it.id != node_->identity.id) {
+      targets.insert({it.host, it.port});
+    }
+  }
+  if (targets.empty()) {
+    targets.insert(settings_.peers.begin(), settings_.peers.end());
+  }
+  targets.erase(settings_.advertise_peer);
+  network_.set_targets(std::move(targets));
+  network_.introduce_as({node_->identity.id, settings_.advertise_peer,
+                         settings_.advertise, node_->identity.group != 0});
+}
+
+void replica::apply(const std::vector<log_entry>& entries) {
+  for (const auto& it : entries) {
+    wire::ControlBodyUnion reply;
+    if (it.kind == entry_kind::normal) {
+      reply = apply_command(state_, it.data);
+    }
+    const auto waiting = waiting_.find(it.index);
+    if (waiting == waiting_.end()) {
+      continue;
+    }
+    const auto done = std::move(waiting->second.done);
+    const bool same = waiting->second.term == it.term;
+    waiting_.erase(waiting);
+    done(same ? std::error_code() : make_error_code(errc::control_unavailable),
+         std::move(reply));
+  }
+}
+
+void replica::install(const raft_snapshot& snapshot) {
   std::error_code ec;
-  const auto text = io::read_file(settings_.bootstrap_configuration, ec);
+  state_ = decode_snapshot(*snapshot.data, ec);
   if (ec) {
+    leave_service("a snapshot from the leader cannot be read");
     return;
   }
-  for (auto& it : bootstrap_commands(text, io::wall_clock())) {
-    propose(std::move(it), [](std::error_code, const wire::ControlBodyUnion&) {});
-  }
-  if (state_.accepted_version == 0) {
-    state_.accepted_version = 1;
-    state_.accepted_text = text;
+  io::log_event(io::log_level::info, "snapshot_installed",
+                {{"index", std::to_string(snapshot.last_index)}});
+}
+
+void replica::answer_reads(const std::vector<read_result>& reads) {
+  for (const auto& it : reads) {
+    const auto found = reads_.find(it.token);
+    if (found == reads_.end()) {
+      continue;
+    }
+    const auto done = std::move(found->second);
+    reads_.erase(found);
+    done(it.confirmed ? std::error_code() : make_error_code(errc::not_leader));
   }
 }
 
-void replica::propose(bytes command, propose_callback done) {
-  ++commit_index_;
-  done({}, apply_command(state_, command));
+void replica::fail_waiting() {
+  const auto waiting = std::move(waiting_);
+  waiting_.clear();
+  for (const auto& [index, it] : waiting) {
+    it.done(make_error_code(errc::control_unavailable), {});
+  }
 }
 
-void replica::confirm(confirm_callback done) {
-  done({});
+void replica::leave_service(const std::string& detail) {
+  if (out_of_service_) {
+    return;
+  }
+  out_of_service_ = true;
+  io::log_event(io::log_level::error, "storage_failed",
+                {{"detail", detail}, {"action", "out of service until restarted"}});
+  held_.clear();
+  network_.set_targets({});
+  fail_waiting();
+  const auto reads = std::move(reads_);
+  reads_.clear();
+  for (const auto& [token, done] : reads) {
+    done(make_error_code(errc::not_leader));
+  }
 }
 
 } // namespace marigoldstep::control
--- a/tools/control/service.h
+++ b/tools/control/service.h
@@ -23,7 +23,7 @@
 // Serves nodes and operators: one request frame in, one reply frame out.
 class service : public QObject {
 public:
-  service(replica& group, QObject* parent);
+  service(replica& group, std::vector<operator_account> operators, QObject* parent);
 
   std::error_code listen(const io::endpoint& address);
   [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
@@ -57,11 +57,22 @@
                       const wire::HistoryRequestT& body);
   void handle_status(const link& to, std::uint64_t correlation);
   void handle_operator(const link& to, const wire::ControlFrameT& frame);
+  void handle_operator_keys(const link& to, const wire::ControlFrameT& frame,
+                            const wire::OperatorRequestT& body);
   void handle_command(const link& to, const wire::ControlFrameT& frame);
+  void handle_change(const link& to, const wire::ControlFrameT& frame,
+                     const wire::ChangeRequestT& body);
+  void handle_member(const link& to, std::uint64_t correlation,
+                     const wire::MemberRequestT& body);
+  void send_overload(const link& to, const wire::ControlFrameT& request);
+  // Whether the key belongs to the operator; an empty name means any operator.
+  [[nodiscard]] bool is_authorized(const std::string& name, std::string_view key) const;
 
   [[nodiscard]] wire::HeartbeatAckT make_ack(const wire::HeartbeatT& body);
   [[nodiscard]] wire::StatusReplyT make_status();
   void note_versions();
+  void note_term();
+  void add_voters(wire::StatusReplyT& reply) const;
 
   // Calls reply once a quorum has confirmed this leader; answers NotLeader
   // otherwise.
@@ -79,11 +90,13 @@
   void send_not_leader(const link& to, std::uint64_t correlation);
 
   replica& group_;
+  std::vector<operator_account> operators_;
   io::framed_listener listener_;
   QTimer timer_;
   std::map<io::framed_connection*, client> clients_;
   membership_table table_;
   std::uint64_t table_term_ = 0;
+  time_point leads_since_{};
   std::map<std::string, known_node> nodes_;
   std::uint64_t version_seen_ = 0;
   time_point version_since_{};
