--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -1,7 +1,9 @@
 """Runs the main job on loopback: a fleet under load while parts of it fail."""
 
 import argparse
+import json
 import os
+import re
 import subprocess
 import sys
 import threading
@@ -79,7 +81,7 @@
     proposed = mstepctl(fleet, "propose", path)
     if proposed.returncode != 0:
         raise RuntimeError(f"propose: {proposed.stdout}{proposed.stderr}")
-    change_id = proposed.stdout.split()[0]
+    change_id = re.search(r"\bc-[0-9a-f]+", proposed.stdout).group(0)
     approved_at = time.monotonic()
     approved = mstepctl(fleet, "approve", change_id)
     if approved.returncode != 0:
@@ -87,8 +89,14 @@
     return wait_in_force(fleet, approved_at)
 
 
+def says_in_force(fleet):
+    """Whether the control group knows that every live node applies the change."""
+    status = mstepctl(fleet, "status", "--json")
+    return status.stdout.startswith("{") and json.loads(status.stdout).get("in_force", False)
+
+
 def wait_in_force(fleet, since, version=2, limit_s=10.0):
-    """Seconds until every live router applies the version; None after the limit."""
+    """Seconds until every live node applies the version; None after the limit."""
     while time.monotonic() - since < limit_s:
         versions = []
         for node in fleet.routers:
@@ -98,7 +106,7 @@
                     versions.append(totals.get("mstep_router_config_version", 0))
                 except OSError:
                     versions.append(0)
-        if versions and min(versions) >= version:
+        if versions and min(versions) >= version and says_in_force(fleet):
             return time.monotonic() - since
         time.sleep(0.05)
     return None
--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -294,7 +294,7 @@
             continue
         try:
             for line in http("GET", node.admin, "/metrics", timeout=0.5).splitlines():
-                if re.match(r"mstep_control_(is_)?leader(\{[^}]*\})? 1", line):
+                if re.match(r"marigoldstep_control_(is_)?(leader|leading)(\{[^}]*\})? 1", line):
                     return i
         except OSError:
             pass
