--- a/tools/ctl/main.cpp
+++ b/tools/ctl/main.cpp
@@ -1,5 +1,6 @@
 #include "ctl/files.h"
 #include "ctl/fleet.h"
+#include "ctl/logs.h"
 
 #include <QCoreApplication>
 
@@ -15,7 +16,7 @@
   command_result (*run)(const ctl_options&);
 };
 
-constexpr std::array<command_entry, 11> commands = {{
+constexpr std::array<command_entry, 13> commands = {{
     {"init", run_init},
     {"check", run_check},
     {"generate", run_generate},
@@ -27,6 +28,8 @@
     {"stop", run_stop},
     {"history", run_history},
     {"members", run_members},
+    {"why", run_why},
+    {"report", run_report},
 }};
 
 command_result run(const ctl_options& options) {
--- a/tools/ctl/options.cpp
+++ b/tools/ctl/options.cpp
@@ -35,6 +35,10 @@
   members                the members of the control group
   members add ID HOST:PORT | promote ID | remove ID
 
+Logs, without the fleet:
+  why REQUEST_ID LOG...  the decisions about one request
+  report LOG... -o FILE  one HTML page for the time the logs cover
+
 Exit status:
   0  done
   1  refused, not reached and nothing sent, or (status) a promise not held now
