--- a/benchmark/main.cpp
+++ b/benchmark/main.cpp
@@ -1,4 +1,5 @@
 #include "placement_bench.h"
+#include "raft_bench.h"
 
 #include <cstdio>
 #include <popt.h>
@@ -35,5 +36,8 @@
   if (part.empty() || part == "placement") {
     marigoldstep::bench::run_placement_bench(options);
   }
+  if (part.empty() || part == "raft") {
+    marigoldstep::bench::run_raft_bench(options);
+  }
   return 0;
 }
