Start a new voter's election timer when it becomes a voter

Cause: a member drew its timeout before it stored the entry that makes it a voter, and so waited three times as long, as a learner does. Change: the timer is drawn after the entries are stored. The benchmark lets the group settle for 300 ms, so that all followers can campaign.

--- a/benchmark/raft_bench.cpp
+++ b/benchmark/raft_bench.cpp
@@ -23,7 +23,9 @@
 constexpr std::size_t entry_bytes = 200;
 constexpr std::size_t open_requests = 32; // proposals in flight at once
 constexpr auto measured_time = std::chrono::seconds(3);
-constexpr int elections = 9;
+constexpr int elections = 25;
+// All followers know the group and hear heartbeats by then.
+constexpr auto settling_time = std::chrono::milliseconds(300);
 const char* const data_folder = "raft-bench-data";
 
 double seconds_since(steady::time_point begin) {
@@ -113,6 +115,13 @@
     }
   }
 
+  void run_for(std::chrono::milliseconds time) {
+    const auto begin = steady::now();
+    while (steady::now() - begin < time) {
+      turn();
+    }
+  }
+
   void kill_leader() { leader()->alive = false; }
 
   void load(std::vector<double>& latencies) {
@@ -229,8 +238,7 @@
   for (int i = 0; i < elections; ++i) {
     group it(data_folder, 3);
     it.elect();
-    // Followers have just heard the leader.
-    it.turn();
+    it.run_for(settling_time);
     it.kill_leader();
     const auto begin = steady::now();
     it.elect();
@@ -249,7 +257,7 @@
   body.kind = wire::ClaimKind::claim;
   body.workspace = "workspace-" + std::to_string(i % 10);
   body.service = "booking-svc";
-  body.key = std::to_string(time) + "-order-" + std::to_string(i);
+  body.key = std::to_string(time) + "-order-number-" + std::to_string(i);
   body.body_hash = i;
   body.attempt_hi = i;
   body.holder = "agent-1";
--- a/src/raft_replication.cpp
+++ b/src/raft_replication.cpp
@@ -185,12 +185,12 @@
     become_follower(node, node.state.term, message.from, now, out);
   }
   node.leader_contact = now;
-  reset_election_deadline(node, now);
   auto reply = make_message(node, message.from);
   const bool known = body.previous_index <= node.log.base_index ||
                      (body.previous_index <= last_index(node.log) &&
                       term_at(node.log, body.previous_index) == body.previous_term);
   if (!known) {
+    reset_election_deadline(node, now);
     reply.body = append_reply{false, conflict_hint(node, body.previous_index), body.round,
                               body.previous_index};
     out.messages.push_back(std::move(reply));
@@ -199,6 +199,9 @@
   const auto before = out.records.size();
   auto match = store_entries(node, body, out);
   commit_up_to(node, std::min(body.commit_index, match), out);
+  // After the entries, because they may have made this member a voter, which
+  // waits less than a learner.
+  reset_election_deadline(node, now);
   // A reply that reports nothing new need not wait for the disk: a slow disk
   // must not look like a lost member.
   const bool prompt = out.records.size() == before && out.records.empty() &&
--- a/src/raft_snapshot.cpp
+++ b/src/raft_snapshot.cpp
@@ -132,7 +132,6 @@
     become_follower(node, node.state.term, message.from, now, out);
   }
   node.leader_contact = now;
-  reset_election_deadline(node, now);
   snapshot_reply reply{0, false, body.last_index};
   if (body.last_index <= node.commit_index) {
     reply = {body.total, true, body.last_index};
@@ -147,6 +146,7 @@
   if (reply.done) {
     node.incoming.reset();
   }
+  reset_election_deadline(node, now);
   auto answer = make_message(node, message.from);
   answer.body = reply;
   out.messages.push_back(std::move(answer));
