--- /dev/null
+++ b/tests/log_file_test.cpp
@@ -0,0 +1,104 @@
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/log_file.h"
+
+#include <catch2/catch.hpp>
+
+#include <QCoreApplication>
+#include <QTemporaryDir>
+
+#include <filesystem>
+
+using namespace marigoldstep;
+
+namespace {
+
+bool wait_for(const std::function<bool()>& done) {
+  const auto until = io::now() + duration(5000);
+  while (!done() && io::now() < until) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+  }
+  return done();
+}
+
+raft_record entry(log_index index) {
+  return log_item(log_entry{index, 1, entry_kind::normal, {1, 2, 3}});
+}
+
+recovered_log reopen(const std::string& folder, std::error_code& ec) {
+  io::log_file log(nullptr);
+  std::string detail;
+  return log.open(folder, ec, detail);
+}
+
+} // namespace
+
+// Guards against records that are lost or reordered across restarts, rotations
+// to a checkpoint and removal of old files, and against two processes that write
+// into one folder.
+TEST_CASE("a log in files comes back whole") {
+  int argc = 1;
+  std::string name = "log_file_test";
+  char* argv[] = {name.data(), nullptr};
+  const QCoreApplication app(argc, argv);
+  const QTemporaryDir dir;
+  const auto folder = dir.path().toStdString() + "/log";
+  std::error_code ec;
+  std::string detail;
+  {
+    io::log_file log(nullptr);
+    log.open(folder, ec, detail);
+    REQUIRE_FALSE(ec);
+    reopen(folder, ec);
+    CHECK(ec == errc::storage_failed);
+    log.store(1, {log_item(voter_identity{7, 8}), log_item(hard_state{1, 7})});
+    for (log_index i = 1; i <= 20; ++i) {
+      log.store(i + 1, {entry(i)});
+    }
+    const raft_snapshot snapshot{15, 1, {}, std::make_shared<const bytes>(bytes{9})};
+    log.store(22, {log_checkpoint{snapshot,
+                                  {voter_identity{7, 8}, hard_state{1, 7},
+                                   snapshot_mark{15, 1}, std::get<log_item>(entry(16)),
+                                   std::get<log_item>(entry(17))}}});
+    std::uint64_t synced = 0;
+    log.on_synced = [&](std::uint64_t id) { synced = id; };
+    log.store(23, {entry(18)});
+    REQUIRE(wait_for([&] { return synced == 23; }));
+  }
+  auto found = reopen(folder, ec);
+  REQUIRE_FALSE(ec);
+  CHECK(found.raft.identity == voter_identity{7, 8});
+  CHECK(found.raft.snapshot.last_index == 15);
+  REQUIRE(found.raft.entries.size() == 3);
+  CHECK(found.raft.entries.back().index == 18);
+
+  SECTION("nothing is stored after a failed write") {
+    io::log_file log(nullptr);
+    log.open(folder, ec, detail);
+    int failures = 0;
+    std::uint64_t synced = 0;
+    log.on_failed = [&](const std::string&) { ++failures; };
+    log.on_synced = [&](std::uint64_t id) { synced = id; };
+    log.inject_error = [first = true](const storage_op&) mutable {
+      const bool fail = std::exchange(first, false);
+      return fail ? std::make_error_code(std::errc::io_error) : std::error_code();
+    };
+    log.store(1, {entry(19)});
+    REQUIRE(wait_for([&] { return failures == 1; }));
+    log.store(2, {entry(19)});
+    log.close();
+    QCoreApplication::processEvents();
+    CHECK(synced == 0);
+    CHECK(failures == 1);
+  }
+  SECTION("a lost snapshot or segment is refused") {
+    const bool lose_snapshot = GENERATE(true, false);
+    for (const auto& it : std::filesystem::directory_iterator(folder)) {
+      const auto file = it.path().filename().string();
+      if (file.starts_with(lose_snapshot ? "snapshot" : "segment")) {
+        std::filesystem::remove(it.path());
+      }
+    }
+    reopen(folder, ec);
+    CHECK(ec == errc::storage_corrupt);
+  }
+}
