--- a/tests/programs/router_test.cpp
+++ b/tests/programs/router_test.cpp
@@ -329,3 +329,57 @@
   REQUIRE(wait_for([&] { return caller.is_whole(); }));
   CHECK(wait_for([&] { return stopped; }));
 }
+
+// Guards against a caller that reads slowly and so fills the memory of the router.
+TEST_CASE("a slow caller holds back the agent") {
+  fleet_fixture fleet;
+  constexpr std::uint64_t total = 32U << 20U;
+  constexpr std::uint64_t window = 256U << 10U;
+  constexpr std::uint64_t chunk = 32U << 10U;
+  const std::string block(chunk, 'x');
+  std::uint64_t sent = 0;
+  const auto pump = [&] {
+    const auto acked = fleet.a.acks.empty() ? 0 : fleet.a.acks.back().offset;
+    const auto& id = *fleet.a.starts[0].attempt_id;
+    while (sent < total && sent + chunk <= acked + window) {
+      fleet.a.send_data(id, sent, block);
+      sent += chunk;
+      if (sent == total) {
+        fleet.a.send_end(id, completed(), total);
+      }
+    }
+  };
+  fleet.a.on_start = [&](const wire::StartAttemptT& start) {
+    fleet.a.send_head(*start.attempt_id);
+  };
+  fleet.start({fleet.server(fleet.a, "pool")});
+  fake_caller caller(fleet.daemon->port());
+  caller.socket.blockSignals(true);
+  caller.socket.setReadBufferSize(1);
+  caller.chat(true);
+  REQUIRE(wait_for([&] { return fleet.a.starts.size() == 1; }));
+  std::size_t acks = 1;
+  // Goes on until no acknowledgement has come for a while.
+  while (acks != fleet.a.acks.size()) {
+    acks = fleet.a.acks.size();
+    pump();
+    wait_for([&] { return fleet.a.acks.size() != acks; }, 500);
+  }
+  // The kernel's buffers of both sockets take up to 10 MB on this path.
+  CHECK(sent < total / 2);
+  caller.socket.blockSignals(false);
+  caller.socket.setReadBufferSize(0);
+  std::uint64_t received = 0;
+  REQUIRE(wait_for(
+      [&] {
+        pump();
+        received += static_cast<std::uint64_t>(caller.socket.readAll().size());
+        received += caller.input.size();
+        const bool whole = caller.input.ends_with("\r\n0\r\n\r\n");
+        caller.input.clear();
+        return whole || received > total + total / 16;
+      },
+      20'000));
+  CHECK(received >= total);
+  CHECK(sent == total);
+}
--- a/tools/router/relay_end.cpp
+++ b/tools/router/relay_end.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr auto default_retry_after = duration(1000);
 constexpr auto cancel_timeout = duration(1000);
 constexpr auto default_avoid_time = duration(100);
 
