Bound the memory of requests and leave agents that went silent

A single caller was bounded, but many together were not: bodies, held answers and unfinished requests now share the limit max_buffered_bytes. A connection on which a suspect agent has been silent for a second is replaced, and one to a dead agent at once; before, a request on a connection that nobody closed waited for its deadline.

--- a/tests/programs/router_test.cpp
+++ b/tests/programs/router_test.cpp
@@ -383,3 +383,24 @@
   CHECK(received >= total);
   CHECK(sent == total);
 }
+
+// Guards against a request that waits for an agent whose VM is gone without
+// having closed its connections.
+TEST_CASE("a silent agent that the control group lost is left") {
+  fleet_fixture fleet;
+  fleet.b.on_start = [&](const wire::StartAttemptT& start) {
+    fleet.b.answer_whole(*start.attempt_id, "b");
+  };
+  fleet.start({fleet.server(fleet.a, "pool")});
+  fake_caller caller(fleet.daemon->port());
+  caller.chat(false);
+  REQUIRE(wait_for([&] { return fleet.a.starts.size() == 1; }));
+  // The process stays silent on its open connection and accepts no other.
+  fleet.a.listener->close();
+  auto lost = fleet.server(fleet.a, "pool");
+  lost.state = server_state::dead;
+  fleet.control.servers = {lost, fleet.server(fleet.b, "pool")};
+  ++fleet.control.membership_version;
+  REQUIRE(wait_for([&] { return caller.is_whole(); }));
+  CHECK(caller.body() == "b");
+}
--- a/tools/router/agent_link.cpp
+++ b/tools/router/agent_link.cpp
@@ -17,6 +17,8 @@
 // Running attempts wait this long for their agent. A repeatable request must
 // have time for another server, and the agent's resume window must not be over.
 constexpr auto reconnect_limit = duration(2000);
+// Agents send chunks of running answers much more often.
+constexpr auto silent_time = duration(1000);
 
 } // namespace
 
@@ -146,6 +148,7 @@
     handle_closed();
     return;
   }
+  heard_at_ = io::now();
   if (on_frame) {
     on_frame(*frame);
   }
@@ -197,6 +200,10 @@
   }
 }
 
+bool agent_link::is_silent(time_point now) const {
+  return ready_ && !sinks_.empty() && now - heard_at_ >= silent_time;
+}
+
 void agent_link::reconnect() {
   if (connection_ == nullptr) {
     return;
--- a/tools/router/agent_link.h
+++ b/tools/router/agent_link.h
@@ -58,6 +58,9 @@
   // Drops the connection and looks anew whether the agent still answers.
   void reconnect();
 
+  // Attempts wait here and no frame has come for a while.
+  [[nodiscard]] bool is_silent(time_point now) const;
+
   [[nodiscard]] const agent_address& address() const { return address_; }
   [[nodiscard]] std::size_t attempts() const { return sinks_.size(); }
 
@@ -79,6 +82,7 @@
   incarnation agent_ = 0;
   QTimer timer_;
   time_point dropped_at_{};
+  time_point heard_at_{};
   unsigned failures_ = 0;
   std::unordered_map<attempt_id, attempt_sink*, attempt_id_hash> sinks_;
 };
--- a/tools/router/caller_server.cpp
+++ b/tools/router/caller_server.cpp
@@ -94,6 +94,7 @@
   });
   connect(socket, &QTcpSocket::disconnected, this, [this, socket] {
     auto node = connections_.extract(socket);
+    unparsed_bytes_ -= node.empty() ? 0 : node.mapped()->unparsed_bytes;
     if (!node.empty() && node.mapped()->sink != nullptr) {
       node.mapped()->sink->on_caller_gone();
     }
@@ -110,12 +111,15 @@
     discard_input(socket);
     return;
   }
-  connection.unparsed_bytes += static_cast<std::uint64_t>(socket->bytesAvailable());
-  if (connection.unparsed_bytes <= max_request_bytes) {
+  const auto n = static_cast<std::uint64_t>(socket->bytesAvailable());
+  connection.unparsed_bytes += n;
+  unparsed_bytes_ += n;
+  const bool all_too_large = unparsed_bytes_ > limits_.max_buffered_bytes;
+  if (connection.unparsed_bytes <= max_request_bytes && !all_too_large) {
     return;
   }
   // Bytes sent during an answer are input that nobody will read.
-  if (connection.sink != nullptr) {
+  if (connection.sink != nullptr || all_too_large) {
     socket->abort();
     return;
   }
@@ -134,6 +138,7 @@
     return;
   }
   auto& connection = *it->second;
+  unparsed_bytes_ -= connection.unparsed_bytes;
   connection.unparsed_bytes = 0;
   connection.active_at = io::now();
   if (connection.sink != nullptr) {
--- a/tools/router/caller_server.h
+++ b/tools/router/caller_server.h
@@ -78,6 +78,7 @@
   io::http_server http_;
   std::unique_ptr<listener> listener_;
   QTimer timer_;
+  std::uint64_t unparsed_bytes_ = 0; // of all connections
   std::unordered_map<QTcpSocket*, std::unique_ptr<caller_connection>> connections_;
 };
 
--- a/tools/router/relay.cpp
+++ b/tools/router/relay.cpp
@@ -69,7 +69,16 @@
   drained_at_ = job_.received_at;
 }
 
+// Keeps the owner's sum in step with the memory that this request holds.
+void relay::account_buffers() {
+  const auto n = finished_ ? 0 : job_.start.body.size() + held_.size();
+  owner_.free_buffered(accounted_);
+  owner_.add_buffered(n);
+  accounted_ = n;
+}
+
 void relay::begin() {
+  account_buffers();
   owner_.note_first_attempt();
   try_next();
 }
@@ -154,6 +163,7 @@
   server_incarnation_ = server.incarnation;
   head_.reset();
   held_.clear();
+  account_buffers();
   acknowledged_ = 0;
   failed_status_ = false;
   wait_until(deadline_);
@@ -278,12 +288,13 @@
   constexpr int first_error_status = 400;
   const bool is_error = head_ != nullptr && head_->status >= first_error_status;
   const bool streams = resume_only_ || (job_.request.stream && !is_error);
-  return !streams && held_.size() <= longest_held_answer;
+  return !streams && held_.size() <= longest_held_answer && !owner_.is_buffer_full();
 }
 
 void relay::pass_on(byte_view data) {
   if (!state_.passed_on) {
     held_.append(as_text(data));
+    account_buffers();
     if (head_ == nullptr && !resume_only_) {
       return; // without acknowledgements the agent's window bounds what is held
     }
@@ -308,6 +319,7 @@
   job_.start = {};
   head_.reset();
   tried_ = {};
+  account_buffers();
   drained_at_ = io::now();
   wait_until(drained_at_ + owner_.limits().caller_stall_timeout);
 }
--- a/tools/router/relay.h
+++ b/tools/router/relay.h
@@ -66,6 +66,7 @@
   void handle_end(const wire::AttemptEndT& end);
   void pass_on(byte_view data);
   void begin_answer();
+  void account_buffers();
   void acknowledge(std::uint64_t step);
   template <typename Body> void send_about_attempt(Body body);
   void finish();
@@ -87,7 +88,8 @@
   incarnation server_incarnation_ = 0; // as announced
   incarnation agent_ = 0;              // that the start was written to
   std::unique_ptr<wire::AttemptHeadT> head_;
-  std::string held_; // answer bytes not passed on yet
+  std::string held_;          // answer bytes not passed on yet
+  std::size_t accounted_ = 0; // of body and held_, at the owner
   std::vector<tried_server> tried_;
   outcome last_refusal_;
   time_point deadline_{};
--- a/tools/router/relay_end.cpp
+++ b/tools/router/relay_end.cpp
@@ -162,6 +162,7 @@
     return;
   }
   finished_ = true;
+  account_buffers();
   leave_link();
   const auto verdict = name(result.result);
   owner_.metrics().count_request(verdict, code);
--- a/tools/router/router.cpp
+++ b/tools/router/router.cpp
@@ -23,6 +23,15 @@
   return {server.node_id, server.host, server.port};
 }
 
+void follow(agent_link& link, const server_info& server) {
+  link.set_address(address_of(server));
+  // Neither the control group nor this router hears it: a new connection shows
+  // whether the VM is gone, and running answers are resumed on it.
+  if (server.state == server_state::suspect && link.is_silent(io::now())) {
+    link.reconnect();
+  }
+}
+
 } // namespace
 
 router::router(const router_settings& settings, QObject* parent)
@@ -144,18 +153,21 @@
 
 void router::handle_membership(const membership_view& view) {
   update(fleet_, view);
-  for (auto it = links_.begin(); it != links_.end();) {
-    auto& link = *it->second;
-    if (is_known(view, it->first)) {
-      link.set_address(address_of(view.servers.at(it->first)));
-      ++it;
+  // A link that reconnects may send a request elsewhere and so add a link.
+  std::vector<std::string> ids;
+  for (const auto& [id, link] : links_) {
+    ids.push_back(id);
+  }
+  for (const auto& id : ids) {
+    auto& link = *links_.at(id);
+    if (is_known(view, id)) {
+      follow(link, view.servers.at(id));
     } else if (link.attempts() == 0) {
-      it = links_.erase(it);
+      links_.erase(id);
     } else {
       // The agent was not heard for seconds: a connection that is silent may
       // lead to a VM that is gone.
       link.reconnect();
-      ++it;
     }
   }
 }
--- a/tools/router/router.h
+++ b/tools/router/router.h
@@ -42,6 +42,12 @@
                               std::span<const tried_server> tried);
   static void log_choice(const std::string& request_id, unsigned attempt,
                          const server_choice& found);
+  // Accounts for memory that requests hold.
+  void add_buffered(std::size_t n) { buffered_bytes_ += n; }
+  void free_buffered(std::size_t n) { buffered_bytes_ -= n; }
+  [[nodiscard]] bool is_buffer_full() const {
+    return buffered_bytes_ > settings_.limits.max_buffered_bytes;
+  }
   void note_first_attempt();
   bool take_retry();
   // The link to a server; made when there is none.
@@ -85,6 +91,7 @@
   std::map<std::string, time_point, std::less<>> contacts_; // suspects that answered
   QTimer wake_timer_;
   std::uint64_t newest_version_ = 0;
+  std::uint64_t buffered_bytes_ = 0;
   bool stopping_ = false;
   time_point stop_by_{};
 };
--- a/tools/router/router_calls.cpp
+++ b/tools/router/router_calls.cpp
@@ -106,7 +106,7 @@
   } else if (stopping_ && kind != call_kind::resume) {
     refuse(request, connection, request_id,
            not_run(errc::server_draining, busy_retry_after));
-  } else if (relays_.size() >= settings_.limits.max_requests) {
+  } else if (relays_.size() >= settings_.limits.max_requests || is_buffer_full()) {
     refuse(request, connection, request_id, not_run(errc::queue_full, busy_retry_after));
   } else if (kind == call_kind::resume) {
     handle_resume(request, connection, std::move(request_id));
--- a/tools/router/settings.cpp
+++ b/tools/router/settings.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr std::int64_t most_connections = 1'000'000;
+constexpr std::int64_t smallest_buffer = 1 << 10;
+constexpr std::int64_t largest_buffer = 1LL << 40;
 constexpr auto shortest_time = duration(100);
 constexpr auto longest_time = duration(24L * 3600 * 1000);
 
@@ -44,6 +46,9 @@
   };
   out.max_connections = read_count(map, "max_connections", out.max_connections);
   out.max_requests = read_count(map, "max_requests", out.max_requests);
+  out.max_buffered_bytes = static_cast<std::uint64_t>(read_integer(
+      map, "max_buffered_bytes", static_cast<std::int64_t>(out.max_buffered_bytes),
+      smallest_buffer, largest_buffer));
   out.caller_idle_timeout = read_time("caller_idle_timeout_ms", out.caller_idle_timeout);
   out.caller_stall_timeout =
       read_time("caller_stall_timeout_ms", out.caller_stall_timeout);
--- a/tools/router/settings.h
+++ b/tools/router/settings.h
@@ -11,6 +11,9 @@
 struct router_limits {
   std::uint32_t max_connections = 20'000; // open connections of callers
   std::uint32_t max_requests = 12'000;    // requests in progress
+  // Bodies and held answers of all requests in progress, in bytes. Above it new
+  // requests are refused and answers are passed on in chunks without being held.
+  std::uint64_t max_buffered_bytes = 256U << 20U;
   // A caller must send a whole request, or the next one, within this time.
   duration caller_idle_timeout{30'000};
   // A caller that takes no bytes of a running answer for this long is cut off.
