--- a/tools/control/service.cpp
+++ b/tools/control/service.cpp
@@ -14,15 +14,18 @@
 constexpr auto rate_window = duration(1000);
 // A peer that doesn't read its replies is cut off.
 constexpr std::size_t max_queued_bytes = 32U << 20U;
+// A command must fit into one frame between members, with its wrapping.
+constexpr std::size_t max_command_bytes = 12U << 20U;
 constexpr auto advance_interval = duration(100);
 
 } // namespace
 
-service::service(replica& group, QObject* parent)
-    : QObject(parent), group_(group), listener_(this) {
+service::service(replica& group, std::vector<operator_account> operators, QObject* parent)
+    : QObject(parent), group_(group), operators_(std::move(operators)), listener_(this) {
   listener_.on_connection = [this](io::framed_connection* it) { accept(it); };
   connect(&timer_, &QTimer::timeout, this, [this] {
     if (group_.is_leader()) {
+      note_term();
       advance(table_, io::now());
       note_versions();
     }
@@ -79,9 +82,9 @@
   }
   std::error_code ec;
   const auto frame = wire::decode_control(buf, ec);
-  if (!frame || !within_rate(connection)) {
+  if (!frame || !within_rate(connection) || buf.size() > max_command_bytes) {
     io::log_event(io::log_level::warning, "connection_refused",
-                  {{"reason", frame ? "rate" : "malformed"}});
+                  {{"reason", frame ? "rate or size" : "malformed"}});
     close(connection);
     return;
   }
@@ -98,8 +101,12 @@
   } else if (frame.body.AsFetchConfig() != nullptr) {
     handle_fetch(to, frame.correlation);
   } else if (frame.body.AsClaimRequest() != nullptr ||
-             frame.body.AsChangeRequest() != nullptr) {
+             frame.body.AsOrderRequest() != nullptr) {
     handle_command(to, frame);
+  } else if (const auto* change = frame.body.AsChangeRequest()) {
+    handle_change(to, frame, *change);
+  } else if (const auto* member = frame.body.AsMemberRequest()) {
+    handle_member(to, frame.correlation, *member);
   } else if (const auto* history = frame.body.AsHistoryRequest()) {
     handle_history(to, frame.correlation, *history);
   } else if (frame.body.AsStatusRequest() != nullptr) {
@@ -131,23 +138,6 @@
   });
 }
 
-void service::handle_command(const link& to, const wire::ControlFrameT& frame) {
-  const auto correlation = frame.correlation;
-  group_.propose(
-      encode_command(frame, io::wall_clock()),
-      [this, to, correlation](std::error_code ec, wire::ControlBodyUnion body) {
-        if (ec || body.type == wire::ControlBody::NONE) {
-          send_not_leader(to, correlation);
-          return;
-        }
-        wire::ControlFrameT reply;
-        reply.correlation = correlation;
-        reply.body = std::move(body);
-        send(to, reply);
-        note_versions();
-      });
-}
-
 void service::send(const link& to, const wire::ControlFrameT& frame) {
   if (to == nullptr) {
     return;
--- a/tools/control/settings.h
+++ b/tools/control/settings.h
@@ -2,6 +2,7 @@
 
 #include "marigoldstep/io/control_client.h"
 #include "marigoldstep/io/logging.h"
+#include "marigoldstep/io/tls.h"
 #include "marigoldstep/yaml_reader.h"
 
 #include <string>
@@ -9,6 +10,12 @@
 
 namespace marigoldstep::control {
 
+// Who may change the configuration and the group.
+struct operator_account {
+  std::string name;
+  std::string key;
+};
+
 // Settings of mstep-control.
 struct control_settings {
   std::string data_dir;
@@ -22,6 +29,8 @@
   io::log_level log_level = io::log_level::info;
   std::string log_file;
   std::string zone;
+  io::tls_files tls;
+  std::vector<operator_account> operators; // empty: everybody who can connect
 };
 
 // Parses the settings; problems go to the mapping's report.
