--- a/scripts/lib/chaos.py
+++ b/scripts/lib/chaos.py
@@ -50,6 +50,8 @@
         leader = harness.find_leader(self.fleet)
         if kind == "leader":
             return None if leader is None else self.fleet.controls[leader]
+        if kind == "suspended control":
+            return self.pick(self.fleet.controls)
         others = [it for i, it in enumerate(self.fleet.controls) if i != leader]
         return self.pick(others or self.fleet.controls)
 
--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -135,7 +135,8 @@
         say(started, f"killed {victim.name}{'' if leader is None else ', the leader'}")
     wait_until(CHANGE_AT)
     seconds = change_configuration(fleet)
-    say(started, f"a change was proposed, approved and in force after {seconds} s")
+    after = "not in force in time" if seconds is None else f"in force after {seconds:.2f} s"
+    say(started, f"a change was proposed and approved: {after}")
     return seconds
 
 
