--- a/tools/control/service.h
+++ b/tools/control/service.h
@@ -56,6 +56,9 @@
   void handle_history(const link& to, std::uint64_t correlation,
                       const wire::HistoryRequestT& body);
   void handle_status(const link& to, std::uint64_t correlation);
+  void handle_operator(const link& to, const wire::ControlFrameT& frame);
+  void handle_operator_keys(const link& to, const wire::ControlFrameT& frame,
+                            const wire::OperatorRequestT& body);
   void handle_command(const link& to, const wire::ControlFrameT& frame);
   void handle_change(const link& to, const wire::ControlFrameT& frame,
                      const wire::ChangeRequestT& body);
@@ -63,7 +66,7 @@
                      const wire::MemberRequestT& body);
   void send_overload(const link& to, const wire::ControlFrameT& request);
   // Whether the key belongs to the operator; an empty name means any operator.
-  [[nodiscard]] bool is_authorized(std::string_view name, std::string_view key) const;
+  [[nodiscard]] bool is_authorized(const std::string& name, std::string_view key) const;
 
   [[nodiscard]] wire::HeartbeatAckT make_ack(const wire::HeartbeatT& body);
   [[nodiscard]] wire::StatusReplyT make_status();
--- a/tools/ctl/main.cpp
+++ b/tools/ctl/main.cpp
@@ -16,7 +16,7 @@
   command_result (*run)(const ctl_options&);
 };
 
-constexpr std::array<command_entry, 13> commands = {{
+constexpr std::array<command_entry, 14> commands = {{
     {"init", run_init},
     {"check", run_check},
     {"generate", run_generate},
@@ -28,6 +28,7 @@
     {"stop", run_stop},
     {"history", run_history},
     {"members", run_members},
+    {"operators", run_operators},
     {"why", run_why},
     {"report", run_report},
 }};
