--- a/tools/ctl/options.cpp
+++ b/tools/ctl/options.cpp
@@ -38,6 +38,10 @@
   operators add NAME     prints a new key for NAME
   operators remove NAME
 
+Logs, without the fleet:
+  why REQUEST_ID LOG...  the decisions about one request
+  report LOG... -o FILE  one HTML page for the time the logs cover
+
 Exit status:
   0  done
   1  refused, not reached and nothing sent, or (status) a promise not held now
