--- a/include/marigoldstep/io/control_client.h
+++ b/include/marigoldstep/io/control_client.h
@@ -14,7 +14,8 @@
   std::string host;
   std::uint16_t port = 0;
 
-  friend bool operator==(const endpoint&, const endpoint&) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted <=>
+  friend auto operator<=>(const endpoint&, const endpoint&) = default;
 };
 
 // Parses "host:port"; port 0 in the result means malformed.
--- a/include/marigoldstep/placement.h
+++ b/include/marigoldstep/placement.h
@@ -12,6 +12,15 @@
 struct placement_table {
   std::vector<server_info> servers;
   std::vector<std::uint64_t> seeds; // one per server, from its node id
+
+  // The serving ones alone, packed: a decision reads each of them.
+  struct serving_server {
+    std::uint64_t seed = 0;
+    std::uint32_t index = 0; // into servers
+    std::uint32_t weight_milli = 0;
+  };
+  std::vector<serving_server> serving;
+  std::uint32_t largest_weight_milli = 0;
 };
 
 placement_table make_placement_table(std::span<const server_info> servers,
@@ -40,10 +49,17 @@
 
 // Order of candidates by rendezvous hashing (Thaler and Ravishankar, 1998),
 // weighted by server_info::weight_milli. Servers that are not serving are left
-// out.
+// out. With a spread, the chats of a workspace are divided into that many groups
+// by jump consistent hash (Lamping and Veach, 2014); each group has one preferred
+// server, and each chat its own order of the others.
 candidate_list find_candidates(const placement_table& table, const placement_key& key,
                                std::size_t wanted);
 
+// Spread for a workspace that brings load_share (0 to 1) of a pool's load to
+// servers servers: few enough groups that its system prompt stays cached, enough
+// that no group is a large part of a server's load. 0 means all servers.
+std::uint32_t recommended_spread(double load_share, std::size_t servers);
+
 // What a router has learned of one server from its replies.
 struct server_observation {
   std::uint32_t running = 0;
@@ -72,4 +88,44 @@
                      std::span<const std::uint32_t> tried, double reuse_bias,
                      time_point now);
 
+// What a router asks of an agent beyond the agent's own load limit. A refusal for
+// an unmet condition costs one round trip and means not run.
+struct attempt_condition {
+  bool only_if_cached = false;       // the agent served this chat since its start
+  std::uint32_t ceiling_percent = 0; // of the pool's mean load; 0 for none
+
+  friend bool operator==(const attempt_condition&, const attempt_condition&) = default;
+};
+
+// Whether an agent that carries load attempts may admit under the condition.
+bool meets_condition(const attempt_condition& condition, bool cached, std::uint32_t load,
+                     std::uint32_t mean_milli);
+
+struct placement_step {
+  std::uint32_t server = 0; // index into placement_table::servers
+  choice_reason reason = choice_reason::none;
+  attempt_condition condition;
+};
+
+// The steps of one pass of a request, in order. A server that refused without a
+// condition, or could not be reached, is left out of the later steps.
+struct placement_plan {
+  std::array<placement_step, 3 * max_candidates> steps{};
+  std::size_t count = 0;
+};
+
+// Plans the attempts of a request. A returning chat first asks the candidates
+// whether they hold its prefix, so that it finds an earlier overflow without
+// state in the router. A chat without a prefix goes to the first candidate below
+// the ceiling, which leaves room under the load limit for those that return.
+// Candidates whose circuit breaker is open are left out unless none remains.
+placement_plan plan_attempts(const candidate_list& candidates,
+                             std::span<const server_observation> observations,
+                             bool returning, double reuse_bias, time_point now);
+
+// Weight of a server that started age ago and has full_weight_milli when warm.
+// Agents announce it; it rises in steps, so that a newcomer with an empty cache
+// takes over its chats gradually and routers get few updates.
+std::uint32_t slow_start_weight(duration age, std::uint32_t full_weight_milli);
+
 } // namespace marigoldstep
--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -32,7 +32,7 @@
 
 def mstepctl(fleet, *arguments):
     command = [os.path.join(harness.BIN, "mstepctl"), *arguments]
-    command += ["--control", ",".join(fleet.control_addresses)]
+    command += ["--author", "demo", "--control", ",".join(fleet.control_addresses)]
     return subprocess.run(command, capture_output=True, text=True, timeout=20, check=False)
 
 
@@ -197,7 +197,8 @@
         if report:
             show(report, sampler, in_force, drain.late)
         broken = check(report, status, in_force, drain.late, sampler.control_rates())
-        for fault in (report or {}).get("faults", []) if broken else []:
+        print(f"codes of the last answers: {report.get('problem_codes')}")
+        for fault in report.get("faults", []):
             print(f"  {fault}")
         for text in broken:
             print(f"does not hold: {text}")
--- /dev/null
+++ b/tools/ctl/options.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "marigoldstep/io/control_client.h"
+#include "marigoldstep/io/tls.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace marigoldstep::ctl {
+
+// Exit statuses, as --help states them.
+inline constexpr int exit_done = 0;
+inline constexpr int exit_refused = 1;
+inline constexpr int exit_usage = 2;
+inline constexpr int exit_unknown = 3;
+
+struct ctl_options {
+  std::string command;
+  std::vector<std::string> args;
+  std::vector<io::endpoint> control;
+  bool json = false;
+  bool ask = false;
+  std::string author;
+  std::string key;
+  std::string change_id;
+  std::optional<std::uint64_t> base;
+  std::string output;
+  duration timeout{10'000};
+  io::tls_files tls;
+};
+
+// What a command prints and how the program ends.
+struct command_result {
+  int status = exit_done;
+  std::string out;
+  std::string err;
+};
+
+// Parses the command line. A result means that the program ends with it, for help,
+// version or a usage error.
+std::optional<command_result> parse_options(int argc, const char* const* argv,
+                                            ctl_options& options);
+
+} // namespace marigoldstep::ctl
