Keep the agent alive when a peer sends damaged frames and closes

Cause: a link whose peer closed right after a damaged frame was dropped twice, the second time through a dangling pointer. Change: the queued drop looks the connection up again; backend calls never use a proxy. Conclusion: a test with damaged frames, missing ids and an unknown priority passes.

--- a/tests/programs/agent_test.cpp
+++ b/tests/programs/agent_test.cpp
@@ -244,3 +244,32 @@
   CHECK(as_text(last.answer->body) == "hello");
   CHECK(all.backend->calls.size() == 1);
 }
+
+// Guards against a damaged or hostile peer that takes the agent down, or leaves
+// the others without service.
+TEST_CASE("a peer that sends damaged frames only loses its own connection") {
+  fleet all;
+  auto& node = all.start();
+  fake_router router(node.port());
+  for (const auto closes_at_once : {true, false}) {
+    fake_router hostile(node.port());
+    bool closed = false;
+    hostile.connection->on_closed = [&](std::error_code) { closed = true; };
+    auto no_id = hostile.make_start({});
+    no_id.attempt_id = nullptr;
+    hostile.send(std::move(no_id));
+    auto odd_lane = hostile.make_start(io::make_attempt_id());
+    odd_lane.priority = static_cast<wire::Priority>(9);
+    hostile.send(std::move(odd_lane));
+    hostile.send(wire::AttemptAckT{});
+    hostile.connection->send({4, 0, 0, 0, 1, 2, 3, 4});
+    if (closes_at_once) {
+      hostile.connection->close();
+    }
+    REQUIRE(wait_for([&] { return closed; }));
+  }
+  router.send(router.make_start(io::make_attempt_id()));
+  REQUIRE(router.wait_end());
+  CHECK(router.last_end() == "completed/ok");
+  CHECK(all.backend->calls.size() == 1);
+}
--- a/tools/agent/agent.cpp
+++ b/tools/agent/agent.cpp
@@ -197,10 +197,16 @@
   auto frame = wire::decode_data(buf, ec);
   if (!frame) {
     io::log_event(io::log_level::warning, "malformed_frame", {{"router", link.node_id}});
-    // Closed from the event loop, because the link is in use by the caller.
-    link.connection->on_frame = nullptr;
-    QMetaObject::invokeMethod(
-        link.connection, [this, &link] { drop_link(&link); }, Qt::QueuedConnection);
+    // Dropped from the event loop, because the caller still uses the link. The
+    // peer may have closed the connection, and so ended the link, by then.
+    auto* connection = link.connection;
+    connection->on_frame = nullptr;
+    const auto drop = [this, connection] {
+      if (const auto it = links_.find(connection); it != links_.end()) {
+        drop_link(it->second.get());
+      }
+    };
+    QMetaObject::invokeMethod(connection, drop, Qt::QueuedConnection);
     return;
   }
   handle_body(link, *frame);
--- a/tools/agent/backend_call.cpp
+++ b/tools/agent/backend_call.cpp
@@ -1,5 +1,6 @@
 #include "agent/backend_call.h"
 
+#include <QNetworkProxy>
 #include <QUrl>
 
 #include <algorithm>
@@ -249,6 +250,9 @@
 void backend_client::renew_manager() {
   if (manager_ == nullptr || calls_ % calls_per_manager == 0) {
     manager_ = std::make_shared<QNetworkAccessManager>();
+    // The backend server is on the same VM; a proxy would also make a refused
+    // connection ambiguous.
+    manager_->setProxy(QNetworkProxy::NoProxy);
   }
 }
 
