Log the agent's summary lines and count prompt and cached tokens

Cause: the report page had no load or cache data, because only routers logged summaries. Change: counters for prompt tokens and those found cached, and an agent_summary line every 5 s with load, limit, mean and both counts. Conclusion: cache reuse and skew can now be drawn from the logs.

--- a/tools/agent/agent.cpp
+++ b/tools/agent/agent.cpp
@@ -3,6 +3,8 @@
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/logging.h"
 
+#include <cmath>
+
 namespace marigoldstep::agent {
 
 namespace {
@@ -13,6 +15,8 @@
 // of a busy pool can grow once per report, so the regular 500 ms would slow it. A
 // heartbeat and its acknowledgement take 448 bytes; four a second fit in 2 KB/s.
 constexpr auto pressed_interval = duration(250);
+// The report page draws its plots from these lines.
+constexpr auto summary_interval = duration(5000);
 constexpr double thousandths = 1000.0;
 
 // Whether every field that the handlers rely on is there and in range.
@@ -35,6 +39,7 @@
   runner_.on_limit_reached = [this] { ask_for_mean(); };
   mean_timer_.setSingleShot(true);
   connect(&mean_timer_, &QTimer::timeout, this, [this] { session_.send_heartbeat(); });
+  connect(&summary_timer_, &QTimer::timeout, this, [this] { log_summary(); });
   connect(&drain_timer_, &QTimer::timeout, this, [this] { check_drained(); });
 }
 
@@ -107,6 +112,7 @@
     settings_.advertise = {settings_.listen.host, listener_.port()};
   }
   session_.start();
+  summary_timer_.start(summary_interval);
   io::log_event(io::log_level::info, "listening",
                 {{"port", std::to_string(port())},
                  {"admin_port", std::to_string(admin_port())},
@@ -162,6 +168,21 @@
   return out;
 }
 
+void agent::log_summary() {
+  const double prompt = metrics_.prompt_tokens.Value();
+  const double cached = metrics_.cached_tokens.Value();
+  const auto whole = [](double n) { return std::to_string(std::llround(n)); };
+  io::log_event(io::log_level::info, "agent_summary",
+                {{"service", settings_.service},
+                 {"load", std::to_string(runner_.load())},
+                 {"limit", std::to_string(runner_.limit())},
+                 {"mean_milli", std::to_string(runner_.mean_milli())},
+                 {"prompt_tokens", whole(prompt - logged_prompt_tokens_)},
+                 {"cached_tokens", whole(cached - logged_cached_tokens_)}});
+  logged_prompt_tokens_ = prompt;
+  logged_cached_tokens_ = cached;
+}
+
 void agent::add_link(io::framed_connection* connection) {
   auto added = std::make_unique<router_link>();
   auto* link = added.get();
--- a/tools/agent/agent.h
+++ b/tools/agent/agent.h
@@ -38,6 +38,7 @@
   void handle_frame(router_link& link, byte_view buf);
   void handle_body(router_link& link, wire::DataFrameT& frame);
   [[nodiscard]] frame_facts make_facts() const;
+  void log_summary();
   void serve_post(const QHttpServerRequest& request, QTcpSocket* socket);
   void check_drained();
 
@@ -56,6 +57,9 @@
   time_point drain_until_{};
   QTimer drain_timer_;
   QTimer mean_timer_;
+  QTimer summary_timer_;
+  double logged_prompt_tokens_ = 0;
+  double logged_cached_tokens_ = 0;
 };
 
 } // namespace marigoldstep::agent
--- a/tools/agent/agent_metrics.cpp
+++ b/tools/agent/agent_metrics.cpp
@@ -17,6 +17,11 @@
       {}, bounds);
 }
 
+prometheus::Counter& add_counter(prometheus::Registry& registry, const char* name,
+                                 const char* help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
 std::string code_of(const std::error_code& code) {
   return std::string(name(errc_from_number(static_cast<unsigned>(code.value()))));
 }
@@ -34,11 +39,12 @@
                      "Mean load of the pool that the load bound is taken from")),
       retained_bytes(add_gauge(registry, "marigoldstep_agent_retained_bytes",
                                "Memory held by answers kept for delivery and resume")),
-      admitted(prometheus::BuildCounter()
-                   .Name("marigoldstep_agent_admitted_attempts_total")
-                   .Help("Attempts admitted")
-                   .Register(registry)
-                   .Add({})),
+      admitted(add_counter(registry, "marigoldstep_agent_admitted_attempts_total",
+                           "Attempts admitted")),
+      prompt_tokens(add_counter(registry, "marigoldstep_agent_prompt_tokens_total",
+                                "Prompt tokens of whole answers")),
+      cached_tokens(add_counter(registry, "marigoldstep_agent_cached_tokens_total",
+                                "Prompt tokens that the engine found cached")),
       queue_seconds(add_seconds(registry, "marigoldstep_agent_queue_seconds",
                                 "Time from admission until a slot was free")),
       claim_seconds(add_seconds(registry, "marigoldstep_agent_claim_seconds",
--- a/tools/agent/agent_metrics.h
+++ b/tools/agent/agent_metrics.h
@@ -23,6 +23,8 @@
   prometheus::Gauge& mean;
   prometheus::Gauge& retained_bytes;
   prometheus::Counter& admitted;
+  prometheus::Counter& prompt_tokens;
+  prometheus::Counter& cached_tokens;
   prometheus::Histogram& queue_seconds;
   prometheus::Histogram& claim_seconds;
   prometheus::Histogram& service_seconds;
--- a/tools/agent/attempt_end.cpp
+++ b/tools/agent/attempt_end.cpp
@@ -113,6 +113,8 @@
   const auto usage = find_usage(it.answer.data, is_event_stream(it.head));
   it.prompt_tokens = usage.prompt_tokens;
   it.cached_tokens = usage.cached_tokens;
+  metrics_.prompt_tokens.Increment(usage.prompt_tokens);
+  metrics_.cached_tokens.Increment(usage.cached_tokens);
   if (it.start.repeatable) {
     end(it, completed());
     dispatch();
