Find a workspace by binary search

Cause: every request looks up its workspace, and a scan took about 0.1 ms at 25,000 workspaces, far more than the placement itself. Change: parsing orders the workspaces by name.

--- a/include/marigoldstep/configuration.h
+++ b/include/marigoldstep/configuration.h
@@ -77,7 +77,7 @@
   std::string fleet;
   std::vector<pool_settings> pools;
   std::vector<service_settings> services;
-  std::vector<workspace_settings> workspaces;
+  std::vector<workspace_settings> workspaces; // ordered by name
   limit_settings limits;
 
   friend bool operator==(const configuration&, const configuration&) = default;
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -139,6 +139,10 @@
   }
 }
 
+bool order_by_name(const workspace_settings& a, const workspace_settings& b) {
+  return a.name < b.name;
+}
+
 template <typename Entry>
 const Entry* find_by_name(const std::vector<Entry>& entries, std::string_view name) {
   auto it = std::find_if(entries.begin(), entries.end(),
@@ -175,6 +179,7 @@
     check_new_name(it, workspaces, out.workspaces.back().name);
     check_workspace_models(it, out.workspaces.back(), models);
   }
+  std::sort(out.workspaces.begin(), out.workspaces.end(), order_by_name);
   out.limits = parse_limits(read_mapping(map, "limits"));
   finish(map);
   return out;
@@ -182,7 +187,13 @@
 
 const workspace_settings* find_workspace(const configuration& config,
                                          std::string_view name) {
-  return find_by_name(config.workspaces, name);
+  // Found for every request: a scan of 25,000 workspaces took about 0.1 ms.
+  const auto& all = config.workspaces;
+  const auto before = [](const workspace_settings& entry, std::string_view wanted) {
+    return entry.name < wanted;
+  };
+  const auto it = std::lower_bound(all.begin(), all.end(), name, before);
+  return it != all.end() && it->name == name ? &*it : nullptr;
 }
 
 const service_settings* find_service(const configuration& config, std::string_view name) {
