--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -10,5 +10,6 @@
 #include "marigoldstep/placement.h"
 #include "marigoldstep/types.h"
 #include "marigoldstep/verdict.h"
+#include "marigoldstep/view_repair.h"
 #include "marigoldstep/wire.h"
 #include "marigoldstep/yaml_reader.h"
--- a/src/io/node_session.cpp
+++ b/src/io/node_session.cpp
@@ -97,8 +97,9 @@
   for (const auto& it : ack.changes) {
     changes.push_back(from_wire(*it));
   }
-  const bool changed = apply_changes(view_, ack.membership_term, ack.membership_version,
-                                     ack.full, changes);
+  bool changed = apply_changes(view_, ack.membership_term, ack.membership_version,
+                               ack.full, changes);
+  changed = apply_lost_zones(view_, ack.lost_zones, ack.heard_in_lost_zones) || changed;
   if (changed && on_membership) {
     on_membership(view_);
   }
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -1,7 +1,6 @@
 #include "marigoldstep/membership.h"
 
 #include <algorithm>
-#include <set>
 
 namespace marigoldstep {
 
@@ -12,6 +11,21 @@
 // After a change of leader nothing is declared silent until every agent had
 // time to find the new one.
 constexpr auto grace_after_start = duration(3000);
+// Silences further apart are separate faults rather than flapping.
+constexpr auto flap_window = duration(60'000);
+constexpr std::uint32_t flaps_before_hold = 2;
+constexpr auto first_hold = duration(10'000);
+constexpr std::uint32_t largest_hold_doublings = 2; // 40 s
+// Servers of a lost availability zone are not declared dead before; an outage
+// that lasts longer frees their entries one by one.
+constexpr auto zone_hold = duration(600'000);
+constexpr auto outage_window = duration(2000);
+// Their names travel on every acknowledgement; when more are heard, the silent
+// ones are announced one by one.
+constexpr std::size_t most_heard_in_lost = 16;
+// Longer than any heartbeat can be delayed by relays, so that a late one cannot
+// revive an incarnation that was forgotten.
+constexpr auto forget_after = duration(600'000);
 
 bool set_state(membership_table& table, member& it, server_state state) {
   if (it.report.server.state == state) {
@@ -27,15 +41,90 @@
          it.report.server.state == server_state::draining;
 }
 
+duration silence(const member& it, time_point now) {
+  return now - std::max(it.heard_at, it.contacted_at);
+}
+
+// What a server that is heard is announced as.
+server_state heard_state(const member& it, time_point now) {
+  if (it.left) {
+    return server_state::draining;
+  }
+  return now < it.held_until ? server_state::suspect : server_state::serving;
+}
+
 server_state state_by_silence(const member& it, time_point now) {
-  const auto silent = now - std::max(it.heard_at, it.contacted_at);
-  if (silent >= dead_after) {
+  if (silence(it, now) >= dead_after) {
     return server_state::dead;
   }
-  if (silent >= suspect_after) {
-    return server_state::suspect;
+  return silence(it, now) >= suspect_after ? server_state::suspect : heard_state(it, now);
+}
+
+// Counts a return from silence without a restart, and holds the server after
+// several, for longer each time.
+void note_return(member& it, time_point now) {
+  it.flaps = now - it.flapped_at <= flap_window ? it.flaps + 1 : 1;
+  it.flapped_at = now;
+  if (it.flaps >= flaps_before_hold) {
+    const auto doublings = std::min(it.flaps - flaps_before_hold, largest_hold_doublings);
+    it.held_until = now + first_hold * (1 << doublings);
+  }
+}
+
+struct zone_count {
+  std::size_t silent = 0;
+  std::size_t lately = 0; // fell silent within outage_window
+  std::size_t all = 0;
+  std::vector<std::string> heard;
+};
+
+std::map<std::string, zone_count> count_zones(const membership_table& table,
+                                              time_point now) {
+  std::map<std::string, zone_count> out;
+  for (const auto& [id, it] : table.members) {
+    const auto silent = silence(it, now);
+    if (it.left || silent >= zone_hold) {
+      continue;
+    }
+    auto& count = out[it.report.server.zone];
+    ++count.all;
+    if (silent < suspect_after) {
+      count.heard.push_back(id);
+      continue;
+    }
+    ++count.silent;
+    count.lately += silent < suspect_after + outage_window ? 1 : 0;
+  }
+  return out;
+}
+
+// Refreshes the lost availability zones; returns whether they changed.
+bool find_lost_zones(membership_table& table, time_point now) {
+  std::map<std::string, time_point, std::less<>> lost;
+  std::vector<std::string> heard;
+  for (const auto& [zone, count] : count_zones(table, now)) {
+    const auto known = table.lost.find(zone);
+    const bool was_lost = known != table.lost.end();
+    const auto silent = was_lost ? count.silent : count.lately;
+    if (silent * 2 <= count.all || count.heard.size() > most_heard_in_lost) {
+      continue;
+    }
+    lost.emplace(zone, was_lost ? known->second : now);
+    heard.insert(heard.end(), count.heard.begin(), count.heard.end());
   }
-  return it.report.server.state;
+  const bool changed = lost != table.lost || heard != table.heard_in_lost;
+  table.lost = std::move(lost);
+  table.heard_in_lost = std::move(heard);
+  return changed;
+}
+
+bool contains(const std::vector<std::string>& names, std::string_view wanted) {
+  return std::find(names.begin(), names.end(), wanted) != names.end();
+}
+
+bool is_held_by_zone(const membership_table& table, const member& it, time_point now) {
+  const auto lost = table.lost.find(it.report.server.zone);
+  return lost != table.lost.end() && now - lost->second < zone_hold;
 }
 
 } // namespace
@@ -48,20 +137,25 @@
 
 bool observe_heartbeat(membership_table& table, const server_report& report,
                        time_point now) {
-  auto entry = report;
-  entry.server.state = report.leaving ? server_state::draining : server_state::serving;
-  auto it = table.members.find(report.server.node_id);
-  if (it == table.members.end()) {
-    table.members[report.server.node_id] = {entry, now, now, ++table.version};
-    return true;
-  }
-  auto& known = it->second;
-  if (entry.server.incarnation < known.report.server.incarnation) {
+  const auto found = table.members.find(report.server.node_id);
+  const bool is_new = found == table.members.end();
+  auto& known = is_new ? table.members[report.server.node_id] : found->second;
+  const auto before = known.report.server;
+  if (!is_new && report.server.incarnation < before.incarnation) {
     return false;
   }
+  if (is_new || report.server.incarnation > before.incarnation) {
+    known = member{};
+    known.flapped_at = now - flap_window - duration(1);
+    known.changed_version = ++table.version;
+  } else if (silence(known, now) >= suspect_after && is_settled(table, now)) {
+    note_return(known, now);
+  }
+  known.report = report;
+  known.left = known.left || report.leaving;
   known.heard_at = now;
-  const bool changed = known.report.server != entry.server;
-  known.report = entry;
+  known.report.server.state = heard_state(known, now);
+  const bool changed = known.report.server != before;
   if (changed) {
     known.changed_version = ++table.version;
   }
@@ -75,13 +169,28 @@
   }
 }
 
+bool is_settled(const membership_table& table, time_point now) {
+  return now - table.started_at >= grace_after_start;
+}
+
 bool advance(membership_table& table, time_point now) {
-  if (now - table.started_at < grace_after_start) {
+  if (!is_settled(table, now)) {
     return false;
   }
-  bool changed = false;
-  for (auto& [id, it] : table.members) {
-    changed = set_state(table, it, state_by_silence(it, now)) || changed;
+  bool changed = find_lost_zones(table, now);
+  for (auto it = table.members.begin(); it != table.members.end();) {
+    auto& entry = it->second;
+    if (silence(entry, now) >= forget_after && !is_held_by_zone(table, entry, now)) {
+      it = table.members.erase(it);
+      continue;
+    }
+    auto state = state_by_silence(entry, now);
+    // One event stands for all servers of a lost availability zone.
+    if (is_held_by_zone(table, entry, now) && state >= server_state::suspect) {
+      state = entry.report.server.state;
+    }
+    changed = set_state(table, entry, state) || changed;
+    ++it;
   }
   return changed;
 }
@@ -115,6 +224,7 @@
   out.term = term;
   out.version = table.version;
   out.lost_zones = lost_zones(table);
+  out.heard_in_lost_zones = table.heard_in_lost;
   out.full = position.term != term;
   if (out.full) {
     out.changes = changes_since(table, 0);
@@ -148,17 +258,9 @@
 }
 
 std::vector<std::string> lost_zones(const membership_table& table) {
-  std::map<std::string, std::pair<std::size_t, std::size_t>> zones; // silent, all
-  for (const auto& [id, it] : table.members) {
-    auto& [silent, all] = zones[it.report.server.zone];
-    silent += is_live(it) ? 0 : 1;
-    ++all;
-  }
   std::vector<std::string> out;
-  for (const auto& [zone, counts] : zones) {
-    if (counts.first * 2 > counts.second) {
-      out.push_back(zone);
-    }
+  for (const auto& [zone, since] : table.lost) {
+    out.push_back(zone);
   }
   return out;
 }
@@ -167,7 +269,9 @@
   std::uint64_t sum = 0;
   pool_load out;
   for (const auto& [id, it] : table.members) {
-    if (it.report.server.service == service && is_live(it)) {
+    const bool is_lost =
+        table.lost.count(it.report.server.zone) > 0 && !contains(table.heard_in_lost, id);
+    if (it.report.server.service == service && is_live(it) && !is_lost) {
       sum += it.report.load;
       ++out.servers;
     }
@@ -178,6 +282,20 @@
   return out;
 }
 
+namespace {
+
+server_info as_used(const membership_view& view, const server_info& server) {
+  auto out = server;
+  const bool is_lost = contains(view.lost_zones, server.zone) &&
+                       !contains(view.heard_in_lost_zones, server.node_id);
+  if (is_lost && server.state == server_state::serving) {
+    out.state = server_state::suspect;
+  }
+  return out;
+}
+
+} // namespace
+
 bool apply_changes(membership_view& view, std::uint64_t term, std::uint64_t version,
                    bool full, std::span<const server_info> changes) {
   const bool older = term < view.term || (term == view.term && version < view.version);
@@ -188,15 +306,31 @@
   view.version = version;
   if (full) {
     view.servers.clear();
+    view.announced.clear();
   }
   for (const auto& it : changes) {
     if (it.state == server_state::dead) {
       view.servers.erase(it.node_id);
+      view.announced.erase(it.node_id);
     } else {
-      view.servers[it.node_id] = it;
+      view.servers[it.node_id] = as_used(view, it);
+      view.announced[it.node_id] = it;
     }
   }
   return full || !changes.empty();
 }
 
+bool apply_lost_zones(membership_view& view, std::vector<std::string> zones,
+                      std::vector<std::string> heard) {
+  if (view.lost_zones == zones && view.heard_in_lost_zones == heard) {
+    return false;
+  }
+  view.lost_zones = std::move(zones);
+  view.heard_in_lost_zones = std::move(heard);
+  for (const auto& [id, it] : view.announced) {
+    view.servers[id] = as_used(view, it);
+  }
+  return true;
+}
+
 } // namespace marigoldstep
