--- /dev/null
+++ b/tools/router/relay.cpp
@@ -0,0 +1,401 @@
+#include "router/relay.h"
+
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/logging.h"
+#include "router/router.h"
+
+#include <algorithm>
+
+namespace marigoldstep::router {
+
+namespace {
+
+// An answer that is not streamed is held until it is known to be whole, up to
+// this size; a larger one is passed on in chunks.
+constexpr std::size_t longest_held_answer = 512U << 10U;
+// A quarter of the agent's send window, so that acknowledgements open it before
+// it is used up.
+constexpr std::uint64_t acknowledge_every = 64U << 10U;
+// A request waits for a free server during this part of its deadline: a quarter,
+// or a half for patient requests.
+constexpr int short_wait_share = 4;
+constexpr int patient_wait_share = 2;
+constexpr auto default_retry_after = duration(1000);
+// Fetching a newer configuration takes one round trip to the control group; a
+// router that cannot get it within a second refuses.
+constexpr auto version_wait = duration(50);
+constexpr unsigned most_version_waits = 20;
+
+// Ends that say that the backend server or its agent is broken, not busy.
+bool is_failure(const outcome& how) {
+  constexpr std::array codes = {errc::agent_unreachable, errc::server_unreachable,
+                                errc::server_failed, errc::answer_truncated,
+                                errc::internal_error};
+  return std::any_of(codes.begin(), codes.end(),
+                     [&how](errc code) { return how.error == code; });
+}
+
+outcome to_outcome(const wire::AttemptEndT& end) {
+  outcome out;
+  out.result = static_cast<verdict>(end.verdict);
+  if (end.verdict > wire::Verdict::may_have_run) {
+    out.result = verdict::may_have_run;
+  }
+  if (end.error_code != 0) {
+    out.error = make_error_code(errc_from_number(end.error_code));
+  }
+  out.retry_after = duration(end.retry_after_ms);
+  return out;
+}
+
+std::unique_ptr<wire::AttemptId> wire_id(const attempt_id& id) {
+  return std::make_unique<wire::AttemptId>(wire::to_wire(id));
+}
+
+} // namespace
+
+// Sends a message about the current attempt, if its start was written.
+template <typename Body> void relay::send_about_attempt(Body body) {
+  if (link_ != nullptr && state_.start_written) {
+    body.attempt_id = wire_id(state_.current);
+    link_->send(std::move(body));
+  }
+}
+
+relay::relay(router& owner, relay_job job, caller_answer answer)
+    : owner_(owner), job_(std::move(job)), answer_(std::move(answer)) {
+  state_.repeatable = job_.request.repeatable;
+  deadline_ = job_.received_at + job_.request.deadline;
+  drained_at_ = job_.received_at;
+}
+
+void relay::begin() {
+  owner_.note_first_attempt();
+  try_next();
+}
+
+void relay::begin_resume(const resume_token& token, std::uint64_t offset) {
+  resume_only_ = true;
+  server_id_ = token.agent;
+  begin_attempt(state_, token.attempt);
+  note_start_written(state_);
+  state_.next_offset = offset;
+  acknowledged_ = offset;
+  wait_until(deadline_);
+  link_ = owner_.find_link(token.agent);
+  if (link_ == nullptr) {
+    apply(after_agent_loss(state_, errc::unknown_attempt));
+    return;
+  }
+  link_->attach(state_.current, *this);
+}
+
+void relay::try_next() {
+  const auto now = io::now();
+  if (now >= deadline_) {
+    apply(give_up(state_, not_run(errc::deadline_exceeded)));
+    return;
+  }
+  if (owner_.newest_version_seen() > owner_.config_version() && may_wait_for_version()) {
+    wait_for_version();
+    return;
+  }
+  if (!owner_.may_take_work()) {
+    apply(give_up(state_, not_run(errc::lease_expired, default_retry_after)));
+    return;
+  }
+  auto found = owner_.choose_server(job_.request, tried_);
+  owner_.log_choice(job_.request_id, state_.attempts, found);
+  if (found.server == nullptr || found.all_refuse) {
+    wait_for_server(last_refusal_.error ? last_refusal_.error
+                                        : make_error_code(errc::no_server_available));
+  } else if (state_.attempts > 0 && !is_free_retry_ && !owner_.take_retry()) {
+    wait_for_server(errc::retry_budget_exhausted);
+  } else {
+    start_attempt(*found.server);
+  }
+}
+
+bool relay::may_wait_for_version() const {
+  return version_waits_ < most_version_waits;
+}
+
+// A newer configuration exists; new work waits until it is applied here.
+void relay::wait_for_version() {
+  ++version_waits_;
+  waits_for_version_ = true;
+  wait_until(io::now() + version_wait);
+}
+
+// Nothing can be sent now. Waiting costs the fleet nothing, but a caller must
+// learn early enough that it has to send elsewhere or later.
+void relay::wait_for_server(std::error_code why) {
+  const bool is_patient = job_.request.priority == priority::patient;
+  const auto share = is_patient ? patient_wait_share : short_wait_share;
+  const auto now = io::now();
+  if (now - job_.received_at >= job_.request.deadline / share) {
+    const auto hint = std::max(last_refusal_.retry_after, default_retry_after);
+    apply(give_up(state_, {verdict::not_run, why, hint}));
+    return;
+  }
+  tried_.clear();
+  wait_until(now + backoff_delay(rounds_, io::random_engine()));
+  ++rounds_;
+}
+
+void relay::start_attempt(const server_info& server) {
+  if (state_.attempts > 0) {
+    owner_.metrics().count_retry();
+  }
+  begin_attempt(state_, io::make_attempt_id());
+  is_free_retry_ = false;
+  waits_for_version_ = false;
+  server_id_ = server.node_id;
+  server_incarnation_ = server.incarnation;
+  head_.reset();
+  held_.clear();
+  acknowledged_ = 0;
+  failed_status_ = false;
+  wait_until(deadline_);
+  note_start(owner_.fleet(), job_.request.service, server_id_, io::now());
+  link_ = &owner_.link(server);
+  link_->attach(state_.current, *this);
+}
+
+void relay::on_link_ready(incarnation agent) {
+  if (finished_) {
+    return;
+  }
+  if (!state_.start_written) {
+    agent_ = agent;
+    send_start();
+  } else if (agent_ != 0 && agent != agent_) {
+    leave_link();
+    apply(after_agent_loss(state_, errc::agent_unreachable));
+  } else {
+    agent_ = agent;
+    send_resume();
+  }
+}
+
+void relay::send_start() {
+  const auto now = io::now();
+  if (now >= deadline_) {
+    leave_link();
+    apply(give_up(state_, not_run(errc::deadline_exceeded)));
+    return;
+  }
+  auto start = job_.start;
+  start.attempt_id = wire_id(state_.current);
+  start.deadline_ms = static_cast<std::uint32_t>((deadline_ - now).count());
+  start.server_incarnation = server_incarnation_;
+  if (link_->send(std::move(start))) {
+    note_start_written(state_);
+    if (state_.attempts == 1) {
+      owner_.metrics().observe_added_latency(std::chrono::steady_clock::now() -
+                                             job_.measured_from);
+    }
+  }
+}
+
+void relay::send_resume() {
+  wire::ResumeAttemptT body;
+  body.offset = state_.next_offset;
+  send_about_attempt(std::move(body));
+  owner_.metrics().count_resume();
+}
+
+void relay::on_link_lost() {
+  link_ = nullptr;
+  note_result(owner_.fleet(), job_.request.service, server_id_, true, io::now());
+  apply(after_agent_loss(state_, errc::agent_unreachable));
+}
+
+void relay::on_agent_frame(wire::DataFrameT& frame) {
+  if (finished_) {
+    return;
+  }
+  if (auto* body = frame.body.AsAttemptHead()) {
+    if (accept_head(state_, wire::from_wire(*body->attempt_id))) {
+      head_ = std::make_unique<wire::AttemptHeadT>(std::move(*body));
+      constexpr int first_server_error = 500;
+      failed_status_ = head_->status >= first_server_error;
+    }
+  } else if (const auto* data = frame.body.AsAttemptData()) {
+    handle_data(*data);
+  } else if (const auto* end = frame.body.AsAttemptEnd()) {
+    handle_end(*end);
+  }
+}
+
+void relay::handle_data(const wire::AttemptDataT& data) {
+  const auto id = wire::from_wire(*data.attempt_id);
+  switch (accept_data(state_, id, data.offset, data.data.size())) {
+  case data_check::accept:
+    owner_.metrics().add_answer_bytes(data.data.size());
+    pass_on(data.data);
+    break;
+  case data_check::stale:
+    owner_.metrics().count_stale_frame();
+    break;
+  case data_check::gap:
+    owner_.metrics().count_stale_frame();
+    send_resume();
+    break;
+  }
+}
+
+void relay::handle_end(const wire::AttemptEndT& end) {
+  const auto how = to_outcome(end);
+  note_result(owner_.fleet(), job_.request.service, server_id_,
+              is_failure(how) || failed_status_, io::now());
+  if (resume_only_) {
+    ensure_head();
+  }
+  if (how.error == errc::unknown_attempt && !resume_only_) {
+    // The start may still be on its way on the connection that was lost.
+    send_about_attempt(wire::CancelAttemptT());
+  }
+  const auto decision = after_end(state_, state_.current, {how, end.total_length});
+  if (decision.action != relay_action::finish) {
+    leave_link();
+  }
+  apply(decision);
+}
+
+wire::AttemptHeadT& relay::ensure_head() {
+  // An agent may leave the head out of a resumed answer.
+  if (head_ == nullptr) {
+    constexpr int ok = 200;
+    head_ = std::make_unique<wire::AttemptHeadT>();
+    head_->status = ok;
+    accept_head(state_, state_.current);
+  }
+  return *head_;
+}
+
+bool relay::holds_answer() const {
+  constexpr int first_error_status = 400;
+  const bool is_error = head_ != nullptr && head_->status >= first_error_status;
+  const bool streams = resume_only_ || (job_.request.stream && !is_error);
+  return !streams && held_.size() <= longest_held_answer;
+}
+
+void relay::pass_on(byte_view data) {
+  if (!state_.passed_on) {
+    held_.append(as_text(data));
+    if (head_ == nullptr && !resume_only_) {
+      return; // without acknowledgements the agent's window bounds what is held
+    }
+    if (!holds_answer()) {
+      begin_answer();
+    }
+  } else {
+    answer_.write_chunk(data);
+  }
+  acknowledge(acknowledge_every);
+}
+
+void relay::begin_answer() {
+  const auto& head = ensure_head();
+  if (!note_passed_on(state_)) {
+    return;
+  }
+  answer_.begin(head, labels());
+  answer_.write_chunk(as_bytes(held_));
+  // No other attempt can follow, so the memory of the request is given back.
+  held_ = {};
+  job_.start = {};
+  head_.reset();
+  tried_ = {};
+  drained_at_ = io::now();
+  wait_until(drained_at_ + owner_.limits().caller_stall_timeout);
+}
+
+// Acknowledges what has left the socket's buffer, once that is at least step
+// bytes more than before.
+void relay::acknowledge(std::uint64_t step) {
+  const auto queued = answer_.queued_bytes();
+  const auto delivered = state_.next_offset - std::min(queued, state_.next_offset);
+  if (delivered < acknowledged_ + step) {
+    return;
+  }
+  acknowledged_ = delivered;
+  wire::AttemptAckT ack;
+  ack.offset = delivered;
+  send_about_attempt(std::move(ack));
+}
+
+answer_labels relay::labels() const {
+  return {job_.request_id, to_string(resume_token{server_id_, state_.current})};
+}
+
+void relay::on_caller_drained() {
+  drained_at_ = io::now();
+  acknowledge(acknowledge_every);
+}
+
+void relay::on_caller_gone() {
+  answer_.forget();
+  if (finished_) {
+    return;
+  }
+  // Without the head the caller has no resume token, so nobody will ask for a
+  // repeatable answer. A call that may not be repeated goes on: its answer is
+  // stored under its key.
+  if (state_.passed_on || !state_.repeatable) {
+    send_about_attempt(wire::DetachAttemptT());
+  } else {
+    send_about_attempt(wire::CancelAttemptT());
+  }
+  state_.ended = true;
+  const bool may_run = state_.start_written || state_.earlier_may_have_run;
+  done({may_run ? verdict::may_have_run : verdict::not_run, {}, {}}, "caller_gone");
+}
+
+void relay::wait_until(time_point when) {
+  const auto until = state_.passed_on ? when : std::min(when, deadline_);
+  owner_.reschedule(*this, wake_at_, until);
+  wake_at_ = until;
+}
+
+void relay::leave_link() {
+  if (link_ != nullptr) {
+    link_->detach(state_.current);
+    link_ = nullptr;
+  }
+}
+
+void relay::wake(time_point now) {
+  if (finished_) {
+    return;
+  }
+  if (state_.passed_on) {
+    const auto stall = owner_.limits().caller_stall_timeout;
+    if (answer_.queued_bytes() > 0 && now - drained_at_ >= stall) {
+      send_about_attempt(wire::DetachAttemptT());
+      cut_off(may_have_run(errc::deadline_exceeded));
+      return;
+    }
+    wait_until(now + stall);
+    return;
+  }
+  if (now >= deadline_) {
+    send_about_attempt(wire::CancelAttemptT());
+    leave_link();
+    apply(give_up(state_, not_run(errc::deadline_exceeded)));
+  } else if (link_ == nullptr && !state_.cancel_asked) {
+    try_next();
+  } else {
+    wait_until(deadline_);
+  }
+}
+
+void relay::on_configuration() {
+  if (!finished_ && waits_for_version_) {
+    waits_for_version_ = false;
+    try_next();
+  }
+}
+
+} // namespace marigoldstep::router
