Keep membership right through drains, flaps, outages and new leaders

Cause: a late heartbeat could return a drained server to service; an outage of an availability zone sent one change for each server; a new leader's first acknowledgements removed servers it had not heard yet; deltas had no bound. The leader sends nothing before its table has settled.

--- a/tools/control/leader_duties.cpp
+++ b/tools/control/leader_duties.cpp
@@ -80,11 +80,23 @@
     }
     return ack;
   }
-  ack.full = body.membership_term != table_term_;
-  for (const auto& it : changes_since(table_, ack.full ? 0 : body.membership_version)) {
+  const router_position position{body.membership_term, body.membership_version};
+  // A new leader has not heard every agent yet, so routers keep their views; one
+  // that has none takes what is known.
+  if (position.term != 0 && position.term != table_term_ &&
+      !is_settled(table_, io::now())) {
+    ack.membership_term = position.term;
+    ack.membership_version = position.version;
+    return ack;
+  }
+  const auto update = next_update(table_, table_term_, position, update_budget_bytes);
+  ack.membership_version = update.version;
+  ack.full = update.full;
+  for (const auto& it : update.changes) {
     ack.changes.push_back(std::make_unique<wire::ServerEntryT>(io::to_wire(it)));
   }
-  ack.lost_zones = lost_zones(table_);
+  ack.lost_zones = update.lost_zones;
+  ack.heard_in_lost_zones = update.heard_in_lost_zones;
   return ack;
 }
 
