Close a stopped service's connections from a copy of the list

Cause: closing a connection can end it at once and remove it from the map that stop() walked; one run of control_test in eight ended with a fault in memory. Change: stop() walks a copy. The test of a failed sync waits for the failure: the two other voters are a quorum, so the answer may come first.

--- a/tests/programs/control_test.cpp
+++ b/tests/programs/control_test.cpp
@@ -184,7 +184,8 @@
   };
   const auto reply = it.change(wire::ChangeKind::propose, "c1", 1);
   CHECK(reply.outcome == wire::ChangeOutcome::pending);
-  CHECK(it.processes[failed]->group.out_of_service());
+  // The two others are a quorum, so the answer can come before the failure.
+  REQUIRE(wait_for([&] { return it.processes[failed]->group.out_of_service(); }));
   CHECK_FALSE(it.processes[failed]->group.is_leader());
   CHECK_FALSE(it.processes[failed]->group.is_ready());
   REQUIRE(wait_for([&] { return it.leader() >= 0; }, election_limit));
--- a/tools/control/commands.cpp
+++ b/tools/control/commands.cpp
@@ -87,7 +87,7 @@
     constexpr std::uint32_t overload_pause_ms = 1000;
     wire::OrderReplyT reply;
     reply.retry_after_ms = overload_pause_ms;
-    send(to, wire::control_frame(std::move(reply), request.correlation));
+    send(to, wire::control_frame(reply, request.correlation));
   } else {
     wire::ChangeReplyT reply;
     reply.outcome = wire::ChangeOutcome::refused;
--- a/tools/control/service.cpp
+++ b/tools/control/service.cpp
@@ -39,7 +39,12 @@
 
 void service::stop() {
   listener_.close();
-  for (auto& [it, state] : clients_) {
+  // Closing can end a connection at once, which removes it from clients_.
+  std::vector<io::framed_connection*> open;
+  for (const auto& [it, state] : clients_) {
+    open.push_back(it);
+  }
+  for (auto* it : open) {
     it->close();
   }
 }
