Limit a request to three attempts that failed in their run

A repeatable request whose answer was cut off each time was run seven times on the same server within 1.25 s. It now ends after three such attempts; refusals are not counted. Decision lines say wait when no server is asked.

--- a/tests/programs/router_test.cpp
+++ b/tests/programs/router_test.cpp
@@ -150,6 +150,8 @@
   REQUIRE(wait_for([&] { return caller.is_whole(); }));
   CHECK(caller.has("HTTP/1.1 502"));
   CHECK(caller.has(R"("verdict":"may_have_run")"));
+  // A run that fails each time is not repeated for as long as the deadline lasts.
+  CHECK(fleet.a.starts.size() == 3);
 }
 
 // Guards against a wrong verdict, or a second run, when an agent is lost.
--- a/tools/router/relay.h
+++ b/tools/router/relay.h
@@ -97,6 +97,7 @@
   time_point drained_at_{};
   std::uint64_t acknowledged_ = 0;
   unsigned rounds_ = 0;
+  unsigned failed_attempts_ = 0;
   unsigned version_waits_ = 0;
   bool waits_for_version_ = false;
   bool is_free_retry_ = false; // the next attempt costs no retry budget
--- a/tools/router/relay_end.cpp
+++ b/tools/router/relay_end.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr auto cancel_timeout = duration(1000);
+constexpr unsigned most_failed_attempts = 3;
 constexpr auto default_avoid_time = duration(100);
 
 // Refusals that another backend server would repeat.
@@ -76,6 +77,11 @@
     wait_for_version();
     return;
   }
+  // Each of these attempts may have cost a backend server a whole run.
+  if (why.result != verdict::not_run && ++failed_attempts_ >= most_failed_attempts) {
+    apply(give_up(state_, why));
+    return;
+  }
   last_refusal_ = why;
   tried_.push_back({server_id_, code_of(why)});
   if (why.result == verdict::not_run) {
--- a/tools/router/router.cpp
+++ b/tools/router/router.cpp
@@ -180,8 +180,10 @@
 
 void router::log_choice(const std::string& request_id, unsigned attempt,
                         const server_choice& found) {
-  io::log_decision({request_id, attempt == 0 ? "route" : "retry",
-                    found.server == nullptr ? std::string() : found.server->node_id,
+  const bool is_sent = found.server != nullptr && !found.all_refuse;
+  const auto* kind = attempt == 0 ? "route" : "retry";
+  io::log_decision({request_id, is_sent ? kind : "wait",
+                    is_sent ? found.server->node_id : std::string(),
                     std::string(name(found.made.reason)), found.made.passed_over});
 }
 
