Hash a call in one place

Cause: the agent had its own copy of the formula by which the router names a call, and a difference would have made every cancel a mismatch. Change: the agent uses the core's hash_call.

--- a/tools/agent/attempt_runner.cpp
+++ b/tools/agent/attempt_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/logging.h"
+#include "marigoldstep/request.h"
 
 #include <algorithm>
 
@@ -262,7 +263,7 @@
   added->answer.max_bytes = session_.config()->limits.max_answer_bytes;
   start.repeatable = is_repeatable_here(start);
   if (!start.repeatable) {
-    added->body_hash = hash_call(start);
+    added->body_hash = hash_call(start.method, start.path, byte_view(start.body));
   }
   added->start = std::move(start);
   metrics_.admitted.Increment();
--- a/tools/agent/claim_service.cpp
+++ b/tools/agent/claim_service.cpp
@@ -49,11 +49,6 @@
 
 } // namespace
 
-std::uint64_t hash_call(const wire::StartAttemptT& start) {
-  const auto target = stable_hash(start.method + " " + start.path);
-  return stable_hash(byte_view(start.body), target);
-}
-
 claim_decision decide_claim(const wire::ClaimReplyT& reply) {
   switch (reply.outcome) {
   case ClaimOutcome::granted:
--- a/tools/agent/claim_service.h
+++ b/tools/agent/claim_service.h
@@ -24,9 +24,6 @@
 
 claim_decision decide_claim(const wire::ClaimReplyT& reply);
 
-// Names the call that an idempotency key stands for.
-std::uint64_t hash_call(const wire::StartAttemptT& start);
-
 // Larger answers are not stored with a claim, only the fact that the call
 // completed. Equals the bound of the control group.
 inline constexpr std::size_t max_stored_answer = 64U << 10U;
