Show lost availability zones in the modelled views

Cause: after outages became one event, the model's router views no longer showed them, so routers tried unreachable engines (0.064 per request at the large size). Change: the views mark the silent servers of lost availability zones suspect.

--- a/benchmark/timeline.cpp
+++ b/benchmark/timeline.cpp
@@ -146,6 +146,12 @@
     const auto it = table.members.find(id);
     if (it != table.members.end()) {
       servers[i] = it->second.report.server;
+      const auto& heard = table.heard_in_lost;
+      const bool is_heard = std::find(heard.begin(), heard.end(), id) != heard.end();
+      if (table.lost.count(servers[i].zone) > 0 && !is_heard &&
+          servers[i].state == server_state::serving) {
+        servers[i].state = server_state::suspect;
+      }
     } else {
       servers[i].node_id = id;
       servers[i].service = "pool";
@@ -201,9 +207,9 @@
                           now);
       }
     }
-    advance(table, now);
+    const bool advanced = advance(table, now);
     bytes.push_back(exchange_bytes(table, view));
-    if (table.version != announced) {
+    if (advanced || table.version != announced) {
       announced = table.version;
       out.views.push_back({now, make_view(table, out.engines)});
     }
