--- a/benchmark/main.cpp
+++ b/benchmark/main.cpp
@@ -1,4 +1,5 @@
 #include "placement_bench.h"
+#include "raft_bench.h"
 
 #include <cstdio>
 #include <popt.h>
@@ -20,7 +21,7 @@
   poptOption table[] = {
       {"seed", 0, POPT_ARG_LONGLONG, &seed, 0, "Seed of the model", "N"},
       {"json", 0, POPT_ARG_NONE, &json, 0, "One JSON object a line", nullptr},
-      {"only", 0, POPT_ARG_STRING, &only, 0, "Part to run: placement", "PART"},
+      {"only", 0, POPT_ARG_STRING, &only, 0, "Part to run: placement or raft", "PART"},
       {"size", 0, POPT_ARG_STRING, &size, 0, "archive, volta or large", "SIZE"},
       POPT_AUTOHELP POPT_TABLEEND};
   std::vector<const char*> arguments(argv, argv + argc);
@@ -36,10 +37,15 @@
   options.json = json != 0;
   options.size = size == nullptr ? "" : size;
   const std::string_view part = only == nullptr ? "" : only;
-  if (!part.empty() && part != "placement") {
+  if (!part.empty() && part != "placement" && part != "raft") {
     std::fprintf(stderr, "--only: unknown part\n");
     return exit_usage;
   }
-  marigoldstep::bench::run_placement_bench(options);
+  if (part.empty() || part == "placement") {
+    marigoldstep::bench::run_placement_bench(options);
+  }
+  if (part.empty() || part == "raft") {
+    marigoldstep::bench::run_raft_bench(options);
+  }
   return 0;
 }
--- a/tools/agent/agent.cpp
+++ b/tools/agent/agent.cpp
@@ -3,12 +3,20 @@
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/logging.h"
 
+#include <cmath>
+
 namespace marigoldstep::agent {
 
 namespace {
 
 constexpr std::uint32_t protocol_version = 1;
 constexpr auto drain_check_interval = duration(20);
+// Shortest time between two heartbeats while the load bound is reached. The limit
+// of a busy pool can grow once per report, so the regular 500 ms would slow it. A
+// heartbeat and its acknowledgement take 448 bytes; four a second fit in 2 KB/s.
+constexpr auto pressed_interval = duration(250);
+// The report page draws its plots from these lines.
+constexpr auto summary_interval = duration(5000);
 constexpr double thousandths = 1000.0;
 
 // Whether every field that the handlers rely on is there and in range.
@@ -28,6 +36,10 @@
   set_up_session();
   set_up_admin();
   listener_.on_connection = [this](io::framed_connection* it) { add_link(it); };
+  runner_.on_limit_reached = [this] { ask_for_mean(); };
+  mean_timer_.setSingleShot(true);
+  connect(&mean_timer_, &QTimer::timeout, this, [this] { session_.send_heartbeat(); });
+  connect(&summary_timer_, &QTimer::timeout, this, [this] { log_summary(); });
   connect(&drain_timer_, &QTimer::timeout, this, [this] { check_drained(); });
 }
 
@@ -100,6 +112,7 @@
     settings_.advertise = {settings_.listen.host, listener_.port()};
   }
   session_.start();
+  summary_timer_.start(summary_interval);
   io::log_event(io::log_level::info, "listening",
                 {{"port", std::to_string(port())},
                  {"admin_port", std::to_string(admin_port())},
@@ -127,6 +140,13 @@
   sent_report_.sent_at = io::now();
 }
 
+void agent::ask_for_mean() {
+  if (!mean_timer_.isActive()) {
+    const auto due = sent_report_.sent_at + pressed_interval;
+    mean_timer_.start(std::max(due - io::now(), duration(0)));
+  }
+}
+
 void agent::handle_ack(const wire::HeartbeatAckT& ack) {
   sent_report_.mean_milli = ack.pool_mean_milli;
   sent_report_.servers = ack.pool_servers;
@@ -148,6 +168,21 @@
   return out;
 }
 
+void agent::log_summary() {
+  const double prompt = metrics_.prompt_tokens.Value();
+  const double cached = metrics_.cached_tokens.Value();
+  const auto whole = [](double n) { return std::to_string(std::llround(n)); };
+  io::log_event(io::log_level::info, "agent_summary",
+                {{"service", settings_.service},
+                 {"load", std::to_string(runner_.load())},
+                 {"limit", std::to_string(runner_.limit())},
+                 {"mean_milli", std::to_string(runner_.mean_milli())},
+                 {"prompt_tokens", whole(prompt - logged_prompt_tokens_)},
+                 {"cached_tokens", whole(cached - logged_cached_tokens_)}});
+  logged_prompt_tokens_ = prompt;
+  logged_cached_tokens_ = cached;
+}
+
 void agent::add_link(io::framed_connection* connection) {
   auto added = std::make_unique<router_link>();
   auto* link = added.get();
@@ -183,10 +218,16 @@
   auto frame = wire::decode_data(buf, ec);
   if (!frame) {
     io::log_event(io::log_level::warning, "malformed_frame", {{"router", link.node_id}});
-    // Closed from the event loop, because the link is in use by the caller.
-    link.connection->on_frame = nullptr;
-    QMetaObject::invokeMethod(
-        link.connection, [this, &link] { drop_link(&link); }, Qt::QueuedConnection);
+    // Dropped from the event loop, because the caller still uses the link. The
+    // peer may have closed the connection, and so ended the link, by then.
+    auto* connection = link.connection;
+    connection->on_frame = nullptr;
+    const auto drop = [this, connection] {
+      if (const auto it = links_.find(connection); it != links_.end()) {
+        drop_link(it->second.get());
+      }
+    };
+    QMetaObject::invokeMethod(connection, drop, Qt::QueuedConnection);
     return;
   }
   handle_body(link, *frame);
--- a/tools/control/commands.cpp
+++ b/tools/control/commands.cpp
@@ -4,6 +4,7 @@
 
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/logging.h"
+#include "marigoldstep/io/operator_key.h"
 
 #include <algorithm>
 
@@ -49,11 +50,45 @@
 
 } // namespace
 
-bool service::is_authorized(std::string_view name, std::string_view key) const {
-  return operators_.empty() ||
-         std::any_of(operators_.begin(), operators_.end(), [&](const auto& it) {
-           return (name.empty() || it.name == name) && same_key(it.key, key);
-         });
+bool service::is_authorized(const std::string& name, std::string_view key) const {
+  const auto& replicated = group_.state().operators;
+  if (operators_.empty() && replicated.empty()) {
+    return true;
+  }
+  const bool in_settings =
+      std::any_of(operators_.begin(), operators_.end(), [&](const auto& it) {
+        return (name.empty() || it.name == name) && same_key(it.key, key);
+      });
+  return in_settings || (!replicated.empty() && io::authorize(replicated, name, key));
+}
+
+void service::handle_operator(const link& to, const wire::ControlFrameT& frame) {
+  // A new leader that has not applied every entry yet may miss the operators, and
+  // without operators everybody is authorized.
+  group_.confirm([this, to, frame](std::error_code ec) {
+    if (ec) {
+      send_not_leader(to, frame.correlation);
+    } else if (const auto* change = frame.body.AsChangeRequest()) {
+      handle_change(to, frame, *change);
+    } else if (const auto* member = frame.body.AsMemberRequest()) {
+      handle_member(to, frame.correlation, *member);
+    } else if (const auto* request = frame.body.AsOperatorRequest()) {
+      handle_operator_keys(to, frame, *request);
+    }
+  });
+}
+
+void service::handle_operator_keys(const link& to, const wire::ControlFrameT& frame,
+                                   const wire::OperatorRequestT& body) {
+  if (is_authorized(body.author, body.operator_key)) {
+    handle_command(to, frame);
+    return;
+  }
+  io::log_event(io::log_level::warning, "operator_refused", {{"author", body.author}});
+  wire::OperatorReplyT reply;
+  reply.error_code = number(errc::not_authorized);
+  reply.message = "the key does not belong to operator " + body.author;
+  send(to, wire::control_frame(std::move(reply), frame.correlation));
 }
 
 void service::handle_command(const link& to, const wire::ControlFrameT& frame) {
@@ -87,6 +122,11 @@
     constexpr std::uint32_t overload_pause_ms = 1000;
     wire::OrderReplyT reply;
     reply.retry_after_ms = overload_pause_ms;
+    send(to, wire::control_frame(reply, request.correlation));
+  } else if (request.body.AsOperatorRequest() != nullptr) {
+    wire::OperatorReplyT reply;
+    reply.error_code = number(errc::rate_limited);
+    reply.message = "the control group is overloaded; send the request again";
     send(to, wire::control_frame(std::move(reply), request.correlation));
   } else {
     wire::ChangeReplyT reply;
