Ask completed calls again with pauses and until they are answered

The 50 completed calls were asked again at the same moment, some were refused with not_run by the load limit, and half of the calls are set not to be sent again after not_run. A refusal does not lose the stored answer.

Change: these calls go out 20 ms apart and obey a refusal by asking again; calls that get no whole answer in all their sends still count as lost, and are listed. The demo takes the engines' speed as an option.

--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -178,7 +178,11 @@
     deployment = harness.DEPLOYMENTS["archive" if options.archive else "volta"]
     with harness.Folder() as folder:
         fleet = harness.plan_fleet(
-            deployment, folder.path, options.configuration, controls=options.controls
+            deployment,
+            folder.path,
+            options.configuration,
+            controls=options.controls,
+            engine_speed=options.engine_speed,
         )
         sampler = harness.Sampler(fleet)
         in_force, load = None, None
@@ -224,6 +228,12 @@
     parser.add_argument("--seed", type=int, default=1, help="seed of the load")
     parser.add_argument("--controls", type=int, default=3, help="control processes (1 or 3)")
     parser.add_argument("--configuration", help="use this instead of a generated one")
+    parser.add_argument(
+        "--engine-speed",
+        type=float,
+        default=harness.ENGINE_TOKENS_PER_SECOND,
+        help="tokens a second of an engine that runs one request; 25 shows overload",
+    )
     parser.add_argument("--keep", action="store_true", help="keep the logs")
     sys.exit(run(parser.parse_args()))
 
--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -162,9 +162,11 @@
     return write(os.path.join(folder, "fleet.yaml"), text), text
 
 
-def plan_fleet(deployment, folder, given=None, controls=3, routers=3, log_level="info"):
+def plan_fleet(
+    deployment, folder, given=None, controls=3, routers=3, engine_speed=ENGINE_TOKENS_PER_SECOND
+):
     """Writes every settings file; starts nothing."""
-    fleet = Fleet(deployment, folder, log_level)
+    fleet = Fleet(deployment, folder)
     fleet.configuration, text = generate_configuration(deployment, folder, given)
     models = ", ".join(models_of(text, deployment.pool))
     backends = deployment.engines + deployment.services
@@ -172,7 +174,7 @@
     plan_controls(fleet, controls, ports)
     plan_routers(fleet, routers, ports)
     for i in range(deployment.engines):
-        knobs = f"models: [{models}]\ntokens_per_second: {ENGINE_TOKENS_PER_SECOND}\n"
+        knobs = f"models: [{models}]\ntokens_per_second: {engine_speed}\n"
         knobs += f"checks_fencing: {'true' if i % 2 else 'false'}\n"
         plan_backend(fleet, fleet.engines, f"engine-{i}", "engine", deployment.pool, i, ports, knobs)
     for i in range(deployment.services):
--- a/tools/load/report.cpp
+++ b/tools/load/report.cpp
@@ -61,13 +61,6 @@
   }
 }
 
-std::string describe(const request_record& record) {
-  const auto& it = record.request;
-  return std::string(name(record.end)) + ": " +
-         (it.service.empty() ? it.chat.user : it.service + " " + it.call.key) + " " +
-         record.code + " after " + std::to_string(record.sends) + " sends";
-}
-
 double reuse(const load_report& report) {
   const auto prompt = static_cast<double>(report.returning_prompt_tokens);
   const auto cached = static_cast<double>(report.returning_cached_tokens);
@@ -115,6 +108,13 @@
 
 } // namespace
 
+std::string describe(const request_record& record) {
+  const auto& it = record.request;
+  return std::string(name(record.end)) + ": " +
+         (it.service.empty() ? it.chat.user : it.service + " " + it.call.key) + " " +
+         record.code + " after " + std::to_string(record.sends) + " sends";
+}
+
 void add_record(load_report& report, const request_record& record) {
   auto& totals = totals_of(report, record.request.kind);
   ++totals.requests;
--- a/tools/load/report.h
+++ b/tools/load/report.h
@@ -44,6 +44,9 @@
   double seconds = 0;
 };
 
+// One line about a request for the list of faults.
+std::string describe(const request_record& record);
+
 void add_record(load_report& report, const request_record& record);
 
 // Nothing wrong, doubled, lost or falsely "not run", and all counts readable.
--- a/tools/load/runner.cpp
+++ b/tools/load/runner.cpp
@@ -10,6 +10,10 @@
 // after the idle time limit could otherwise go on for minutes.
 constexpr auto grace = duration(30'000);
 
+// Between two completed calls that are asked again; all at once would be refused
+// by the load limit.
+constexpr auto recheck_interval = duration(20);
+
 } // namespace
 
 runner::runner(load_settings settings, QObject* parent)
@@ -162,15 +166,21 @@
   report_.rechecked = *left;
   for (std::size_t i = 0; i < report_.rechecked; ++i) {
     // Evenly spaced over the run, so that early answers are among them.
-    const auto& request = completed_calls_[i * completed_calls_.size() / *left];
+    auto request = completed_calls_[i * completed_calls_.size() / *left];
+    // A refusal does not lose the stored answer; the caller asks again.
+    request.resend_not_run = true;
     auto* driver = new request_driver(settings_, request, callers_, this);
     driver->on_done = [this, left](const request_record& record) {
-      report_.lost_answers += record.end == request_end::whole ? 0 : 1;
+      if (record.end != request_end::whole) {
+        ++report_.lost_answers;
+        report_.faults.push_back("asked again, " + describe(record));
+      }
       if (--*left == 0 && phase_ == phase::recheck) {
         read_runs();
       }
     };
-    driver->start();
+    QTimer::singleShot(recheck_interval * i, Qt::PreciseTimer, driver,
+                       [driver] { driver->start(); });
   }
 }
 
