--- a/tools/agent/agent.h
+++ b/tools/agent/agent.h
@@ -31,12 +31,14 @@
   void set_up_session();
   void set_up_admin();
   void fill_heartbeat(wire::HeartbeatT& body);
+  void ask_for_mean();
   void handle_ack(const wire::HeartbeatAckT& ack);
   void add_link(io::framed_connection* connection);
   void drop_link(router_link* link);
   void handle_frame(router_link& link, byte_view buf);
   void handle_body(router_link& link, wire::DataFrameT& frame);
   [[nodiscard]] frame_facts make_facts() const;
+  void log_summary();
   void serve_post(const QHttpServerRequest& request, QTcpSocket* socket);
   void check_drained();
 
@@ -54,6 +56,10 @@
   bool leaving_announced_ = false;
   time_point drain_until_{};
   QTimer drain_timer_;
+  QTimer mean_timer_;
+  QTimer summary_timer_;
+  double logged_prompt_tokens_ = 0;
+  double logged_cached_tokens_ = 0;
 };
 
 } // namespace marigoldstep::agent
--- a/tools/control/service.cpp
+++ b/tools/control/service.cpp
@@ -103,10 +103,10 @@
   } else if (frame.body.AsClaimRequest() != nullptr ||
              frame.body.AsOrderRequest() != nullptr) {
     handle_command(to, frame);
-  } else if (const auto* change = frame.body.AsChangeRequest()) {
-    handle_change(to, frame, *change);
-  } else if (const auto* member = frame.body.AsMemberRequest()) {
-    handle_member(to, frame.correlation, *member);
+  } else if (frame.body.AsChangeRequest() != nullptr ||
+             frame.body.AsMemberRequest() != nullptr ||
+             frame.body.AsOperatorRequest() != nullptr) {
+    handle_operator(to, frame);
   } else if (const auto* history = frame.body.AsHistoryRequest()) {
     handle_history(to, frame.correlation, *history);
   } else if (frame.body.AsStatusRequest() != nullptr) {
--- a/tools/router/relay_end.cpp
+++ b/tools/router/relay_end.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr auto default_retry_after = duration(1000);
 constexpr auto cancel_timeout = duration(1000);
 constexpr auto default_avoid_time = duration(100);
 
@@ -163,6 +162,7 @@
     return;
   }
   finished_ = true;
+  account_buffers();
   leave_link();
   const auto verdict = name(result.result);
   owner_.metrics().count_request(verdict, code);
