--- a/benchmark/main.cpp
+++ b/benchmark/main.cpp
@@ -1,3 +1,4 @@
+#include "capacity_bench.h"
 #include "placement_bench.h"
 #include "raft_bench.h"
 
@@ -18,11 +19,15 @@
   int json = 0;
   char* only = nullptr;
   char* size = nullptr;
+  char* output = nullptr;
   poptOption table[] = {
       {"seed", 0, POPT_ARG_LONGLONG, &seed, 0, "Seed of the model", "N"},
       {"json", 0, POPT_ARG_NONE, &json, 0, "One JSON object a line", nullptr},
-      {"only", 0, POPT_ARG_STRING, &only, 0, "Part to run: placement or raft", "PART"},
+      {"only", 0, POPT_ARG_STRING, &only, 0, "Part to run: placement, raft or capacity",
+       "PART"},
       {"size", 0, POPT_ARG_STRING, &size, 0, "archive, volta or large", "SIZE"},
+      {"output", 0, POPT_ARG_STRING, &output, 0,
+       "File for the figures of the capacity part", "FILE"},
       POPT_AUTOHELP POPT_TABLEEND};
   std::vector<const char*> arguments(argv, argv + argc);
   poptContext context = poptGetContext("mstep-bench", argc, arguments.data(), table, 0);
@@ -37,7 +42,7 @@
   options.json = json != 0;
   options.size = size == nullptr ? "" : size;
   const std::string_view part = only == nullptr ? "" : only;
-  if (!part.empty() && part != "placement" && part != "raft") {
+  if (!part.empty() && part != "placement" && part != "raft" && part != "capacity") {
     std::fprintf(stderr, "--only: unknown part\n");
     return exit_usage;
   }
@@ -47,5 +52,10 @@
   if (part.empty() || part == "raft") {
     marigoldstep::bench::run_raft_bench(options);
   }
+  // Only on request: it overwrites a committed file.
+  if (part == "capacity") {
+    const std::string path = output == nullptr ? "docs/capacity-slopes.json" : output;
+    return marigoldstep::bench::run_capacity_bench(options, path) ? 0 : 1;
+  }
   return 0;
 }
