--- a/include/marigoldstep/attempt.h
+++ b/include/marigoldstep/attempt.h
@@ -77,6 +77,7 @@
 // What the control group says of a call that needs a claim. completed_whole means
 // that the stored answer came with the reply and can be given to the caller.
 enum class claim_fate { never_ran, completed_whole, undecided };
-relay_decision after_claim_reply(relay_state& state, claim_fate result, const outcome& why);
+relay_decision after_claim_reply(relay_state& state, claim_fate result,
+                                 const outcome& why);
 
 } // namespace marigoldstep
--- a/include/marigoldstep/configuration.h
+++ b/include/marigoldstep/configuration.h
@@ -54,8 +54,10 @@
 enum class control_loss_policy { stop, keep_serving };
 
 struct limit_settings {
-  double load_multiple = 1.25;  // bound on load over the pool's mean load
-  std::uint32_t load_floor = 4; // attempts a server may always carry
+  double load_multiple = 1.25; // bound on load over the pool's mean load
+  // Attempts a server may always carry. With a multiple of 1.25 the limit can grow
+  // from 8 when a pool is 90% full; from 4 only when every server is full.
+  std::uint32_t load_floor = 8;
   std::uint32_t engine_slots = 16;
   double reuse_bias = 0.5; // 0 favours even load, 1 favours cache reuse
   std::uint32_t max_body_bytes = 1U << 20U;
--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -103,7 +103,7 @@
             if node.alive():
                 try:
                     totals = harness.read_metrics(node.admin)
-                    versions.append(totals.get("mstep_router_config_version", 0))
+                    versions.append(totals.get("marigoldstep_router_config_version", 0))
                 except OSError:
                     versions.append(0)
         if versions and min(versions) >= version and says_in_force(fleet):
--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -341,8 +341,8 @@
             totals = read_metrics(node.admin)
         except OSError:
             return
-        count = totals.get("mstep_router_control_sent_bytes_total", 0) + totals.get(
-            "mstep_router_control_received_bytes_total", 0
+        count = totals.get("marigoldstep_router_control_sent_bytes_total", 0) + totals.get(
+            "marigoldstep_router_control_received_bytes_total", 0
         )
         now = time.monotonic()
         first = self.control_bytes.get(node.name, ((now, count),))[0]
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -86,6 +86,7 @@
 // load: its own load would be the mean.
 TEST_CASE("a report over fewer servers does not raise the limit") {
   limit_settings limits;
+  limits.load_floor = 4;
   mean_history history;
   const auto at = [](int ms) { return time_point(duration(ms)); };
   note_report(history, {8000, 10, 10, at(0)});
--- a/tools/router/metrics.cpp
+++ b/tools/router/metrics.cpp
@@ -19,7 +19,7 @@
   const prometheus::Histogram::BucketBoundaries bounds = {
       0.00005, 0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.05, 0.25, 1.0};
   return prometheus::BuildHistogram()
-      .Name("mstep_router_added_latency_seconds")
+      .Name("marigoldstep_router_added_latency_seconds")
       .Help("Time from a whole request to its first start message")
       .Register(registry)
       .Add({}, bounds);
@@ -35,31 +35,32 @@
 } // namespace
 
 router_metrics::router_metrics(prometheus::Registry& registry)
-    : requests_(counters(registry, "mstep_router_requests_total",
+    : requests_(counters(registry, "marigoldstep_router_requests_total",
                          "Requests answered, by verdict and error code")),
-      retries_(counters(registry, "mstep_router_retries_total",
+      retries_(counters(registry, "marigoldstep_router_retries_total",
                         "Attempts after the first of a request")
                    .Add({})),
-      resumes_(counters(registry, "mstep_router_resumes_total",
+      resumes_(counters(registry, "marigoldstep_router_resumes_total",
                         "Attempts continued after a lost connection to an agent")
                    .Add({})),
-      stale_frames_(counters(registry, "mstep_router_stale_frames_total",
+      stale_frames_(counters(registry, "marigoldstep_router_stale_frames_total",
                              "Late, repeated or crossed frames that were dropped")
                         .Add({})),
-      answer_bytes_(counters(registry, "mstep_router_answer_bytes_total",
+      answer_bytes_(counters(registry, "marigoldstep_router_answer_bytes_total",
                              "Bytes of answers received from agents")
                         .Add({})),
-      control_sent_(counters(registry, "mstep_router_control_sent_bytes_total",
+      control_sent_(counters(registry, "marigoldstep_router_control_sent_bytes_total",
                              "Bytes sent to the control group")
                         .Add({})),
-      control_received_(counters(registry, "mstep_router_control_received_bytes_total",
+      control_received_(counters(registry,
+                                 "marigoldstep_router_control_received_bytes_total",
                                  "Bytes received from the control group")
                             .Add({})),
-      requests_open_(gauge(registry, "mstep_router_requests_open",
+      requests_open_(gauge(registry, "marigoldstep_router_requests_open",
                            "Requests in progress, streams included")),
-      connections_open_(gauge(registry, "mstep_router_connections_open",
+      connections_open_(gauge(registry, "marigoldstep_router_connections_open",
                               "Open connections of callers")),
-      config_version_(gauge(registry, "mstep_router_config_version",
+      config_version_(gauge(registry, "marigoldstep_router_config_version",
                             "Version of the configuration in effect here")),
       added_latency_(latency(registry)) {}
 
