Let the bench fail when a target is missed

Cause: the parts returned whether every target was met, and the program dropped it, so a missed target still ended with status 0. Change: the exit status is 1 when any part missed a target.

--- a/benchmark/main.cpp
+++ b/benchmark/main.cpp
@@ -46,16 +46,17 @@
     std::fprintf(stderr, "--only: unknown part\n");
     return exit_usage;
   }
+  bool targets_met = true;
   if (part.empty() || part == "placement") {
-    marigoldstep::bench::run_placement_bench(options);
+    targets_met = marigoldstep::bench::run_placement_bench(options);
   }
   if (part.empty() || part == "raft") {
-    marigoldstep::bench::run_raft_bench(options);
+    targets_met = marigoldstep::bench::run_raft_bench(options) && targets_met;
   }
   // Only on request: it overwrites a committed file.
   if (part == "capacity") {
     const std::string path = output == nullptr ? "docs/capacity-slopes.json" : output;
     return marigoldstep::bench::run_capacity_bench(options, path) ? 0 : 1;
   }
-  return 0;
+  return targets_met ? 0 : 1;
 }
