--- /dev/null
+++ b/include/marigoldstep/dispatch.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "marigoldstep/routing.h"
+#include "marigoldstep/server_directory.h"
+#include "marigoldstep/types.h"
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+// Choice of a backend server by a router that reaches the servers itself. Pure
+// functions over what the router knows; the load they answer is many routers
+// that each see a part of the requests and share counts a few times a second.
+namespace marigoldstep {
+
+// One part of a prompt. Requests share parts; a server that has read a part and
+// all parts before it needn't read it again.
+struct prompt_part {
+  std::uint64_t id = 0;
+  std::uint32_t tokens = 0;
+
+  friend bool operator==(const prompt_part&, const prompt_part&) = default;
+};
+
+// Requests in flight at a server and the tokens of their prompts and answers.
+struct load_count {
+  std::uint32_t requests = 0;
+  std::uint64_t tokens = 0;
+
+  friend bool operator==(const load_count&, const load_count&) = default;
+};
+
+// What answers told of a server.
+struct server_record {
+  load_count own;    // in flight from this router
+  load_count others; // from the other routers, as last told
+  std::uint32_t reported_requests = 0; // running and waiting, from the last answer
+  time_point reported_at{};
+  unsigned failures_in_a_row = 0;
+  unsigned ejections = 0; // since the last success
+  double failure_share = 0; // moving average of answers that failed
+  unsigned results = 0;     // answers behind the average, capped
+  time_point ejected_until{};
+};
+
+struct dispatch_state {
+  std::map<std::string, server_record> records; // by server id
+};
+
+struct dispatch_limits {
+  // Servers not heard for longer get no requests while others are left.
+  duration silence{4000};
+  // A server takes requests for a prompt up to this multiple of the mean load.
+  double bound = 1.25;
+  // Requests that may wait at a batching server beyond its slots.
+  double queue_share = 0.2;
+};
+
+struct dispatch_request {
+  std::string service;
+  std::string zone; // of this router
+  batch_limits batch;
+  std::vector<prompt_part> prompt; // empty for plain services
+  std::vector<std::string> tried;  // servers that had this request already
+};
+
+enum class dispatch_reason { home, bounded, least_loaded, last_resort, all_full, none };
+std::string_view name(dispatch_reason value);
+
+struct dispatch_choice {
+  const announced_server* server = nullptr; // into the directory; null: refuse
+  dispatch_reason reason = dispatch_reason::none;
+  std::uint32_t load = 0;       // of the chosen server
+  double mean_load = 0;         // of the service
+  std::size_t candidates = 0;   // servers considered
+};
+
+// Requests that a server carries as far as this router knows.
+std::uint32_t known_load(const server_record& record, time_point now);
+
+// Picks a server. Requests with a prompt go to the home of its largest shared
+// part, by rendezvous hashing with bounded load (Mirrokni, Thorup and
+// Zadimoghaddam, 2018), so that parts already read are found again; the others
+// go to the server with the most room, near ones first.
+dispatch_choice choose(const server_directory& directory, const dispatch_state& state,
+                       const dispatch_request& request, const dispatch_limits& limits,
+                       time_point now, std::mt19937_64& random);
+
+void note_sent(dispatch_state& state, const std::string& id, std::uint64_t tokens);
+void note_finished(dispatch_state& state, const std::string& id, std::uint64_t tokens);
+
+// An answer arrived that the server made itself. failed: a server error.
+void note_answer(dispatch_state& state, const std::string& id, bool failed,
+                 time_point now);
+// No answer: the connection failed, broke or carried something else. Ejects the
+// server for a time that doubles with each failure in a row.
+void note_broken(dispatch_state& state, const std::string& id, time_point now);
+void note_reported(dispatch_state& state, const std::string& id, std::uint32_t requests,
+                   time_point now);
+
+} // namespace marigoldstep
--- /dev/null
+++ b/include/marigoldstep/io/backend_pool.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "marigoldstep/io/control_client.h"
+#include "marigoldstep/io/http_parser.h"
+#include "marigoldstep/types.h"
+
+#include <QObject>
+#include <QTcpSocket>
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace marigoldstep::io {
+
+// Why an exchange with a backend server ended without a whole answer.
+enum class exchange_failure {
+  not_connected, // nothing was sent
+  closed,        // the connection broke after the request was handed to it
+  malformed,     // bytes that are no answer
+};
+
+// The client's side of one connection to a backend server; carries one request at
+// a time. Callbacks may not delete the connection, but may release or abort it.
+class backend_connection : public QObject {
+public:
+  backend_connection(endpoint target, duration connect_timeout, QObject* parent);
+
+  // Sends a request as soon as the connection is open. The callbacks below stay
+  // until the exchange ended. is_head: the answer has no body.
+  void send(std::string request, bool is_head);
+
+  std::function<void(const http_head&)> on_head;
+  std::function<void(std::string)> on_body;
+  std::function<void()> on_done;
+  std::function<void(exchange_failure)> on_failed;
+
+  // Skips the answer whose head was just read: it belongs to another request.
+  void skip_answer() { skipping_ = true; }
+  // Stops and goes on reading, for callers that read slowly.
+  void set_paused(bool paused);
+  // Ends the connection at once; no callback follows.
+  void abort();
+
+  [[nodiscard]] const endpoint& target() const { return target_; }
+  [[nodiscard]] bool is_open() const { return state_ == state::open; }
+  [[nodiscard]] bool is_new() const { return exchanges_ <= 1; }
+  // Whether another request may follow: the last answer was whole, nothing came
+  // after it, and the whole request was written.
+  [[nodiscard]] bool is_reusable() const;
+
+  // Closed or spoiled while idle; the pool sets it.
+  std::function<void()> on_idle_end;
+
+private:
+  enum class state { connecting, open, closed };
+
+  void handle_connected();
+  void read();
+  void read_answer();
+  void handle_end();
+  void fail(exchange_failure why);
+  void clear_callbacks();
+
+  QTcpSocket* socket_;
+  endpoint target_;
+  http_parser parser_;
+  std::string request_; // waits for the connection
+  std::string input_;
+  state state_ = state::connecting;
+  bool busy_ = false;
+  bool is_head_ = false;
+  bool head_told_ = false;
+  bool skipping_ = false;
+  bool paused_ = false;
+  bool keep_alive_ = false;
+  unsigned exchanges_ = 0;
+};
+
+// Keeps idle connections to backend servers.
+class backend_pool : public QObject {
+public:
+  explicit backend_pool(QObject* parent);
+
+  duration connect_timeout{400};
+
+  // An idle connection that stays open for at least the margin, or a new one.
+  // only_new: the request must not meet a connection that the server closes.
+  backend_connection* acquire(const endpoint& target, bool only_new);
+  // Gives a connection back after a whole answer. The server keeps it open for
+  // idle_timeout.
+  void release(backend_connection* connection, duration idle_timeout);
+  void discard(backend_connection* connection);
+  // Closes idle connections to servers that left.
+  void drop(const endpoint& target);
+
+  [[nodiscard]] std::size_t open_connections(const endpoint& target) const;
+  [[nodiscard]] std::uint64_t connects() const { return connects_; }
+
+private:
+  struct idle_connection {
+    backend_connection* connection = nullptr;
+    time_point usable_until{};
+  };
+
+  void expire();
+  void remove_idle(backend_connection* connection);
+
+  std::map<endpoint, std::vector<idle_connection>> idle_;
+  std::map<endpoint, std::size_t> open_;
+  std::uint64_t connects_ = 0;
+};
+
+} // namespace marigoldstep::io
--- /dev/null
+++ b/include/marigoldstep/io/control_links.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "marigoldstep/io/framed_connection.h"
+#include "marigoldstep/routing.h"
+#include "marigoldstep/server_directory.h"
+#include "marigoldstep/wire.h"
+
+#include <QObject>
+#include <QTimer>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace marigoldstep::io {
+
+struct link_settings {
+  std::string node_id;
+  bool is_router = true;
+  std::string own_host; // never connected to
+  std::uint16_t port = 0; // of the links, the same on every control VM
+  std::vector<std::string> seeds; // hosts
+};
+
+// Connections to every control process: from the seeds, and then from what the
+// group says of its members. What they tell is merged, so the loss of some of
+// them changes nothing. Silent connections are closed and opened again.
+class control_links : public QObject {
+public:
+  control_links(link_settings settings, QObject* parent);
+
+  // A newer routing configuration as the operator sent it.
+  std::function<void(std::uint64_t version, std::string text)> on_routing;
+  std::function<void(const wire::ServerUpdateT&)> on_servers;
+  std::function<void(const wire::FleetLoadT&)> on_fleet_load;
+  // The version in use here.
+  std::function<std::uint64_t()> routing_version;
+
+  void start();
+  void set_seeds(std::vector<std::string> seeds);
+  // Tells the leader what this router has in flight; dropped without a leader.
+  void send_load(wire::RouterLoadT load);
+  // Acknowledges an applied version at once.
+  void acknowledge_version();
+
+  [[nodiscard]] std::size_t open_links() const;
+  // Whether some control process has told all servers that it knows.
+  [[nodiscard]] bool has_servers() const { return has_servers_; }
+
+private:
+  struct link {
+    framed_connection* connection = nullptr;
+    bool is_open = false;
+    bool leads = false;
+    bool confirmed = false;
+    std::uint64_t version = 0;
+    std::uint64_t update_number = 0;
+    time_point heard_at{};
+    time_point retry_at{};
+    time_point opened_at{};
+  };
+
+  void tick();
+  void update_targets();
+  void connect_to(const std::string& host, link& it);
+  void drop(const std::string& host, std::string_view why);
+  void handle_frame(const std::string& host, byte_view buf);
+  void handle_status(const std::string& host, const wire::GroupStatusT& status);
+  void handle_routing(const wire::RoutingTextT& text);
+  void fetch_newer();
+  void send_ack(link& it);
+
+  link_settings settings_;
+  std::set<std::string> members_;
+  std::map<std::string, link> links_;
+  QTimer timer_;
+  time_point ack_at_{};
+  time_point fetch_until_{};
+  bool has_servers_ = false;
+};
+
+announced_server from_wire(const wire::AnnouncedServerT& entry);
+wire::AnnouncedServerT to_wire(const directory_entry& entry, time_point now);
+
+} // namespace marigoldstep::io
--- a/include/marigoldstep/io/framed_connection.h
+++ b/include/marigoldstep/io/framed_connection.h
@@ -39,6 +39,8 @@
   [[nodiscard]] std::size_t queued_bytes() const;
   // Sends what is queued and closes.
   void close();
+  // Closes at once; what is queued is lost and on_closed isn't called.
+  void abort();
   // Bytes sent and received since the connection began.
   [[nodiscard]] std::uint64_t bytes_sent() const { return sent_; }
   [[nodiscard]] std::uint64_t bytes_received() const { return received_; }
--- /dev/null
+++ b/include/marigoldstep/io/http_connection.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "marigoldstep/io/http_parser.h"
+#include "marigoldstep/types.h"
+
+#include <QObject>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <functional>
+#include <set>
+
+namespace marigoldstep::io {
+
+struct http_request {
+  http_head head;
+  std::string body; // without any transfer coding
+};
+
+// Bounds on callers of one listener.
+struct http_server_limits {
+  http_limits message{16U << 10U, 4U << 20U};
+  duration header_timeout{3000}; // from the first byte of a request to its end
+  duration idle_timeout{15'000}; // between requests
+  std::size_t max_connections = 2000;
+};
+
+// The server's side of one connection: reads one request at a time, and the next
+// only after the answer to it was written. Deletes itself after on_closed.
+class http_connection : public QObject {
+public:
+  http_connection(QTcpSocket* socket, const http_server_limits& limits, QObject* parent);
+
+  std::function<void(http_connection&, http_request)> on_request;
+  // The connection ended, by either side; an answer under way can't be finished.
+  std::function<void()> on_closed;
+  // Queued output went out.
+  std::function<void()> on_drained;
+
+  // Writes a whole answer.
+  void respond(unsigned status, const std::vector<http_field>& fields,
+               std::string_view body);
+  // Begins an answer whose body follows in pieces; chunked without a length.
+  void begin(unsigned status, const std::vector<http_field>& fields,
+             std::optional<std::uint64_t> length);
+  void write_body(std::string_view piece);
+  void finish();
+  // Ends the connection at once, so that a begun answer is visibly cut.
+  void abort();
+  // The next answer closes the connection.
+  void close_after_answer() { close_after_ = true; }
+  void close_if_idle();
+  // Applies the timeouts; to be called a few times a second.
+  void tick(time_point now);
+
+  [[nodiscard]] bool is_answering() const { return phase_ == phase::answering; }
+  [[nodiscard]] bool has_begun() const { return begun_; }
+  [[nodiscard]] std::size_t queued_bytes() const;
+  [[nodiscard]] std::size_t held_bytes() const { return body_.size() + input_.size(); }
+
+private:
+  enum class phase { idle, reading, answering, lingering, closed };
+
+  void read();
+  void read_messages();
+  void handle_message();
+  void send_continue();
+  void reject(std::error_code ec);
+  void end_answer();
+  void linger();
+  void handle_closed();
+  void write_head(unsigned status, const std::vector<http_field>& fields);
+
+  QTcpSocket* socket_;
+  const http_server_limits& limits_;
+  http_parser parser_;
+  std::string input_;
+  std::string body_;
+  phase phase_ = phase::idle;
+  time_point phase_since_;
+  bool begun_ = false;
+  bool chunked_ = false;
+  bool is_head_request_ = false;
+  bool close_after_ = false;
+  bool continue_sent_ = false;
+};
+
+// Accepts connections and hands out their requests.
+class http_listener : public QObject {
+public:
+  explicit http_listener(QObject* parent);
+
+  http_server_limits limits;
+  std::function<void(http_connection&, http_request)> on_request;
+
+  std::error_code listen(const std::string& host, std::uint16_t port);
+  [[nodiscard]] std::uint16_t port() const;
+  void stop_accepting();
+  // Makes every answer from now on close its connection.
+  void close_after_answers();
+  void close_idle();
+  [[nodiscard]] std::size_t connections() const { return open_.size(); }
+  [[nodiscard]] std::size_t answering() const;
+  // Bytes of requests held in memory.
+  [[nodiscard]] std::size_t held_bytes() const;
+
+private:
+  void accept();
+  void tick();
+
+  QTcpServer server_;
+  std::set<http_connection*> open_;
+  bool closing_ = false;
+};
+
+} // namespace marigoldstep::io
--- a/include/marigoldstep/io/logging.h
+++ b/include/marigoldstep/io/logging.h
@@ -11,11 +11,18 @@
 
 std::ostream& operator<<(std::ostream& out, log_level level);
 
-// Sets up Boost.Log: one line a record on standard error, or appended to path
-// when it is not empty. Lines below level are dropped.
+// As a path: standard output.
+inline constexpr const char* log_to_stdout = "-";
+
+// Sets up Boost.Log: one line a record on standard error, on standard output, or
+// appended to path when it is not empty. Lines below level are dropped, and so is
+// what exceeds max_lines_per_second; a line says how many were.
 void start_logging(std::string_view program, std::string_view node_id, log_level level,
                    const std::string& path = {});
 
+// Bounds the volume under load: a busy gateway writes about 100 lines a second.
+inline constexpr unsigned max_lines_per_second = 400;
+
 log_level parse_log_level(std::string_view text);
 
 // One key and its value in a structured line.
--- a/include/marigoldstep/io/program.h
+++ b/include/marigoldstep/io/program.h
@@ -37,4 +37,8 @@
 // Calls stop once on SIGTERM or SIGINT, from the event loop.
 void on_stop_signal(std::function<void()> stop);
 
+// Calls reload from the event loop on SIGHUP, and when the file at path changed
+// without a signal; it is looked at every second.
+void on_reload(const std::string& path, std::function<void()> reload);
+
 } // namespace marigoldstep::io
--- /dev/null
+++ b/include/marigoldstep/retry_share.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "marigoldstep/types.h"
+
+#include <array>
+#include <deque>
+#include <map>
+#include <string>
+
+// This router's part of a retry budget that the whole fleet shares, so that
+// nobody has to be asked before a retry.
+namespace marigoldstep {
+
+// The fleet's limit: within any window a service gets at most
+// ratio * requests + extra repeats.
+struct retry_limits {
+  double ratio = 0.1;
+  double extra = 0; // of the whole fleet
+  duration window{10'000};
+
+  friend bool operator==(const retry_limits&, const retry_limits&) = default;
+};
+
+struct retry_share {
+  retry_limits limits;
+  // Routers that share extra. 0 while unknown: then nothing of it may be used.
+  std::uint32_t routers = 0;
+  struct counts {
+    std::deque<time_point> requests; // within the window
+    std::deque<time_point> repeats;
+  };
+  std::map<std::string, counts> services;
+};
+
+// Takes over how many routers share the budget. The caller passes the largest
+// number of the last window, since routers that left may have used their part.
+void set_routers(retry_share& share, std::uint32_t routers);
+
+void note_request(retry_share& share, const std::string& service, time_point now);
+
+// Takes one repeat; false when this router's part is used up.
+bool take_repeat(retry_share& share, const std::string& service, time_point now);
+
+} // namespace marigoldstep
--- a/include/marigoldstep/wire.h
+++ b/include/marigoldstep/wire.h
@@ -3,6 +3,7 @@
 #include "marigoldstep/error.h"
 #include "marigoldstep/generated/control_messages.h"
 #include "marigoldstep/generated/data_messages.h"
+#include "marigoldstep/generated/link_messages.h"
 #include "marigoldstep/generated/raft_messages.h"
 #include "marigoldstep/types.h"
 
@@ -25,12 +26,14 @@
 bytes encode(const DataFrameT& frame);
 bytes encode(const ControlFrameT& frame);
 bytes encode(const RaftFrameT& frame);
+bytes encode(const LinkFrameT& frame);
 
 // Verifies and unpacks one whole frame. On malformed input returns null and
 // sets ec to errc::malformed_message. A frame without a body is malformed.
 std::unique_ptr<DataFrameT> decode_data(byte_view buf, std::error_code& ec);
 std::unique_ptr<ControlFrameT> decode_control(byte_view buf, std::error_code& ec);
 std::unique_ptr<RaftFrameT> decode_raft(byte_view buf, std::error_code& ec);
+std::unique_ptr<LinkFrameT> decode_link(byte_view buf, std::error_code& ec);
 
 // Wraps a body in a frame.
 template <typename Body> DataFrameT data_frame(Body body, std::uint64_t config_version) {
@@ -48,6 +51,12 @@
   return frame;
 }
 
+template <typename Body> bytes encode_link(Body body) {
+  LinkFrameT frame;
+  frame.body.Set(std::move(body));
+  return encode(frame);
+}
+
 inline AttemptId to_wire(const attempt_id& id) {
   return {id.hi, id.lo};
 }
--- a/src/fleet_state.cpp
+++ b/src/fleet_state.cpp
@@ -131,6 +131,17 @@
   return std::unique_ptr<wire::LoggedCommandT>(root->UnPack());
 }
 
+wire::StoreRoutingReplyT apply_routing(fleet_state& state,
+                                       const wire::StoreRoutingT& request) {
+  if (request.version > state.routing_version) {
+    state.routing_version = request.version;
+    state.routing_text = as_text(request.text);
+  }
+  wire::StoreRoutingReplyT reply;
+  reply.version = state.routing_version;
+  return reply;
+}
+
 wire::ControlBodyUnion apply_body(fleet_state& state, const wire::ControlBodyUnion& body,
                                   const config_facts& facts) {
   wire::ControlBodyUnion reply;
@@ -142,6 +153,8 @@
     reply.Set(apply_order(state, *order));
   } else if (const auto* request = body.AsOperatorRequest()) {
     reply.Set(apply_operator(state.operators, *request));
+  } else if (const auto* routing = body.AsStoreRouting()) {
+    reply.Set(apply_routing(state, *routing));
   }
   return reply;
 }
@@ -283,6 +296,9 @@
   pack_claims_state(state, fleet);
   pack_operators(state, fleet);
   fleet.fencing = state.fencing;
+  fleet.routing_version = state.routing_version;
+  const auto routing = as_bytes(state.routing_text);
+  fleet.routing_text.assign(routing.begin(), routing.end());
   fleet.load_times_s.assign(state.load_times.begin(), state.load_times.end());
   flatbuffers::FlatBufferBuilder builder(initial_buffer_size + state.claims.usage.total);
   const auto packed_fleet = wire::FleetEntry::Pack(builder, &fleet);
@@ -318,6 +334,8 @@
     return {};
   }
   state.fencing = fleet.fencing;
+  state.routing_version = fleet.routing_version;
+  state.routing_text = as_text(fleet.routing_text);
   for (auto& it : fleet.operators) {
     state.operators[it->name] = {std::move(it->salt), std::move(it->digest)};
   }
--- /dev/null
+++ b/src/io/backend_pool.cpp
@@ -0,0 +1,325 @@
+#include "marigoldstep/io/backend_pool.h"
+
+#include "marigoldstep/io/clock.h"
+
+#include <QHostAddress>
+#include <QPointer>
+#include <QTimer>
+
+#include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace marigoldstep::io {
+
+namespace {
+
+// A connection whose peer vanished without a reset is given up after this long
+// with unacknowledged bytes.
+constexpr int user_timeout_ms = 1500;
+// Finds out about a silent peer while an answer is awaited.
+constexpr int keepalive_idle_s = 1;
+constexpr int keepalive_interval_s = 1;
+constexpr int keepalive_probes = 2;
+constexpr qint64 read_buffer_bytes = 64 * 1024;
+// A server may close an idle connection at any moment near its timeout; a request
+// that crosses the close may have run.
+constexpr auto idle_margin = duration(1000);
+constexpr auto expire_interval = std::chrono::milliseconds(500);
+
+void set_option(int fd, int level, int name, int value) {
+  // Failing only makes a lost peer be noticed later.
+  [[maybe_unused]] const int rc = ::setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+void detect_silence(QTcpSocket& socket) {
+  const int fd = static_cast<int>(socket.socketDescriptor());
+  set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+  set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
+  set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
+  set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+}
+
+} // namespace
+
+backend_connection::backend_connection(endpoint target, duration connect_timeout,
+                                       QObject* parent)
+    : QObject(parent), socket_(new QTcpSocket(this)), target_(std::move(target)),
+      parser_(http_role::answer, {}) {
+  socket_->setReadBufferSize(read_buffer_bytes);
+  connect(socket_, &QTcpSocket::connected, this, [this] { handle_connected(); });
+  connect(socket_, &QTcpSocket::readyRead, this, [this] { read(); });
+  connect(socket_, &QTcpSocket::disconnected, this, [this] { handle_end(); });
+  connect(socket_, &QTcpSocket::errorOccurred, this,
+          [this](QAbstractSocket::SocketError error) {
+            // An orderly end is told by disconnected, after the last bytes.
+            if (error == QAbstractSocket::RemoteHostClosedError) {
+              return;
+            }
+            fail(state_ == state::connecting ? exchange_failure::not_connected
+                                             : exchange_failure::closed);
+          });
+  QTimer::singleShot(connect_timeout, this, [this] {
+    if (state_ == state::connecting) {
+      fail(exchange_failure::not_connected);
+    }
+  });
+  socket_->connectToHost(QHostAddress(QString::fromStdString(target_.host)),
+                         target_.port);
+}
+
+void backend_connection::handle_connected() {
+  if (state_ != state::connecting) {
+    return;
+  }
+  state_ = state::open;
+  socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  detect_silence(*socket_);
+  if (busy_) {
+    socket_->write(request_.data(), static_cast<qint64>(request_.size()));
+    request_.clear();
+  }
+}
+
+void backend_connection::send(std::string request, bool is_head) {
+  busy_ = true;
+  is_head_ = is_head;
+  head_told_ = false;
+  skipping_ = false;
+  keep_alive_ = false;
+  ++exchanges_;
+  parser_ = http_parser(http_role::answer, {}, !is_head);
+  if (state_ == state::open) {
+    socket_->write(request.data(), static_cast<qint64>(request.size()));
+  } else if (state_ == state::connecting) {
+    request_ = std::move(request);
+  } else {
+    QMetaObject::invokeMethod(
+        this, [this] { fail(exchange_failure::not_connected); }, Qt::QueuedConnection);
+  }
+}
+
+void backend_connection::set_paused(bool paused) {
+  const bool resume = paused_ && !paused;
+  paused_ = paused;
+  if (resume) {
+    QMetaObject::invokeMethod(
+        this, [this] { read(); }, Qt::QueuedConnection);
+  }
+}
+
+void backend_connection::read() {
+  if (state_ == state::closed || paused_) {
+    return;
+  }
+  const auto chunk = socket_->readAll();
+  if (chunk.isEmpty()) {
+    return;
+  }
+  input_.append(chunk.constData(), static_cast<std::size_t>(chunk.size()));
+  if (!busy_) {
+    // Nothing was asked for: these bytes belong to no request.
+    abort();
+    if (on_idle_end) {
+      on_idle_end();
+    }
+    return;
+  }
+  read_answer();
+}
+
+void backend_connection::read_answer() {
+  while (busy_ && state_ != state::closed && !input_.empty()) {
+    std::error_code ec;
+    const auto n = parser_.feed(input_, ec);
+    input_.erase(0, n);
+    if (ec) {
+      fail(exchange_failure::malformed);
+      return;
+    }
+    if (!parser_.has_head()) {
+      return;
+    }
+    constexpr unsigned first_final_status = 200;
+    const bool is_interim = parser_.head().status < first_final_status;
+    if (!head_told_ && !is_interim) {
+      head_told_ = true;
+      if (on_head) {
+        on_head(parser_.head());
+      }
+    }
+    if (state_ == state::closed || !busy_) {
+      return;
+    }
+    auto body = parser_.take_body();
+    if (!body.empty() && !skipping_ && on_body) {
+      on_body(std::move(body));
+    }
+    if (state_ == state::closed || !busy_ || !parser_.is_done()) {
+      return;
+    }
+    if (is_interim || skipping_) {
+      head_told_ = false;
+      skipping_ = false;
+      parser_ = http_parser(http_role::answer, {}, !is_head_);
+      continue;
+    }
+    keep_alive_ = parser_.head().keep_alive;
+    busy_ = false;
+    const auto done = std::move(on_done);
+    clear_callbacks();
+    if (done) {
+      done();
+    }
+    return;
+  }
+}
+
+// The server closed its side in order: the end of an answer without a length.
+void backend_connection::handle_end() {
+  if (state_ == state::closed) {
+    return;
+  }
+  paused_ = false;
+  read();
+  if (state_ == state::closed) {
+    return;
+  }
+  if (busy_ && parser_.has_head() && !skipping_) {
+    std::error_code ec;
+    parser_.finish(ec);
+    if (!ec) {
+      state_ = state::closed;
+      busy_ = false;
+      const auto done = std::move(on_done);
+      clear_callbacks();
+      if (done) {
+        done();
+      }
+      return;
+    }
+  }
+  fail(exchange_failure::closed);
+}
+
+void backend_connection::fail(exchange_failure why) {
+  if (state_ == state::closed && !busy_) {
+    return;
+  }
+  state_ = state::closed;
+  socket_->abort();
+  if (!busy_) {
+    if (on_idle_end) {
+      on_idle_end();
+    }
+    return;
+  }
+  busy_ = false;
+  const auto failed = std::move(on_failed);
+  clear_callbacks();
+  if (failed) {
+    failed(why);
+  }
+}
+
+void backend_connection::abort() {
+  clear_callbacks();
+  busy_ = false;
+  state_ = state::closed;
+  socket_->abort();
+}
+
+void backend_connection::clear_callbacks() {
+  on_head = nullptr;
+  on_body = nullptr;
+  on_done = nullptr;
+  on_failed = nullptr;
+}
+
+bool backend_connection::is_reusable() const {
+  return state_ == state::open && !busy_ && keep_alive_ && input_.empty() &&
+         socket_->bytesAvailable() == 0 && socket_->bytesToWrite() == 0;
+}
+
+backend_pool::backend_pool(QObject* parent) : QObject(parent) {
+  auto* timer = new QTimer(this);
+  connect(timer, &QTimer::timeout, this, [this] { expire(); });
+  timer->start(expire_interval);
+}
+
+backend_connection* backend_pool::acquire(const endpoint& target, bool only_new) {
+  auto& list = idle_[target];
+  const auto now = io::now();
+  while (!only_new && !list.empty()) {
+    const auto it = list.back();
+    list.pop_back();
+    it.connection->on_idle_end = nullptr;
+    if (it.usable_until > now && it.connection->is_reusable()) {
+      return it.connection;
+    }
+    discard(it.connection);
+  }
+  ++connects_;
+  ++open_[target];
+  return new backend_connection(target, connect_timeout, this);
+}
+
+void backend_pool::release(backend_connection* connection, duration idle_timeout) {
+  if (!connection->is_reusable() || idle_timeout <= idle_margin) {
+    discard(connection);
+    return;
+  }
+  connection->set_paused(false);
+  connection->on_idle_end = [this, connection] { remove_idle(connection); };
+  idle_[connection->target()].push_back(
+      {connection, io::now() + idle_timeout - idle_margin});
+}
+
+void backend_pool::remove_idle(backend_connection* connection) {
+  auto& list = idle_[connection->target()];
+  std::erase_if(list, [&](const auto& it) { return it.connection == connection; });
+  discard(connection);
+}
+
+void backend_pool::discard(backend_connection* connection) {
+  connection->on_idle_end = nullptr;
+  connection->abort();
+  auto& open = open_[connection->target()];
+  open -= std::min<std::size_t>(open, 1);
+  connection->deleteLater();
+}
+
+void backend_pool::drop(const endpoint& target) {
+  const auto list = std::move(idle_[target]);
+  idle_.erase(target);
+  for (const auto& it : list) {
+    discard(it.connection);
+  }
+}
+
+std::size_t backend_pool::open_connections(const endpoint& target) const {
+  const auto it = open_.find(target);
+  return it == open_.end() ? 0 : it->second;
+}
+
+void backend_pool::expire() {
+  const auto now = io::now();
+  std::vector<backend_connection*> ended;
+  for (auto& [target, list] : idle_) {
+    for (const auto& it : list) {
+      if (it.usable_until <= now) {
+        ended.push_back(it.connection);
+      }
+    }
+    std::erase_if(list, [&](const auto& it) { return it.usable_until <= now; });
+  }
+  for (auto* it : ended) {
+    discard(it);
+  }
+  std::erase_if(idle_, [](const auto& it) { return it.second.empty(); });
+  std::erase_if(open_, [](const auto& it) { return it.second == 0; });
+}
+
+} // namespace marigoldstep::io
--- /dev/null
+++ b/src/io/control_links.cpp
@@ -0,0 +1,272 @@
+#include "marigoldstep/io/control_links.h"
+
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/logging.h"
+
+#include <QByteArray>
+
+namespace marigoldstep::io {
+
+namespace {
+
+constexpr auto tick_interval = std::chrono::milliseconds(100);
+// Both sides send something this often, so that silence shows.
+constexpr auto ack_interval = duration(400);
+// Three heartbeats of a control process are missing.
+constexpr auto silence_limit = duration(1500);
+constexpr auto connect_timeout = duration(1000);
+constexpr auto retry_delay = duration(250);
+// Another control process is asked when a text doesn't come in this time.
+constexpr auto fetch_timeout = duration(400);
+
+} // namespace
+
+announced_server from_wire(const wire::AnnouncedServerT& entry) {
+  announced_server out;
+  out.id = entry.id;
+  out.started = entry.started_ms;
+  out.sequence = entry.sequence;
+  out.service = entry.service;
+  out.zone = entry.zone;
+  out.host = entry.host;
+  out.port = entry.port;
+  out.slots = entry.slots;
+  out.state = static_cast<announced_state>(entry.state);
+  out.warmup_left = duration(entry.warmup_ms);
+  return out;
+}
+
+wire::AnnouncedServerT to_wire(const directory_entry& entry, time_point now) {
+  const auto& server = entry.server;
+  wire::AnnouncedServerT out;
+  out.id = server.id;
+  out.started_ms = server.started;
+  out.sequence = server.sequence;
+  out.service = server.service;
+  out.zone = server.zone;
+  out.host = server.host;
+  out.port = server.port;
+  out.slots = server.slots;
+  out.state = static_cast<wire::AnnouncedState>(server.state);
+  out.warmup_ms = static_cast<std::uint32_t>(server.warmup_left.count());
+  out.silent_ms = static_cast<std::uint32_t>(
+      std::max<duration::rep>(0, (now - entry.heard_at).count()));
+  return out;
+}
+
+control_links::control_links(link_settings settings, QObject* parent)
+    : QObject(parent), settings_(std::move(settings)) {
+  connect(&timer_, &QTimer::timeout, this, [this] { tick(); });
+}
+
+void control_links::start() {
+  update_targets();
+  tick();
+  timer_.start(tick_interval);
+}
+
+void control_links::set_seeds(std::vector<std::string> seeds) {
+  settings_.seeds = std::move(seeds);
+  update_targets();
+}
+
+// Seeds stay targets next to the members: they are the way back when every known
+// member was replaced.
+void control_links::update_targets() {
+  auto targets = members_;
+  targets.insert(settings_.seeds.begin(), settings_.seeds.end());
+  targets.erase(settings_.own_host);
+  std::vector<std::string> gone;
+  for (const auto& [host, it] : links_) {
+    if (!targets.contains(host)) {
+      gone.push_back(host);
+    }
+  }
+  for (const auto& host : gone) {
+    drop(host, "no member any more");
+    links_.erase(host);
+  }
+  for (const auto& host : targets) {
+    links_.try_emplace(host);
+  }
+}
+
+void control_links::connect_to(const std::string& host, link& it) {
+  const auto now = io::now();
+  it = {};
+  it.heard_at = now;
+  it.retry_at = now + connect_timeout;
+  it.connection =
+      new framed_connection(QString::fromStdString(host), settings_.port, this);
+  it.connection->on_open = [this, host] {
+    auto& opened = links_.at(host);
+    opened.is_open = true;
+    opened.opened_at = opened.heard_at = io::now();
+    wire::SubscribeT hello;
+    hello.node_id = settings_.node_id;
+    hello.router = settings_.is_router;
+    hello.routing_version = routing_version ? routing_version() : 0;
+    opened.connection->send(wire::encode_link(std::move(hello)));
+    log_event(log_level::info, "control_link_opened", {{"host", host}});
+  };
+  it.connection->on_frame = [this, host](byte_view buf) { handle_frame(host, buf); };
+  it.connection->on_closed = [this, host](std::error_code ec) {
+    drop(host, ec.message());
+  };
+}
+
+void control_links::drop(const std::string& host, std::string_view why) {
+  auto& it = links_.at(host);
+  if (it.connection == nullptr) {
+    return;
+  }
+  if (it.is_open) {
+    log_event(log_level::warning, "control_link_lost",
+              {{"host", host}, {"reason", std::string(why)}});
+  }
+  it.connection->on_open = nullptr;
+  it.connection->on_frame = nullptr;
+  it.connection->on_closed = nullptr;
+  it.connection->abort();
+  it.connection->deleteLater();
+  it = {};
+  it.retry_at = io::now() + retry_delay;
+}
+
+void control_links::tick() {
+  const auto now = io::now();
+  const bool ack_now = now >= ack_at_;
+  if (ack_now) {
+    ack_at_ = now + ack_interval;
+  }
+  std::vector<std::string> silent;
+  for (auto& [host, it] : links_) {
+    if (it.connection == nullptr) {
+      if (now >= it.retry_at) {
+        connect_to(host, it);
+      }
+    } else if (it.is_open ? now - it.heard_at > silence_limit : now > it.retry_at) {
+      silent.push_back(host);
+    } else if (it.is_open && ack_now) {
+      send_ack(it);
+    }
+  }
+  for (const auto& host : silent) {
+    drop(host, "silent");
+  }
+  fetch_newer();
+}
+
+void control_links::send_ack(link& it) {
+  wire::UpdateAckT ack;
+  ack.number = it.update_number;
+  ack.routing_version = routing_version ? routing_version() : 0;
+  it.connection->send(wire::encode_link(std::move(ack)));
+}
+
+void control_links::acknowledge_version() {
+  for (auto& [host, it] : links_) {
+    if (it.is_open) {
+      send_ack(it);
+    }
+  }
+}
+
+void control_links::handle_frame(const std::string& host, byte_view buf) {
+  std::error_code ec;
+  const auto frame = wire::decode_link(buf, ec);
+  if (!frame) {
+    log_event(log_level::warning, "control_frame_dropped",
+              {{"host", host}, {"error", ec.message()}});
+    drop(host, "malformed frame");
+    return;
+  }
+  auto& it = links_.at(host);
+  it.heard_at = io::now();
+  if (const auto* status = frame->body.AsGroupStatus()) {
+    handle_status(host, *status);
+  } else if (const auto* update = frame->body.AsServerUpdate()) {
+    it.update_number = update->number;
+    has_servers_ = has_servers_ || update->full;
+    if (on_servers) {
+      on_servers(*update);
+    }
+    // Changes are acknowledged at once: somebody may wait for them.
+    if (!update->servers.empty()) {
+      send_ack(links_.at(host));
+    }
+  } else if (const auto* text = frame->body.AsRoutingText()) {
+    handle_routing(*text);
+  } else if (const auto* load = frame->body.AsFleetLoad()) {
+    if (on_fleet_load) {
+      on_fleet_load(*load);
+    }
+  }
+}
+
+void control_links::handle_status(const std::string& host,
+                                  const wire::GroupStatusT& status) {
+  auto& it = links_.at(host);
+  it.leads = status.leads;
+  it.confirmed = it.confirmed || status.confirmed;
+  it.version = status.routing_version;
+  // Only a process that follows a leader knows who the members are.
+  const std::set<std::string> members(status.control_hosts.begin(),
+                                      status.control_hosts.end());
+  if (status.has_leader && !members.empty() && members != members_) {
+    members_ = members;
+    update_targets();
+  }
+  fetch_newer();
+}
+
+void control_links::fetch_newer() {
+  const auto now = io::now();
+  if (!on_routing || now < fetch_until_) {
+    return;
+  }
+  const auto version = routing_version ? routing_version() : 0;
+  for (auto& [host, it] : links_) {
+    // A process with no configuration yet takes the first one only from a leader
+    // that a quorum confirmed: another may be behind without knowing it.
+    if (!it.is_open || it.version <= version || (version == 0 && !it.confirmed)) {
+      continue;
+    }
+    fetch_until_ = now + fetch_timeout;
+    wire::FetchRoutingT fetch;
+    fetch.have_version = version;
+    it.connection->send(wire::encode_link(std::move(fetch)));
+    return;
+  }
+}
+
+void control_links::handle_routing(const wire::RoutingTextT& text) {
+  fetch_until_ = {};
+  const auto version = routing_version ? routing_version() : 0;
+  if (text.version <= version || !on_routing) {
+    return;
+  }
+  const auto plain = qUncompress(text.compressed.data(),
+                                 static_cast<qsizetype>(text.compressed.size()));
+  on_routing(text.version, plain.toStdString());
+  acknowledge_version();
+}
+
+void control_links::send_load(wire::RouterLoadT load) {
+  for (auto& [host, it] : links_) {
+    if (it.is_open && it.leads) {
+      it.connection->send(wire::encode_link(std::move(load)));
+      return;
+    }
+  }
+}
+
+std::size_t control_links::open_links() const {
+  std::size_t n = 0;
+  for (const auto& [host, it] : links_) {
+    n += it.is_open ? 1 : 0;
+  }
+  return n;
+}
+
+} // namespace marigoldstep::io
--- a/src/io/framed_connection.cpp
+++ b/src/io/framed_connection.cpp
@@ -146,6 +146,11 @@
   socket_->disconnectFromHost();
 }
 
+void framed_connection::abort() {
+  closed_ = true;
+  socket_->abort();
+}
+
 void framed_connection::fail(std::error_code ec) {
   if (closed_) {
     return;
--- /dev/null
+++ b/src/io/http_connection.cpp
@@ -0,0 +1,351 @@
+#include "marigoldstep/io/http_connection.h"
+
+#include "marigoldstep/error.h"
+#include "marigoldstep/io/clock.h"
+
+#include <QHostAddress>
+#include <QTimer>
+
+#include <array>
+#include <cstdio>
+#include <sys/socket.h>
+
+namespace marigoldstep::io {
+
+namespace {
+
+// Callers whose request was rejected unread get time to read the answer before
+// the connection is reset.
+constexpr auto linger_time = duration(1000);
+constexpr auto tick_interval = std::chrono::milliseconds(100);
+// Bytes read ahead of an unfinished answer.
+constexpr qint64 read_buffer_bytes = 64 * 1024;
+constexpr int accept_backlog = 512;
+
+unsigned status_of(std::error_code ec) {
+  constexpr unsigned bad_request = 400;
+  constexpr unsigned content_too_large = 413;
+  constexpr unsigned header_too_large = 431;
+  if (ec == errc::message_too_large) {
+    return header_too_large;
+  }
+  return ec == errc::body_too_large ? content_too_large : bad_request;
+}
+
+constexpr unsigned request_timeout = 408;
+
+} // namespace
+
+http_connection::http_connection(QTcpSocket* socket, const http_server_limits& limits,
+                                 QObject* parent)
+    : QObject(parent), socket_(socket), limits_(limits),
+      parser_(http_role::request, limits.message), phase_since_(io::now()) {
+  socket_->setParent(this);
+  socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  socket_->setReadBufferSize(read_buffer_bytes);
+  connect(socket_, &QTcpSocket::readyRead, this, [this] { read(); });
+  connect(socket_, &QTcpSocket::disconnected, this, [this] { handle_closed(); });
+  connect(socket_, &QTcpSocket::bytesWritten, this, [this](qint64) {
+    if (on_drained) {
+      on_drained();
+    }
+  });
+  QMetaObject::invokeMethod(
+      this, [this] { read(); }, Qt::QueuedConnection);
+}
+
+void http_connection::read() {
+  if (phase_ == phase::closed) {
+    return;
+  }
+  if (phase_ == phase::lingering) {
+    socket_->readAll();
+    return;
+  }
+  if (phase_ == phase::answering) {
+    return; // what follows waits in the socket
+  }
+  const auto chunk = socket_->readAll();
+  input_.append(chunk.constData(), static_cast<std::size_t>(chunk.size()));
+  read_messages();
+}
+
+void http_connection::read_messages() {
+  if (input_.empty() || phase_ == phase::answering) {
+    return;
+  }
+  if (phase_ == phase::idle) {
+    phase_ = phase::reading;
+    phase_since_ = io::now();
+  }
+  std::error_code ec;
+  const auto n = parser_.feed(input_, ec);
+  input_.erase(0, n);
+  body_ += parser_.take_body();
+  if (ec) {
+    reject(ec);
+  } else if (parser_.is_done()) {
+    handle_message();
+  } else if (parser_.has_head()) {
+    send_continue();
+  }
+}
+
+void http_connection::send_continue() {
+  const auto* expect = find_field(parser_.head(), "expect");
+  if (expect != nullptr && !continue_sent_ &&
+      equal_ignoring_case(*expect, "100-continue")) {
+    continue_sent_ = true;
+    socket_->write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void http_connection::handle_message() {
+  http_request request{parser_.head(), std::move(body_)};
+  body_.clear();
+  phase_ = phase::answering;
+  begun_ = false;
+  continue_sent_ = false;
+  is_head_request_ = request.head.method == "HEAD";
+  close_after_ = close_after_ || !request.head.keep_alive;
+  parser_ = http_parser(http_role::request, limits_.message);
+  if (on_request) {
+    on_request(*this, std::move(request));
+  }
+}
+
+void http_connection::reject(std::error_code ec) {
+  phase_ = phase::answering;
+  close_after_ = true;
+  const auto code = ec.category() == marigoldstep_category()
+                        ? static_cast<errc>(ec.value())
+                        : errc::malformed_message;
+  respond(status_of(ec), {}, std::string(name(code)) + "\n");
+}
+
+void http_connection::write_head(unsigned status, const std::vector<http_field>& fields) {
+  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+  out += reason_phrase(status);
+  out += "\r\n";
+  for (const auto& it : fields) {
+    out += it.name + ": " + it.value + "\r\n";
+  }
+  if (close_after_) {
+    out += "Connection: close\r\n";
+  }
+  out += "\r\n";
+  socket_->write(out.data(), static_cast<qint64>(out.size()));
+}
+
+void http_connection::respond(unsigned status, const std::vector<http_field>& fields,
+                              std::string_view body) {
+  if (phase_ != phase::answering) {
+    return;
+  }
+  begin(status, fields, body.size());
+  write_body(body);
+  finish();
+}
+
+void http_connection::begin(unsigned status, const std::vector<http_field>& fields,
+                            std::optional<std::uint64_t> length) {
+  if (phase_ != phase::answering) {
+    return;
+  }
+  auto all = fields;
+  if (length) {
+    all.push_back({"Content-Length", std::to_string(*length)});
+  } else {
+    all.push_back({"Transfer-Encoding", "chunked"});
+  }
+  chunked_ = !length;
+  begun_ = true;
+  write_head(status, all);
+}
+
+void http_connection::write_body(std::string_view piece) {
+  if (phase_ != phase::answering || piece.empty() || is_head_request_) {
+    return;
+  }
+  if (!chunked_) {
+    socket_->write(piece.data(), static_cast<qint64>(piece.size()));
+    return;
+  }
+  std::array<char, 20> size{};
+  const int n = std::snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
+  std::string chunk(size.data(), static_cast<std::size_t>(n));
+  chunk.append(piece);
+  chunk += "\r\n";
+  socket_->write(chunk.data(), static_cast<qint64>(chunk.size()));
+}
+
+void http_connection::finish() {
+  if (phase_ != phase::answering) {
+    return;
+  }
+  if (chunked_ && !is_head_request_) {
+    socket_->write("0\r\n\r\n");
+  }
+  end_answer();
+}
+
+void http_connection::end_answer() {
+  begun_ = false;
+  phase_since_ = io::now();
+  if (close_after_) {
+    linger();
+    return;
+  }
+  phase_ = phase::idle;
+  QMetaObject::invokeMethod(
+      this,
+      [this] {
+        if (phase_ == phase::idle) {
+          read();
+        }
+      },
+      Qt::QueuedConnection);
+}
+
+// Closing with unread bytes resets the connection, and the answer with it.
+void http_connection::linger() {
+  phase_ = phase::lingering;
+  phase_since_ = io::now();
+  socket_->flush();
+  if (socket_->bytesToWrite() == 0) {
+    ::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR);
+  }
+}
+
+void http_connection::abort() {
+  if (phase_ == phase::closed) {
+    return;
+  }
+  socket_->abort();
+  handle_closed();
+}
+
+void http_connection::close_if_idle() {
+  if (phase_ == phase::idle && input_.empty() && socket_->bytesAvailable() == 0) {
+    linger();
+  }
+}
+
+void http_connection::tick(time_point now) {
+  const auto age = now - phase_since_;
+  if (phase_ == phase::idle && age > limits_.idle_timeout) {
+    linger();
+  } else if (phase_ == phase::reading && age > limits_.header_timeout) {
+    phase_ = phase::answering;
+    close_after_ = true;
+    respond(request_timeout, {}, "request timeout\n");
+  } else if (phase_ == phase::lingering) {
+    if (socket_->bytesToWrite() == 0) {
+      ::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR);
+    }
+    if (age > linger_time) {
+      abort();
+    }
+  }
+}
+
+std::size_t http_connection::queued_bytes() const {
+  return static_cast<std::size_t>(socket_->bytesToWrite());
+}
+
+void http_connection::handle_closed() {
+  if (phase_ == phase::closed) {
+    return;
+  }
+  phase_ = phase::closed;
+  if (on_closed) {
+    on_closed();
+  }
+  deleteLater();
+}
+
+http_listener::http_listener(QObject* parent) : QObject(parent) {
+  server_.setListenBacklogSize(accept_backlog);
+  server_.setMaxPendingConnections(accept_backlog);
+  connect(&server_, &QTcpServer::newConnection, this, [this] { accept(); });
+  auto* timer = new QTimer(this);
+  connect(timer, &QTimer::timeout, this, [this] { tick(); });
+  timer->start(tick_interval);
+}
+
+std::error_code http_listener::listen(const std::string& host, std::uint16_t port) {
+  if (server_.listen(QHostAddress(QString::fromStdString(host)), port)) {
+    return {};
+  }
+  return std::make_error_code(std::errc::address_not_available);
+}
+
+std::uint16_t http_listener::port() const {
+  return server_.serverPort();
+}
+
+void http_listener::stop_accepting() {
+  server_.close();
+}
+
+void http_listener::close_after_answers() {
+  closing_ = true;
+  for (auto* it : open_) {
+    it->close_after_answer();
+  }
+}
+
+void http_listener::close_idle() {
+  const auto open = open_;
+  for (auto* it : open) {
+    it->close_if_idle();
+  }
+}
+
+std::size_t http_listener::answering() const {
+  std::size_t n = 0;
+  for (const auto* it : open_) {
+    n += it->is_answering() ? 1 : 0;
+  }
+  return n;
+}
+
+std::size_t http_listener::held_bytes() const {
+  std::size_t n = 0;
+  for (const auto* it : open_) {
+    n += it->held_bytes();
+  }
+  return n;
+}
+
+void http_listener::accept() {
+  while (auto* socket = server_.nextPendingConnection()) {
+    if (open_.size() >= limits.max_connections) {
+      socket->abort();
+      socket->deleteLater();
+      continue;
+    }
+    auto* connection = new http_connection(socket, limits, this);
+    open_.insert(connection);
+    connect(connection, &QObject::destroyed, this,
+            [this, connection] { open_.erase(connection); });
+    connection->on_request = [this](http_connection& from, http_request request) {
+      if (on_request) {
+        on_request(from, std::move(request));
+      }
+    };
+    if (closing_) {
+      connection->close_after_answer();
+    }
+  }
+}
+
+void http_listener::tick() {
+  const auto now = io::now();
+  const auto open = open_;
+  for (auto* it : open) {
+    it->tick(now);
+  }
+}
+
+} // namespace marigoldstep::io
--- /dev/null
+++ b/src/io/http_parser.cpp
@@ -0,0 +1,227 @@
+#include "marigoldstep/io/http_parser.h"
+
+#include "marigoldstep/error.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace marigoldstep::io {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+std::string to_string(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+char lower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+bool has_token(std::string_view list, std::string_view token) {
+  while (!list.empty()) {
+    const auto comma = std::min(list.find(','), list.size());
+    auto it = list.substr(0, comma);
+    list.remove_prefix(std::min(comma + 1, list.size()));
+    while (!it.empty() && (it.front() == ' ' || it.front() == '\t')) {
+      it.remove_prefix(1);
+    }
+    while (!it.empty() && (it.back() == ' ' || it.back() == '\t')) {
+      it.remove_suffix(1);
+    }
+    if (equal_ignoring_case(it, token)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+namespace detail {
+
+// What Beast's callbacks fill in.
+class parser_base {
+public:
+  virtual ~parser_base() = default;
+  virtual std::size_t put(std::string_view buf, boost::beast::error_code& ec) = 0;
+  virtual void put_eof(boost::beast::error_code& ec) = 0;
+  [[nodiscard]] virtual bool has_head() const = 0;
+  [[nodiscard]] virtual bool is_done() const = 0;
+
+  http_head head;
+  std::string body;
+};
+
+template <bool is_request>
+class beast_parser final : public parser_base, private http::basic_parser<is_request> {
+  using base = http::basic_parser<is_request>;
+  using beast_view = boost::beast::string_view;
+  using error = boost::beast::error_code;
+
+public:
+  beast_parser(const http_limits& limits, bool body_expected) {
+    base::eager(true);
+    base::header_limit(limits.header_bytes);
+    if (limits.body_bytes) {
+      base::body_limit(*limits.body_bytes);
+    } else {
+      base::body_limit(boost::none);
+    }
+    base::skip(!body_expected);
+  }
+
+  std::size_t put(std::string_view buf, error& ec) override {
+    return base::put(boost::asio::const_buffer(buf.data(), buf.size()), ec);
+  }
+  void put_eof(error& ec) override { base::put_eof(ec); }
+  [[nodiscard]] bool has_head() const override { return base::is_header_done(); }
+  [[nodiscard]] bool is_done() const override { return base::is_done(); }
+
+private:
+  void on_request_impl(http::verb /*verb*/, beast_view method, beast_view target,
+                       int /*version*/, error& /*ec*/) override {
+    head.method = to_string(method);
+    head.target = to_string(target);
+  }
+  void on_response_impl(int code, beast_view /*reason*/, int /*version*/,
+                        error& /*ec*/) override {
+    head.status = static_cast<unsigned>(code);
+  }
+  void on_field_impl(http::field /*field*/, beast_view name, beast_view value,
+                     error& /*ec*/) override {
+    head.fields.push_back({to_string(name), to_string(value)});
+  }
+  void on_header_impl(error& /*ec*/) override {
+    head.keep_alive = base::keep_alive();
+    head.is_chunked = base::chunked();
+    const auto length = base::content_length();
+    if (length) {
+      head.length = *length;
+    }
+  }
+  void on_body_init_impl(boost::optional<std::uint64_t> const& /*length*/,
+                         error& /*ec*/) override {}
+  std::size_t on_body_impl(beast_view text, error& /*ec*/) override {
+    body.append(text.data(), text.size());
+    return text.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/, beast_view /*extensions*/,
+                            error& /*ec*/) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, beast_view text,
+                                 error& /*ec*/) override {
+    body.append(text.data(), text.size());
+    return text.size();
+  }
+  void on_finish_impl(error& /*ec*/) override {}
+};
+
+} // namespace detail
+
+bool equal_ignoring_case(std::string_view left, std::string_view right) {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    [](char a, char b) { return lower(a) == lower(b); });
+}
+
+const std::string* find_field(const http_head& head, std::string_view name) {
+  const auto it =
+      std::find_if(head.fields.begin(), head.fields.end(),
+                   [&](const auto& f) { return equal_ignoring_case(f.name, name); });
+  return it == head.fields.end() ? nullptr : &it->value;
+}
+
+bool is_hop_by_hop(const http_head& head, std::string_view name) {
+  static constexpr std::array<std::string_view, 9> names = {
+      "connection", "keep-alive",        "proxy-connection", "proxy-authenticate",
+      "te",         "transfer-encoding", "trailer",          "upgrade",
+      "proxy-authorization"};
+  const bool listed = std::any_of(names.begin(), names.end(), [&](std::string_view it) {
+    return equal_ignoring_case(it, name);
+  });
+  return listed || std::any_of(head.fields.begin(), head.fields.end(), [&](const auto& f) {
+           return equal_ignoring_case(f.name, "connection") && has_token(f.value, name);
+         });
+}
+
+std::string_view reason_phrase(unsigned status) {
+  const auto text = http::obsolete_reason(static_cast<http::status>(status));
+  return {text.data(), text.size()};
+}
+
+http_parser::http_parser(http_role role, const http_limits& limits, bool body_expected) {
+  if (role == http_role::request) {
+    parser_ = std::make_unique<detail::beast_parser<true>>(limits, body_expected);
+  } else {
+    parser_ = std::make_unique<detail::beast_parser<false>>(limits, body_expected);
+  }
+}
+
+http_parser::~http_parser() = default;
+http_parser::http_parser(http_parser&&) noexcept = default;
+http_parser& http_parser::operator=(http_parser&&) noexcept = default;
+
+std::size_t http_parser::feed(std::string_view buf, std::error_code& ec) {
+  ec.clear();
+  std::size_t used = 0;
+  while (used < buf.size() && !parser_->is_done()) {
+    boost::beast::error_code problem;
+    const auto n = parser_->put(buf.substr(used), problem);
+    used += n;
+    if (problem == http::error::need_more) {
+      return used;
+    }
+    if (problem == http::error::header_limit) {
+      ec = make_error_code(errc::message_too_large);
+      return used;
+    }
+    if (problem == http::error::body_limit) {
+      ec = make_error_code(errc::body_too_large);
+      return used;
+    }
+    if (problem) {
+      ec = make_error_code(errc::malformed_message);
+      return used;
+    }
+    if (n == 0) {
+      return used;
+    }
+  }
+  return used;
+}
+
+void http_parser::finish(std::error_code& ec) {
+  ec.clear();
+  if (parser_->is_done()) {
+    return;
+  }
+  boost::beast::error_code problem;
+  if (parser_->has_head()) {
+    parser_->put_eof(problem);
+  }
+  if (!parser_->has_head() || problem || !parser_->is_done()) {
+    ec = make_error_code(errc::answer_truncated);
+  }
+}
+
+bool http_parser::has_head() const {
+  return parser_->has_head();
+}
+
+bool http_parser::is_done() const {
+  return parser_->is_done();
+}
+
+const http_head& http_parser::head() const {
+  return parser_->head;
+}
+
+std::string http_parser::take_body() {
+  return std::exchange(parser_->body, {});
+}
+
+} // namespace marigoldstep::io
--- a/src/io/logging.cpp
+++ b/src/io/logging.cpp
@@ -11,7 +11,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <chrono>
 #include <iostream>
+#include <mutex>
 #include <ostream>
 
 namespace marigoldstep::io {
@@ -51,6 +53,36 @@
 
 log_level minimum_level = log_level::info;
 
+// Lines written in the current second, and those left out.
+struct line_count {
+  std::chrono::steady_clock::time_point began{};
+  unsigned written = 0;
+  unsigned dropped = 0;
+};
+
+// Warnings and errors have a reserve of the same size: they explain the rest.
+bool may_write(log_level level) {
+  static std::mutex mutex;
+  static line_count count;
+  const std::lock_guard lock(mutex);
+  const auto now = std::chrono::steady_clock::now();
+  if (now - count.began >= std::chrono::seconds(1)) {
+    if (count.dropped > 0) {
+      BOOST_LOG_SEV(default_logger(), log_level::warning)
+          << "event=log_lines_dropped count=" << count.dropped;
+    }
+    count = {now, 0, 0};
+  }
+  const auto limit =
+      level < log_level::warning ? max_lines_per_second : 2 * max_lines_per_second;
+  if (count.written >= limit) {
+    ++count.dropped;
+    return false;
+  }
+  ++count.written;
+  return true;
+}
+
 bool needs_quotes(std::string_view value) {
   return value.empty() || std::any_of(value.begin(), value.end(), [](unsigned char c) {
            return c <= ' ' || c == '"' || c == '\\' || c == 0x7f;
@@ -100,8 +132,8 @@
                                    << " program=" << std::string(program)
                                    << " node=" << format_log_value(node_id) << " "
                                    << expr::smessage;
-  if (path.empty()) {
-    log::add_console_log(std::clog, log::keywords::format = format,
+  if (path.empty() || path == log_to_stdout) {
+    log::add_console_log(path.empty() ? std::clog : std::cout, log::keywords::format = format,
                          log::keywords::auto_flush = true);
     return;
   }
@@ -112,7 +144,7 @@
 
 void log_event(log_level level, std::string_view event,
                const std::vector<log_field>& fields) {
-  if (level < minimum_level) {
+  if (level < minimum_level || !may_write(level)) {
     return;
   }
   std::string line = "event=" + format_log_value(event);
--- a/src/io/program.cpp
+++ b/src/io/program.cpp
@@ -4,6 +4,7 @@
 
 #include <QCoreApplication>
 #include <QSocketNotifier>
+#include <QTimer>
 
 #include <popt.h>
 
@@ -16,21 +17,57 @@
 #include <sstream>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace marigoldstep::io {
 
 namespace {
 
-// Write end of the pair through which the signal handler wakes the event loop.
-int signal_write_fd = -1;
+// Write ends of the pairs through which signal handlers wake the event loop.
+int stop_write_fd = -1;
+int reload_write_fd = -1;
 
-void handle_stop_signal(int /*signal*/) {
+void wake(int fd) {
   const int saved = errno;
   const char byte = 1;
-  [[maybe_unused]] const auto n = ::write(signal_write_fd, &byte, 1);
+  [[maybe_unused]] const auto n = ::write(fd, &byte, 1);
   errno = saved;
 }
 
+void handle_stop_signal(int /*signal*/) {
+  wake(stop_write_fd);
+}
+
+void handle_reload_signal(int /*signal*/) {
+  wake(reload_write_fd);
+}
+
+// Calls handler in the event loop for each signal; returns the end to write to,
+// or -1.
+int notify_in_event_loop(std::function<void()> handler) {
+  std::array<int, 2> fds{};
+  constexpr int type = SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK;
+  if (::socketpair(AF_UNIX, type, 0, fds.data()) != 0) {
+    return -1;
+  }
+  auto* notifier =
+      new QSocketNotifier(fds[1], QSocketNotifier::Read, QCoreApplication::instance());
+  QObject::connect(notifier, &QSocketNotifier::activated, notifier,
+                   [fd = fds[1], handler = std::move(handler)] {
+                     std::array<char, 64> buf{};
+                     [[maybe_unused]] const auto n = ::read(fd, buf.data(), buf.size());
+                     handler();
+                   });
+  return fds[0];
+}
+
+void install(int signal, void (*handler)(int)) {
+  struct sigaction action {};
+  action.sa_handler = handler; // NOLINT(cppcoreguidelines-pro-type-union-access)
+  sigemptyset(&action.sa_mask);
+  sigaction(signal, &action, nullptr);
+}
+
 void usage_error(program_options& options, std::string_view program,
                  const std::string& text) {
   std::cerr << program << ": " << text << "\n";
@@ -136,24 +173,37 @@
 }
 
 void on_stop_signal(std::function<void()> stop) {
-  std::array<int, 2> fds{};
-  if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds.data()) != 0) {
-    return;
-  }
-  signal_write_fd = fds[0];
-  auto* notifier =
-      new QSocketNotifier(fds[1], QSocketNotifier::Read, QCoreApplication::instance());
-  QObject::connect(notifier, &QSocketNotifier::activated, notifier,
-                   [notifier, stop = std::move(stop)] {
-                     notifier->setEnabled(false);
-                     stop();
-                   });
-  struct sigaction action {};
-  action.sa_handler =
-      handle_stop_signal; // NOLINT(cppcoreguidelines-pro-type-union-access)
-  sigemptyset(&action.sa_mask);
-  sigaction(SIGTERM, &action, nullptr);
-  sigaction(SIGINT, &action, nullptr);
+  stop_write_fd = notify_in_event_loop(
+      [stop = std::move(stop), called = false]() mutable {
+        if (!std::exchange(called, true)) {
+          stop();
+        }
+      });
+  install(SIGTERM, handle_stop_signal);
+  install(SIGINT, handle_stop_signal);
+}
+
+void on_reload(const std::string& path, std::function<void()> reload) {
+  constexpr auto interval = std::chrono::seconds(1);
+  std::error_code ec;
+  auto seen = std::make_shared<std::string>(read_file(path, ec));
+  auto shared = std::make_shared<std::function<void()>>(std::move(reload));
+  reload_write_fd = notify_in_event_loop([path, seen, shared] {
+    std::error_code problem;
+    *seen = read_file(path, problem);
+    (*shared)();
+  });
+  install(SIGHUP, handle_reload_signal);
+  auto* timer = new QTimer(QCoreApplication::instance());
+  QObject::connect(timer, &QTimer::timeout, timer, [path, seen, shared] {
+    std::error_code problem;
+    auto text = read_file(path, problem);
+    if (!problem && text != *seen) {
+      *seen = std::move(text);
+      (*shared)();
+    }
+  });
+  timer->start(interval);
 }
 
 } // namespace marigoldstep::io
--- /dev/null
+++ b/src/relay_policy.cpp
@@ -0,0 +1,79 @@
+#include "marigoldstep/relay_policy.h"
+
+#include <algorithm>
+
+namespace marigoldstep {
+
+std::string_view name(attempt_end end) {
+  switch (end) {
+  case attempt_end::not_connected:
+    return "not_connected";
+  case attempt_end::not_run:
+    return "not_run";
+  case attempt_end::wrong_server:
+    return "wrong_server";
+  case attempt_end::failed:
+    return "failed";
+  case attempt_end::broken:
+    return "broken";
+  }
+  return "broken";
+}
+
+std::string_view name(relay_step step) {
+  switch (step) {
+  case relay_step::try_again:
+    return "try_again";
+  case relay_step::pass_on:
+    return "pass_on";
+  case relay_step::answer_not_run:
+    return "answer_not_run";
+  case relay_step::answer_unknown:
+    return "answer_unknown";
+  }
+  return "answer_unknown";
+}
+
+namespace detail {
+
+void count_end(relay_state& state, attempt_end end) {
+  if (end == attempt_end::not_connected) {
+    ++state.lost_connects;
+  } else if (end != attempt_end::wrong_server) {
+    ++state.sent;
+  }
+  state.may_have_run = state.may_have_run || end == attempt_end::failed ||
+                       end == attempt_end::broken;
+}
+
+bool has_attempts_left(const relay_state& state, attempt_end end, time_point now) {
+  if (state.deadline - now < min_time_left || state.lost_connects >= max_lost_connects) {
+    return false;
+  }
+  // Two servers in a row at taken addresses: the list is out of date.
+  const bool list_is_stale = end == attempt_end::wrong_server && state.lost_connects > 0;
+  return state.sent < state.max_attempts && !list_is_stale;
+}
+
+relay_step give_up(const relay_state& state, attempt_end end) {
+  if (end == attempt_end::failed) {
+    return relay_step::pass_on;
+  }
+  return state.may_have_run ? relay_step::answer_unknown : relay_step::answer_not_run;
+}
+
+} // namespace detail
+
+duration refusal_delay(const dispatch_choice& choice, duration left,
+                       std::uint64_t ticket) {
+  // A batching server of 64 slots with answers of 1.5 s frees a slot each 25 ms;
+  // plain ones are faster.
+  constexpr auto shortest = duration(150);
+  constexpr auto spread = duration(600);
+  const auto jitter = duration(static_cast<duration::rep>(
+      ticket % static_cast<std::uint64_t>(spread.count())));
+  const auto base = choice.reason == dispatch_reason::none ? 2 * shortest : shortest;
+  return std::min(base + jitter, std::max(shortest, left / 4));
+}
+
+} // namespace marigoldstep
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -72,6 +72,12 @@
   });
 }
 
+bytes encode(const LinkFrameT& frame) {
+  return encode_frame<LinkFrame>(frame, [](auto& builder, auto root) {
+    FinishSizePrefixedLinkFrameBuffer(builder, root);
+  });
+}
+
 std::unique_ptr<DataFrameT> decode_data(byte_view buf, std::error_code& ec) {
   return decode_frame<DataFrame>(buf, DataFrameIdentifier(), ec);
 }
@@ -84,4 +90,8 @@
   return decode_frame<RaftFrame>(buf, RaftFrameIdentifier(), ec);
 }
 
+std::unique_ptr<LinkFrameT> decode_link(byte_view buf, std::error_code& ec) {
+  return decode_frame<LinkFrame>(buf, LinkFrameIdentifier(), ec);
+}
+
 } // namespace marigoldstep::wire
--- /dev/null
+++ b/tools/control/api.cpp
@@ -0,0 +1,196 @@
+#include "control/api.h"
+
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/logging.h"
+#include "platform/messages.h"
+
+namespace marigoldstep::control {
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_redirect = 307;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
+
+// Hundreds of routes take a few hundred kilobytes.
+constexpr std::uint64_t max_body_bytes = 8U << 20U;
+
+void answer(const QPointer<io::http_connection>& to, unsigned status,
+            std::string_view body) {
+  if (to) {
+    to->respond(status, {{"Content-Type", "application/json"}}, body);
+  }
+}
+
+void answer_problem(const QPointer<io::http_connection>& to, unsigned status,
+                    const std::string& problem) {
+  if (to) {
+    to->respond(status, {{"Content-Type", "text/plain"}}, problem + "\n");
+  }
+}
+
+} // namespace
+
+api::api(replica& group, link_service& links, QObject* parent)
+    : QObject(parent), group_(group), links_(links), listener_(this) {
+  listener_.limits.message.body_bytes = max_body_bytes;
+  listener_.on_request = [this](io::http_connection& from,
+                                const io::http_request& request) {
+    handle_request(from, request);
+  };
+}
+
+std::error_code api::listen(const io::endpoint& address) {
+  const auto ec = listener_.listen(address.host, address.port);
+  port_ = listener_.port();
+  return ec;
+}
+
+void api::stop() {
+  listener_.close_after_answers();
+  listener_.close_idle();
+  listener_.stop_accepting();
+}
+
+void api::handle_request(io::http_connection& from, const io::http_request& request) {
+  using platform::control_call;
+  const connection to(&from);
+  const auto call = platform::parse_control_request(request.head);
+  switch (call.call) {
+  case control_call::announce:
+    if (const auto server = platform::parse_announcement(call.server_id, request.body)) {
+      handle_report(to, *server);
+    } else {
+      io::log_event(io::log_level::warning, "report_refused",
+                    {{"server", call.server_id}});
+      answer_problem(to, status_bad_request, "the report describes no usable server");
+    }
+    return;
+  case control_call::depart:
+    handle_report(to, platform::parse_departure(call.server_id, request.body));
+    return;
+  case control_call::store_routing:
+    handle_store(to, request);
+    return;
+  case control_call::read_routing:
+    handle_read(to, request.head.target);
+    return;
+  case control_call::unknown:
+    answer_problem(to, status_not_found, "no such call");
+    return;
+  }
+}
+
+// A process that follows no leader may be cut off from routers: what it confirmed
+// might not reach them.
+void api::handle_report(const connection& from, const announced_server& server) {
+  if (!group_.is_ready()) {
+    answer_problem(from, status_unavailable, "this process follows no leader");
+    return;
+  }
+  links_.handle_report(server, [from, id = server.id](bool settled) {
+    if (settled) {
+      answer(from, status_ok, "{}");
+      return;
+    }
+    io::log_event(io::log_level::warning, "report_not_confirmed",
+                  {{"server", id}, {"reason", "a router did not acknowledge in time"}});
+    answer_problem(from, status_unavailable, "not every router knows it yet");
+  });
+}
+
+void api::redirect(const connection& from, const std::string& target) {
+  const auto leader = group_.leader();
+  if (leader.host.empty() || group_.is_leader()) {
+    answer_problem(from, status_unavailable, "no leader");
+    return;
+  }
+  if (from) {
+    from->respond(status_redirect,
+                  {{"Location", "http://" + leader.host + ":" + std::to_string(port_) +
+                                    target}},
+                  "");
+  }
+}
+
+void api::handle_store(const connection& from, const io::http_request& request) {
+  std::string problem;
+  const auto config = platform::parse_routing(request.body, problem);
+  problem = problem.empty() ? find_problem(config) : problem;
+  if (!problem.empty()) {
+    io::log_event(io::log_level::warning, "routing_refused", {{"problem", problem}});
+    answer_problem(from, status_bad_request, problem);
+    return;
+  }
+  if (!group_.is_leader()) {
+    redirect(from, request.head.target);
+    return;
+  }
+  store(from, config.version, request.body);
+}
+
+// Whether a confirmed change outlives the losses that the group must bear.
+bool api::can_bear_losses() const {
+  return voter_count(members(*group_.node())) >= group_.wanted_voters();
+}
+
+void api::store(const connection& from, std::uint64_t version, const std::string& text) {
+  group_.confirm([this, from, version, text](std::error_code ec) {
+    if (ec || !can_bear_losses()) {
+      answer_problem(from, status_unavailable, ec ? ec.message() : "too few voters");
+      return;
+    }
+    if (version <= group_.state().routing_version) {
+      io::log_event(io::log_level::info, "routing_not_newer",
+                    {{"version", std::to_string(version)},
+                     {"stored", std::to_string(group_.state().routing_version)}});
+      answer_stored(from, group_.state().routing_version);
+      return;
+    }
+    wire::StoreRoutingT request;
+    request.version = version;
+    const auto view = as_bytes(text);
+    request.text.assign(view.begin(), view.end());
+    auto command = encode_command(wire::control_frame(std::move(request), 0),
+                                  io::wall_clock());
+    group_.propose(std::move(command), [this, from, version](std::error_code result,
+                                                             const auto& /*reply*/) {
+      io::log_event(io::log_level::info, "routing_proposed",
+                    {{"version", std::to_string(version)},
+                     {"result", result ? result.message() : "committed"}});
+      if (result) {
+        answer_problem(from, status_unavailable, result.message());
+      } else {
+        answer_stored(from, version);
+      }
+    });
+  });
+}
+
+// The confirmation waits for the routers, but not for one that is lost.
+void api::answer_stored(const connection& from, std::uint64_t version) {
+  links_.when_version_applied(version, [from, version](bool settled) {
+    io::log_event(io::log_level::info, "routing_acknowledged",
+                  {{"version", std::to_string(version)},
+                   {"in_force_everywhere", settled ? "true" : "false"}});
+    answer(from, status_ok, "{}");
+  });
+}
+
+void api::handle_read(const connection& from, const std::string& target) {
+  if (!group_.is_leader()) {
+    redirect(from, target);
+    return;
+  }
+  group_.confirm([this, from](std::error_code ec) {
+    if (ec || group_.state().routing_version == 0) {
+      answer_problem(from, status_unavailable, ec ? ec.message() : "none stored yet");
+    } else {
+      answer(from, status_ok, group_.state().routing_text);
+    }
+  });
+}
+
+} // namespace marigoldstep::control
--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -1,15 +1,19 @@
+#include "control/api.h"
+#include "control/link_service.h"
 #include "control/metrics.h"
 #include "control/replica.h"
 #include "control/service.h"
 #include "control/settings.h"
 #include "marigoldstep/io/admin_server.h"
 #include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/fleet_ports.h"
 #include "marigoldstep/io/logging.h"
 #include "marigoldstep/io/program.h"
 
 #include <QCoreApplication>
 
 #include <iostream>
+#include <memory>
 
 using namespace marigoldstep;
 
@@ -19,12 +23,52 @@
 // Time for queued replies to go out after SIGTERM.
 constexpr auto stop_limit = duration(500);
 
-int run(const control::control_settings& settings) {
+// The parts that serve gateways, backend servers and operators directly.
+struct direct_parts {
+  direct_parts(control::replica& group, const control::control_settings& settings)
+      : links(group,
+              {settings.node_id, false, settings.links.host, settings.links.port,
+               io::hosts_of(settings.peers)},
+              nullptr),
+        api(group, links, nullptr) {
+    group.on_changed = [this] { links.handle_state_changed(); };
+  }
+
+  std::error_code start(const control::control_settings& settings) {
+    auto ec = links.listen(settings.links);
+    if (!ec) {
+      ec = api.listen(settings.api);
+    }
+    if (!ec) {
+      links.start();
+    }
+    return ec;
+  }
+
+  control::link_service links;
+  control::api api;
+};
+
+// Takes over the seeds when the settings file changes.
+void watch_settings(const std::string& path, control::replica& group,
+                    direct_parts& parts) {
+  io::on_reload(path, [&group, &parts, path] {
+    control::control_settings changed;
+    const bool valid = io::load_settings(path, [&](yaml_mapping& map) {
+      changed = control::parse_control_settings(map);
+    });
+    io::log_event(valid ? io::log_level::info : io::log_level::error, "settings_reloaded",
+                  {{"valid", valid ? "true" : "false"}});
+    if (valid) {
+      group.set_seeds(changed.peers);
+      parts.links.set_seeds(io::hosts_of(changed.peers));
+    }
+  });
+}
+
+int run(const std::string& path, const control::control_settings& settings) {
   io::process_incarnation();
-  io::start_logging(program,
-                    settings.advertise_peer.host + ":" +
-                        std::to_string(settings.advertise_peer.port),
-                    settings.log_level, settings.log_file);
+  io::start_logging(program, settings.node_id, settings.log_level, settings.log_file);
   std::error_code ec = io::use_tls(settings.tls);
   if (ec) {
     std::cerr << program << ": the TLS files cannot be used\n";
@@ -50,12 +94,25 @@
     std::cerr << program << ": " << ec.message() << ": " << detail << "\n";
     return io::exit_failed;
   }
+  std::unique_ptr<direct_parts> direct;
+  if (settings.api.port != 0) {
+    direct = std::make_unique<direct_parts>(group, settings);
+    ec = direct->start(settings);
+    if (ec) {
+      std::cerr << program << ": cannot listen: " << ec.message() << "\n";
+      return io::exit_failed;
+    }
+    watch_settings(path, group, *direct);
+  }
   io::log_event(io::log_level::info, "started",
                 {{"port", std::to_string(service.port())},
                  {"admin_port", std::to_string(admin.port())}});
   io::on_stop_signal([&] {
     io::log_event(io::log_level::info, "stopping", {});
     service.stop();
+    if (direct) {
+      direct->api.stop();
+    }
     QTimer::singleShot(stop_limit, [] { QCoreApplication::quit(); });
   });
   const int status = QCoreApplication::exec();
@@ -82,5 +139,5 @@
     return io::exit_ok;
   }
   const QCoreApplication app(argc, argv);
-  return run(settings);
+  return run(options.config_path, settings);
 }
--- a/tools/control/replica.cpp
+++ b/tools/control/replica.cpp
@@ -74,7 +74,10 @@
   }
   const auto identity = found.raft.identity;
   const auto entries = found.raft.entries.size();
-  node_ = make_raft_node({}, std::move(found.raft), io::random_engine()(), io::now());
+  raft_settings algorithm;
+  algorithm.snapshot_bytes = settings_.snapshot_bytes;
+  node_ = make_raft_node(algorithm, std::move(found.raft), io::random_engine()(),
+                         io::now());
   if (is_new) {
     process(store_identity(*node_));
   }
@@ -103,6 +106,7 @@
   try_changes();
   try_to_form_group();
   bootstrap();
+  repair_group();
 }
 
 void replica::process(raft_output out) {
@@ -122,8 +126,12 @@
   if (out.install) {
     install(*out.install);
   }
+  const bool changed = out.install || !out.committed.empty();
   apply(out.committed);
   note_role();
+  if (changed && on_changed) {
+    on_changed();
+  }
   answer_reads(out.reads);
   if (out.snapshot_wanted && !out_of_service_) {
     process(compact(*node_, encode_snapshot(state_), io::now()));
@@ -144,6 +152,9 @@
     return;
   }
   const bool led = seen_role_ == raft_role::leader;
+  if (!led && node_->role == raft_role::leader) {
+    repair_.leads_since = io::now();
+  }
   seen_role_ = node_->role;
   seen_term_ = node_->state.term;
   seen_leader_ = node_->leader;
@@ -154,6 +165,9 @@
   if (led && seen_role_ != raft_role::leader) {
     fail_waiting();
   }
+  if (on_changed) {
+    on_changed();
+  }
 }
 
 void replica::handle_synced(std::uint64_t sync_id) {
@@ -195,7 +209,10 @@
       targets.insert({it.host, it.port});
     }
   }
-  if (targets.empty()) {
+  // A process outside of the group introduces itself to the seeds until one of the
+  // members that they know admits it.
+  const bool is_member = find_member(members(*node_), node_->identity.id) != nullptr;
+  if (!is_member || settings_.repair) {
     targets.insert(settings_.peers.begin(), settings_.peers.end());
   }
   targets.erase(settings_.advertise_peer);
--- a/tools/control/replica.h
+++ b/tools/control/replica.h
@@ -3,6 +3,7 @@
 #include "control/peers.h"
 #include "control/settings.h"
 #include "marigoldstep/fleet_state.h"
+#include "marigoldstep/group_repair.h"
 #include "marigoldstep/io/log_file.h"
 #include "marigoldstep/raft.h"
 
@@ -30,6 +31,9 @@
   // Reports the time of each write and sync, in seconds.
   std::function<void(double)> on_sync_time;
 
+  // The state, the leader or the members changed.
+  std::function<void()> on_changed;
+
   // Recovers the log and starts the protocol; client is where nodes reach this
   // process. On a problem sets ec and detail.
   void start(const io::endpoint& client, std::error_code& ec, std::string& detail);
@@ -45,6 +49,11 @@
   [[nodiscard]] bool is_leader() const {
     return node_ && !out_of_service_ && node_->role == raft_role::leader;
   }
+  // Other processes to look for while this one belongs to no group.
+  void set_seeds(std::vector<io::endpoint> seeds);
+  // Voters that the group needs to bear the losses of the settings.
+  [[nodiscard]] std::size_t wanted_voters() const;
+
   // Whether this process takes part in a group that has a leader.
   [[nodiscard]] bool is_ready() const;
   [[nodiscard]] std::uint64_t term() const { return node_ ? node_->state.term : 0; }
@@ -96,6 +105,7 @@
   void update_targets();
   void try_to_form_group();
   void bootstrap();
+  void repair_group();
   void leave_service(const std::string& detail);
   [[nodiscard]] io::endpoint address_of(voter_id id) const;
   [[nodiscard]] bool has_commands() const;
@@ -119,6 +129,8 @@
   std::map<std::uint64_t, confirm_callback> reads_;
   std::vector<pending_change> changes_;
   std::uint64_t next_token_ = 1;
+  repair_view repair_;
+  time_point repair_at_{};
 };
 
 // Log entries that make a text the accepted version 1.
--- a/tools/control/replica_requests.cpp
+++ b/tools/control/replica_requests.cpp
@@ -13,6 +13,7 @@
 
 // Time for members to acknowledge the round that a member change needs.
 constexpr auto member_change_timeout = duration(1000);
+constexpr auto repair_interval = duration(150);
 
 wire::ControlFrameT bootstrap_change(wire::ChangeKind kind, const std::string& text) {
   wire::ChangeRequestT body;
@@ -138,14 +139,55 @@
   if (node_ && info.id == node_->identity.id && info.peer != settings_.advertise_peer) {
     io::log_event(io::log_level::error, "identity_used_twice",
                   {{"other", info.peer.host + ":" + std::to_string(info.peer.port)}});
+    return;
+  }
+  const group_member member{info.id, info.peer.host, info.peer.port, false};
+  std::erase_if(repair_.present, [&](const auto& it) {
+    return it.first != info.id && it.second.member.host == member.host &&
+           it.second.member.port == member.port;
+  });
+  repair_.present[info.id] = {member, io::now()};
+}
+
+void replica::set_seeds(std::vector<io::endpoint> seeds) {
+  settings_.peers = std::move(seeds);
+  std::erase(settings_.peers, settings_.advertise_peer);
+  if (node_ && !out_of_service_) {
+    update_targets();
+  }
+}
+
+std::size_t replica::wanted_voters() const {
+  return settings_.repair ? marigoldstep::wanted_voters(*settings_.repair) : 1;
+}
+
+// One change at a time, and not more often than heartbeats can show its effect.
+void replica::repair_group() {
+  const auto now = io::now();
+  if (!settings_.repair || !is_leader() || now < repair_at_ || !changes_.empty()) {
+    return;
+  }
+  const auto step = next_member_step(*node_, repair_, *settings_.repair, now);
+  if (!step) {
+    return;
   }
+  repair_at_ = now + repair_interval;
+  io::log_event(io::log_level::info, "group_repair",
+                {{"member", std::to_string(step->member.id)},
+                 {"host", step->member.host},
+                 {"reason", std::string(step->reason)}});
+  change_member(step->change, step->member,
+                [](std::error_code /*ec*/, const std::string& /*detail*/) {
+                  // try_changes() logs the result; the next step follows from what
+                  // the group then looks like.
+                });
 }
 
 // A group begins only while no process of the first list has one: the process
 // with the lowest address waits for all others to say so. A process that lost
 // its disk therefore never begins a second group; it waits to be admitted.
 void replica::try_to_form_group() {
-  if (node_->identity.group != 0 || synced_id_ == 0) {
+  if (node_->identity.group != 0 || synced_id_ == 0 || !settings_.may_form_group) {
     return;
   }
   group_members list = {{node_->identity.id, settings_.advertise_peer.host,
--- a/tools/control/settings.cpp
+++ b/tools/control/settings.cpp
@@ -1,31 +1,20 @@
 #include "control/settings.h"
 
+#include "marigoldstep/io/fleet_ports.h"
+
 #include <algorithm>
 
 namespace marigoldstep::control {
 
 namespace {
 
-io::endpoint read_endpoint(yaml_mapping& map, const std::string& key) {
-  const auto text = read_string(map, key);
-  if (text.empty()) {
-    return {};
-  }
-  auto out = io::parse_endpoint(text);
-  // Port 0 is valid for listening: the system picks one, and the log names it.
-  if (out.host.empty()) {
-    add_problem(map, key, "must be an address and a port, such as 127.0.0.1:7000");
-  }
-  return out;
-}
-
 io::endpoint read_endpoint(yaml_mapping& map, const std::string& key,
                            const io::endpoint& fallback) {
   if (!has(map, key)) {
     map.known.insert(key);
     return fallback;
   }
-  return read_endpoint(map, key);
+  return io::read_endpoint(map, key);
 }
 
 std::vector<io::endpoint> read_peers(yaml_mapping& map) {
@@ -53,18 +42,60 @@
   return out;
 }
 
+void parse_addresses(yaml_mapping& map, control_settings& out) {
+  out.listen = io::read_endpoint(map, "listen");
+  out.listen_peer = io::read_endpoint(map, "listen_peer");
+  out.advertise = read_endpoint(map, "advertise", out.listen);
+  out.advertise_peer = read_endpoint(map, "advertise_peer", out.listen_peer);
+  out.admin = io::read_endpoint(map, "admin");
+  out.peers = read_peers(map);
+  std::erase(out.peers, out.advertise_peer);
+}
+
+// Where every VM has the same range of ports, addresses follow from the hosts.
+void parse_shared_ports(yaml_mapping& map, control_settings& out) {
+  constexpr std::int64_t most_losses = 10;
+  constexpr std::int64_t most_megabytes = 1024;
+  constexpr std::size_t bytes_per_mb = 1U << 20U;
+  const auto host = read_string(map, "host");
+  const auto first = io::read_first_port(map);
+  const auto at = [&](io::fleet_port which) {
+    return io::endpoint{host, io::port_of(first, which)};
+  };
+  out.listen = out.advertise = at(io::fleet_port::nodes);
+  out.listen_peer = out.advertise_peer = at(io::fleet_port::members);
+  out.links = at(io::fleet_port::links);
+  out.admin = at(io::fleet_port::metrics);
+  out.api = io::read_endpoint(map, "api");
+  for (const auto& it : io::read_endpoints(map, "seeds")) {
+    out.peers.push_back({it.host, out.listen_peer.port});
+  }
+  // A process that isn't among the seeds joins their group, and so does one that
+  // lost its disk.
+  const bool is_seed = std::erase(out.peers, out.advertise_peer) > 0;
+  out.may_form_group = read_bool(map, "first_start", false) && is_seed;
+  repair_settings repair;
+  repair.tolerated_losses = static_cast<std::size_t>(
+      read_integer(map, "tolerated_losses", 1, 0, most_losses));
+  out.repair = repair;
+  out.snapshot_bytes =
+      bytes_per_mb * static_cast<std::size_t>(read_integer(map, "snapshot_mb", 4, 1,
+                                                           most_megabytes));
+}
+
 } // namespace
 
 control_settings parse_control_settings(yaml_mapping& map) {
   control_settings out;
   out.data_dir = read_string(map, "data_dir");
-  out.listen = read_endpoint(map, "listen");
-  out.listen_peer = read_endpoint(map, "listen_peer");
-  out.advertise = read_endpoint(map, "advertise", out.listen);
-  out.advertise_peer = read_endpoint(map, "advertise_peer", out.listen_peer);
-  out.admin = read_endpoint(map, "admin");
-  out.peers = read_peers(map);
-  std::erase(out.peers, out.advertise_peer);
+  if (has(map, "ports")) {
+    parse_shared_ports(map, out);
+  } else {
+    parse_addresses(map, out);
+  }
+  out.node_id = read_string(map, "node_id",
+                            out.advertise_peer.host + ":" +
+                                std::to_string(out.advertise_peer.port));
   out.bootstrap_configuration = read_string(map, "bootstrap_configuration", "");
   out.log_level = io::parse_log_level(
       read_choice(map, "log_level", "info", {"debug", "info", "warning", "error"}));
--- a/tools/control/settings.h
+++ b/tools/control/settings.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "marigoldstep/group_repair.h"
 #include "marigoldstep/io/control_client.h"
 #include "marigoldstep/io/logging.h"
 #include "marigoldstep/io/tls.h"
 #include "marigoldstep/yaml_reader.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,17 @@
   io::log_level log_level = io::log_level::info;
   std::string log_file;
   std::string zone;
+  std::string node_id; // in logs; the peer address by default
+  // Serves backend servers and the operator over HTTP, and gateways on the links;
+  // port 0: neither.
+  io::endpoint api;
+  io::endpoint links;
+  // Whether this process may begin a group with its peers.
+  bool may_form_group = true;
+  // Lets the leader repair the group without an operator.
+  std::optional<repair_settings> repair;
+  // Log bytes after which a snapshot is taken.
+  std::size_t snapshot_bytes = 64U << 20U;
   io::tls_files tls;
   std::vector<operator_account> operators; // empty: everybody who can connect
 };
--- /dev/null
+++ b/tools/gateway/gateway.cpp
@@ -0,0 +1,241 @@
+#include "gateway/gateway.h"
+
+#include "gateway/relay.h"
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/fleet_ports.h"
+#include "marigoldstep/io/logging.h"
+#include "platform/messages.h"
+
+#include <algorithm>
+
+namespace marigoldstep::gateway {
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
+
+// Counts of in-flight requests reach the other routers within two intervals.
+constexpr auto load_interval = std::chrono::milliseconds(200);
+// Servers that nobody heard of for this long are forgotten.
+constexpr auto keep_silent = duration(60'000);
+// The balancer notices within two checks of a second each.
+constexpr auto close_idle_after = duration(3000);
+constexpr auto stop_interval = std::chrono::milliseconds(100);
+// Part of the stop time that is left unused, so that the process ends by itself.
+constexpr int stop_reserve = 16;
+// Requests held in memory may take this part of the process's limit.
+constexpr std::size_t memory_share = 4;
+
+} // namespace
+
+gateway::gateway(gateway_settings settings, prometheus::Registry& registry,
+                 QObject* parent)
+    : QObject(parent), pool(this), numbers(registry), settings_(std::move(settings)),
+      links_({settings_.node_id, true, settings_.host,
+              io::port_of(settings_.first_port, io::fleet_port::links),
+              io::hosts_of(settings_.seeds)},
+             this),
+      callers_(this), checks_(this) {
+  retries.limits = settings_.retries;
+  links_.routing_version = [this] { return table_ ? table_->config.version : 0; };
+  links_.on_routing = [this](std::uint64_t version, const std::string& text) {
+    handle_routing(version, text);
+  };
+  links_.on_servers = [this](const wire::ServerUpdateT& update) {
+    handle_servers(update);
+  };
+  links_.on_fleet_load = [this](const wire::FleetLoadT& load) {
+    handle_fleet_load(load);
+  };
+  callers_.on_request = [this](io::http_connection& from, io::http_request request) {
+    handle_request(from, std::move(request));
+  };
+  checks_.on_request = [this](io::http_connection& from, const io::http_request& request) {
+    const auto status = !platform::is_ready_check(request.head) ? status_not_found
+                        : is_ready()                            ? status_ok
+                                                                : status_unavailable;
+    from.respond(status, {}, "");
+  };
+  connect(&load_timer_, &QTimer::timeout, this, [this] {
+    send_load();
+    forget_servers();
+    note_ready();
+  });
+  connect(&stop_timer_, &QTimer::timeout, this, [this] { end_stop(); });
+}
+
+std::error_code gateway::start() {
+  auto ec = callers_.listen(settings_.listen.host, settings_.listen.port);
+  if (!ec) {
+    ec = checks_.listen(settings_.listen_ready.host, settings_.listen_ready.port);
+  }
+  if (!ec) {
+    links_.start();
+    load_timer_.start(load_interval);
+  }
+  return ec;
+}
+
+void gateway::apply(const gateway_settings& settings) {
+  settings_.seeds = settings.seeds;
+  links_.set_seeds(io::hosts_of(settings.seeds));
+}
+
+bool gateway::is_ready() const {
+  return table_ && links_.has_servers() && !stopping_;
+}
+
+void gateway::note_ready() {
+  if (is_ready() != seen_ready_) {
+    seen_ready_ = is_ready();
+    io::log_event(io::log_level::info, seen_ready_ ? "ready" : "not_ready",
+                  {{"routing", std::to_string(table_ ? table_->config.version : 0)},
+                   {"servers", std::to_string(directory.entries.size())},
+                   {"links", std::to_string(links_.open_links())}});
+  }
+  numbers.open_links.Set(static_cast<double>(links_.open_links()));
+}
+
+dispatch_choice gateway::choose(const dispatch_request& request) {
+  return marigoldstep::choose(directory, dispatch, request, settings_.dispatch, io::now(),
+                              io::random_engine());
+}
+
+void gateway::handle_request(io::http_connection& from, io::http_request request) {
+  if (settings_.memory_bytes > 0 &&
+      callers_.held_bytes() > settings_.memory_bytes / memory_share) {
+    from.respond(status_unavailable, {platform::make_retry_field(duration(500))},
+                 "out of memory\n");
+    io::log_event(io::log_level::warning, "request_refused", {{"reason", "memory"}});
+    return;
+  }
+  auto* it = new relay(*this, from, std::move(request));
+  it->start();
+}
+
+void gateway::handle_routing(std::uint64_t version, const std::string& text) {
+  std::string problem;
+  auto config = platform::parse_routing(text, problem);
+  problem = problem.empty() ? find_problem(config) : problem;
+  if (!problem.empty() || config.version != version) {
+    // Control checks every configuration before it stores it.
+    io::log_event(io::log_level::error, "routing_refused",
+                  {{"version", std::to_string(version)}, {"problem", problem}});
+    return;
+  }
+  table_ = make_routing_table(std::move(config));
+  const auto& limits = table_->config.limits;
+  callers_.limits.message = {static_cast<std::uint32_t>(limits.header_bytes),
+                             limits.body_bytes};
+  callers_.limits.header_timeout = limits.header_timeout;
+  callers_.limits.idle_timeout = limits.idle_timeout;
+  numbers.routing_version.Set(static_cast<double>(version));
+  io::log_event(io::log_level::info, "routing_applied",
+                {{"version", std::to_string(version)},
+                 {"routes", std::to_string(table_->config.routes.size())}});
+  note_ready();
+}
+
+void gateway::handle_servers(const wire::ServerUpdateT& update) {
+  const auto now = io::now();
+  for (const auto& it : update.servers) {
+    const auto server = io::from_wire(*it);
+    if (observe(directory, server, duration(it->silent_ms), now) !=
+        directory_change::changed) {
+      continue;
+    }
+    io::log_event(io::log_level::info, "server_changed",
+                  {{"server", server.id},
+                   {"service", server.service},
+                   {"state", std::string(name(server.state))},
+                   {"started", std::to_string(server.started)},
+                   {"sequence", std::to_string(server.sequence)}});
+    if (server.state != announced_state::ready) {
+      const auto& known = directory.entries.at(server.id).server;
+      pool.drop({known.host, known.port});
+    }
+  }
+  for (const auto& id : update.heard) {
+    observe_heard(directory, id, now);
+  }
+  numbers.servers.Set(static_cast<double>(directory.entries.size()));
+  note_ready();
+}
+
+void gateway::forget_servers() {
+  for (const auto& id : forget_silent(directory, keep_silent, io::now())) {
+    dispatch.records.erase(id);
+    io::log_event(io::log_level::info, "server_forgotten", {{"server", id}});
+  }
+}
+
+void gateway::handle_fleet_load(const wire::FleetLoadT& load) {
+  const auto now = io::now();
+  // Routers that left may have used their part of the budget within the window.
+  router_counts_.emplace_back(now, load.routers);
+  std::erase_if(router_counts_, [&](const auto& it) {
+    return now - it.first > settings_.retries.window;
+  });
+  std::uint32_t most = 0;
+  for (const auto& [at, n] : router_counts_) {
+    most = std::max(most, n);
+  }
+  set_routers(retries, most);
+  for (auto& [id, record] : dispatch.records) {
+    record.others = {};
+  }
+  for (const auto& it : load.servers) {
+    const auto told = told_[it->id];
+    auto& others = dispatch.records[it->id].others;
+    others.requests = it->requests - std::min(it->requests, told.requests);
+    others.tokens = it->tokens - std::min(it->tokens, told.tokens);
+  }
+}
+
+void gateway::send_load() {
+  wire::RouterLoadT load;
+  std::map<std::string, load_count> told;
+  for (const auto& [id, record] : dispatch.records) {
+    if (record.own.requests > 0) {
+      auto entry = std::make_unique<wire::ServerLoadT>();
+      entry->id = id;
+      entry->requests = record.own.requests;
+      entry->tokens = record.own.tokens;
+      load.servers.push_back(std::move(entry));
+      told[id] = record.own;
+    }
+  }
+  told_ = std::move(told);
+  links_.send_load(std::move(load));
+}
+
+void gateway::stop(std::function<void()> done) {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stopped_ = std::move(done);
+  stop_began_ = io::now();
+  stop_at_ = stop_began_ + settings_.stop_time - settings_.stop_time / stop_reserve;
+  callers_.close_after_answers();
+  note_ready();
+  stop_timer_.start(stop_interval);
+}
+
+void gateway::end_stop() {
+  const auto now = io::now();
+  if (!idle_closed_ && now - stop_began_ >= close_idle_after) {
+    idle_closed_ = true;
+    callers_.close_idle();
+  }
+  const bool nothing_left =
+      idle_closed_ && callers_.answering() == 0 && callers_.connections() == 0;
+  if (nothing_left || now >= stop_at_) {
+    stop_timer_.stop();
+    stopped_();
+  }
+}
+
+} // namespace marigoldstep::gateway
--- /dev/null
+++ b/tools/gateway/gateway.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "gateway/metrics.h"
+#include "gateway/settings.h"
+#include "marigoldstep/dispatch.h"
+#include "marigoldstep/io/backend_pool.h"
+#include "marigoldstep/io/control_links.h"
+#include "marigoldstep/io/http_connection.h"
+#include "marigoldstep/retry_share.h"
+#include "marigoldstep/routing.h"
+
+#include <QObject>
+#include <QTimer>
+
+#include <memory>
+
+namespace marigoldstep::gateway {
+
+// What the relays of one process share: the routes in force, the servers, what is
+// in flight, and the links to control.
+class gateway : public QObject {
+public:
+  gateway(gateway_settings settings, prometheus::Registry& registry, QObject* parent);
+
+  // Listens for callers and readiness checks and connects to control.
+  std::error_code start();
+  // Reports itself as not ready, answers what comes, and calls done when nothing
+  // is left or the stop time is nearly over.
+  void stop(std::function<void()> done);
+  // Takes over settings that may change while it runs: the seeds.
+  void apply(const gateway_settings& settings);
+
+  [[nodiscard]] const gateway_settings& settings() const { return settings_; }
+  [[nodiscard]] const std::shared_ptr<const routing_table>& table() const {
+    return table_;
+  }
+  [[nodiscard]] bool is_ready() const;
+
+  dispatch_choice choose(const dispatch_request& request);
+  server_directory directory;
+  dispatch_state dispatch;
+  retry_share retries;
+  io::backend_pool pool;
+  metrics numbers;
+
+private:
+  void handle_request(io::http_connection& from, io::http_request request);
+  void handle_routing(std::uint64_t version, const std::string& text);
+  void handle_servers(const wire::ServerUpdateT& update);
+  void handle_fleet_load(const wire::FleetLoadT& load);
+  void send_load();
+  void forget_servers();
+  void note_ready();
+  void end_stop();
+
+  gateway_settings settings_;
+  std::shared_ptr<const routing_table> table_;
+  io::control_links links_;
+  io::http_listener callers_;
+  io::http_listener checks_;
+  QTimer load_timer_;
+  QTimer stop_timer_;
+  std::map<std::string, load_count> told_; // own load as last told to the leader
+  std::vector<std::pair<time_point, std::uint32_t>> router_counts_;
+  std::function<void()> stopped_;
+  time_point stop_at_{};
+  time_point stop_began_{};
+  bool stopping_ = false;
+  bool idle_closed_ = false;
+  bool seen_ready_ = false;
+};
+
+} // namespace marigoldstep::gateway
--- /dev/null
+++ b/tools/gateway/metrics.cpp
@@ -0,0 +1,56 @@
+#include "gateway/metrics.h"
+
+namespace marigoldstep::gateway {
+
+namespace {
+
+// Upper bounds in seconds, from a lookup to a long stream.
+const prometheus::Histogram::BucketBoundaries latency_buckets{
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8, 16};
+
+prometheus::Histogram& histogram(prometheus::Registry& registry, const std::string& name,
+                                 const std::string& help) {
+  return prometheus::BuildHistogram()
+      .Name("marigoldstep_gateway_" + name)
+      .Help(help)
+      .Register(registry)
+      .Add({}, latency_buckets);
+}
+
+prometheus::Gauge& gauge(prometheus::Registry& registry, const std::string& name,
+                         const std::string& help) {
+  return prometheus::BuildGauge()
+      .Name("marigoldstep_gateway_" + name)
+      .Help(help)
+      .Register(registry)
+      .Add({});
+}
+
+} // namespace
+
+metrics::metrics(prometheus::Registry& registry)
+    : requests(prometheus::BuildCounter()
+                   .Name("marigoldstep_gateway_requests_total")
+                   .Help("Requests of callers by how they ended")
+                   .Register(registry)),
+      attempts(prometheus::BuildCounter()
+                   .Name("marigoldstep_gateway_attempts_total")
+                   .Help("Attempts at backend servers by how they ended")
+                   .Register(registry)),
+      first_byte_seconds(histogram(registry, "first_byte_seconds",
+                                   "From the request to the answer's first byte")),
+      total_seconds(histogram(registry, "total_seconds",
+                              "From the request to the answer's end")),
+      routing_version(gauge(registry, "routing_version", "Routing version in force")),
+      servers(gauge(registry, "servers", "Announced backend servers")),
+      open_links(gauge(registry, "control_links", "Open links to control processes")) {}
+
+prometheus::Counter& metrics::ended(const std::string& how) {
+  return requests.Add({{"end", how}});
+}
+
+prometheus::Counter& metrics::attempt_ended(const std::string& how) {
+  return attempts.Add({{"end", how}});
+}
+
+} // namespace marigoldstep::gateway
--- /dev/null
+++ b/tools/gateway/relay.cpp
@@ -0,0 +1,446 @@
+#include "gateway/relay.h"
+
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/logging.h"
+#include "platform/messages.h"
+
+#include <algorithm>
+
+namespace marigoldstep::gateway {
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_redirect = 300;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_unauthorized = 401;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_server_error = 500;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_timeout = 504;
+
+// Lets the backend server's own answer at the deadline come first.
+constexpr auto deadline_slack = duration(100);
+// A caller that sends no deadline waits as long as the route allows.
+// Answers up to this size are read whole first, so that a broken one can still be
+// replaced by another attempt.
+constexpr std::size_t whole_answer_bytes = 256U << 10U;
+// A caller that reads slowly holds at most this much of its answer here.
+constexpr std::size_t pause_above_bytes = 256U << 10U;
+constexpr std::size_t resume_below_bytes = 64U << 10U;
+// Until the first configuration or server is known.
+constexpr auto start_retry = duration(500);
+// After a server refused: others had no room a moment ago either.
+constexpr auto refused_retry = duration(200);
+// Idle connections whose server names no timeout.
+constexpr auto default_idle_timeout = duration(4000);
+
+std::string text_of(duration value) {
+  return std::to_string(value.count());
+}
+
+} // namespace
+
+relay::relay(gateway& owner, io::http_connection& caller, io::http_request request)
+    : QObject(&owner), owner_(owner), caller_(&caller), request_(std::move(request)),
+      table_(owner.table()), began_at_(io::now()) {
+  caller.on_closed = [this] { handle_caller_left(); };
+  caller.on_drained = [this] { handle_drained(); };
+  deadline_timer_.setSingleShot(true);
+  connect(&deadline_timer_, &QTimer::timeout, this, [this] { handle_timeout(); });
+}
+
+relay::~relay() {
+  release_attempt(false);
+}
+
+duration relay::time_left() const {
+  return state_.deadline - io::now();
+}
+
+void relay::start() {
+  if (!table_) {
+    answer_not_run("no configuration yet", start_retry);
+    return;
+  }
+  call_ = platform::parse_call(request_.head);
+  if (!find_target()) {
+    return;
+  }
+  state_.kind = route_->kind;
+  state_.max_attempts = route_->max_attempts;
+  const auto allowed = std::min(call_.deadline.value_or(route_->timeout), route_->timeout);
+  state_.deadline = began_at_ + allowed;
+  events_.last_event = call_.last_event;
+  deadline_timer_.start(allowed + deadline_slack);
+  note_request(owner_.retries, service_, began_at_);
+  send_attempt();
+}
+
+// Finds route, workspace and service; answers the request when there are none.
+bool relay::find_target() {
+  const auto* host = io::find_field(request_.head, "host");
+  route_ = find_route(*table_, host == nullptr ? "" : *host, request_.head.target);
+  if (route_ == nullptr) {
+    answer(status_not_found, "no such route", std::nullopt);
+    return false;
+  }
+  priority_ = route_->priority;
+  if (!route_->is_public && !table_->config.workspaces.empty()) {
+    const auto* workspace = find_workspace(*table_, call_.key);
+    if (workspace == nullptr) {
+      answer(status_unauthorized, "unknown key", std::nullopt);
+      return false;
+    }
+    workspace_ = workspace->name;
+    priority_ = workspace->priority >= 0 ? workspace->priority : *priority_;
+  }
+  if (call_.request_id.empty()) {
+    answer(status_bad_request, "a request id is required", std::nullopt);
+    return false;
+  }
+  service_ = pick_service(*route_, stable_hash(call_.request_id));
+  return true;
+}
+
+void relay::send_attempt() {
+  dispatch_request wanted;
+  wanted.service = service_;
+  wanted.zone = owner_.settings().zone;
+  wanted.prompt = route_->has_prompts ? call_.prompt : std::vector<prompt_part>();
+  wanted.tried = tried_;
+  if (const auto* service = find_service(*table_, service_)) {
+    wanted.batch = service->batch;
+  }
+  const auto choice = owner_.choose(wanted);
+  if (choice.server == nullptr) {
+    if (answering_) {
+      cut("no server to go on at");
+      return;
+    }
+    const auto retry =
+        refusal_delay(choice, time_left(), stable_hash(call_.request_id, 1));
+    if (state_.may_have_run) {
+      settle(relay_step::answer_unknown, attempt_end::not_connected, {});
+    } else {
+      answer_not_run(name(choice.reason), retry);
+    }
+    return;
+  }
+  send_to(*choice.server, choice);
+}
+
+void relay::send_to(const announced_server& server, const dispatch_choice& choice) {
+  attempt it;
+  it.server = server;
+  it.tokens = std::uint64_t{call_.prompt_tokens} + call_.answer_tokens;
+  io::log_decision({call_.request_id,
+                    "route",
+                    server.id,
+                    std::string(name(choice.reason)),
+                    {"load:" + std::to_string(choice.load),
+                     "candidates:" + std::to_string(choice.candidates),
+                     "routing:" + std::to_string(table_->config.version)}});
+  platform::attempt_fields added;
+  added.server_id = server.id;
+  added.workspace = workspace_;
+  added.time_left = std::max(duration(1), time_left());
+  if (route_->has_prompts) {
+    added.priority = priority_;
+  }
+  if (answering_) {
+    added.last_event = events_.last_event;
+    events_.partial.clear();
+  }
+  // A request that may not be repeated must not meet a closing connection.
+  it.connection = owner_.pool.acquire({server.host, server.port}, false);
+  it.connection->on_head = [this](const io::http_head& head) { handle_head(head); };
+  it.connection->on_body = [this](std::string piece) { handle_body(std::move(piece)); };
+  it.connection->on_done = [this] { handle_done(); };
+  it.connection->on_failed = [this](io::exchange_failure why) { handle_failed(why); };
+  tried_.push_back(server.id);
+  note_sent(owner_.dispatch, server.id, it.tokens);
+  auto* connection = it.connection;
+  attempt_ = std::move(it);
+  connection->send(platform::make_backend_request(request_.head, request_.body, added),
+                   request_.head.method == "HEAD");
+}
+
+bool relay::is_good_answer() const {
+  const auto& it = *attempt_;
+  return it.head.status >= status_ok && it.head.status < status_redirect &&
+         it.facts.is_signed && io::find_field(it.head, "Content-Encoding") == nullptr;
+}
+
+void relay::handle_head(const io::http_head& head) {
+  auto& it = *attempt_;
+  const auto facts = platform::parse_answer(head);
+  if (!facts.request_id.empty() && facts.request_id != call_.request_id) {
+    io::log_event(io::log_level::warning, "foreign_answer_skipped",
+                  {{"request_id", call_.request_id},
+                   {"server", it.server.id},
+                   {"other", facts.request_id}});
+    it.connection->skip_answer();
+    return;
+  }
+  it.facts = facts;
+  it.head = head;
+  it.has_head = true;
+  if (facts.load) {
+    note_reported(owner_.dispatch, it.server.id, *facts.load, io::now());
+  }
+  it.passing = is_good_answer() && is_stream(route_->kind);
+}
+
+void relay::handle_body(std::string piece) {
+  auto& it = *attempt_;
+  if (it.passing) {
+    pass_body(piece);
+    return;
+  }
+  it.body += piece;
+  if (it.body.size() > whole_answer_bytes && is_good_answer() && has_caller()) {
+    it.passing = true;
+    const auto held = std::move(it.body);
+    it.body.clear();
+    pass_body(held);
+  }
+}
+
+void relay::pass_body(std::string_view piece) {
+  if (!has_caller()) {
+    return;
+  }
+  const bool by_event = route_->kind == route_kind::resumable_stream;
+  const auto whole = by_event ? split_events(events_, piece) : std::string(piece);
+  if (whole.empty()) {
+    return;
+  }
+  begin_answer();
+  caller_->write_body(whole);
+  if (caller_->queued_bytes() > pause_above_bytes) {
+    attempt_->connection->set_paused(true);
+  }
+}
+
+void relay::begin_answer() {
+  if (answering_) {
+    return;
+  }
+  answering_ = true;
+  owner_.numbers.first_byte_seconds.Observe(
+      std::chrono::duration<double>(io::now() - began_at_).count());
+  const auto length = is_stream(route_->kind) ? std::nullopt : attempt_->head.length;
+  caller_->begin(attempt_->head.status, platform::make_caller_fields(attempt_->head),
+                 length);
+}
+
+void relay::handle_drained() {
+  if (attempt_ && has_caller() && caller_->queued_bytes() < resume_below_bytes) {
+    attempt_->connection->set_paused(false);
+  }
+}
+
+// How an answer that was read whole counts.
+attempt_end relay::end_of_answer() const {
+  const auto& it = *attempt_;
+  if (it.facts.wrong_server) {
+    return attempt_end::wrong_server;
+  }
+  if (it.facts.not_run) {
+    return attempt_end::not_run;
+  }
+  const bool is_success =
+      it.head.status >= status_ok && it.head.status < status_redirect;
+  return is_success ? attempt_end::broken : attempt_end::failed;
+}
+
+void relay::handle_done() {
+  if (!is_good_answer()) {
+    const auto end = end_of_answer();
+    const bool is_server_error = attempt_->head.status >= status_server_error;
+    if (end == attempt_end::failed && !is_server_error) {
+      // The request is at fault, not the server.
+      note_answer(owner_.dispatch, attempt_->server.id, false, io::now());
+    }
+    end_attempt(end);
+    return;
+  }
+  note_answer(owner_.dispatch, attempt_->server.id, false, io::now());
+  finish_answer();
+}
+
+void relay::finish_answer() {
+  if (has_caller()) {
+    if (answering_ || is_stream(route_->kind)) {
+      begin_answer();
+      caller_->finish();
+    } else {
+      owner_.numbers.first_byte_seconds.Observe(
+          std::chrono::duration<double>(io::now() - began_at_).count());
+      caller_->respond(attempt_->head.status,
+                       platform::make_caller_fields(attempt_->head), attempt_->body);
+    }
+  }
+  owner_.numbers.attempt_ended("answered").Increment();
+  const auto server = attempt_->server.id;
+  release_attempt(true);
+  finish("answered", server);
+}
+
+void relay::handle_failed(io::exchange_failure why) {
+  // A refusal counts as soon as its head was read.
+  const bool refused = attempt_->has_head && attempt_->facts.not_run;
+  if (why == io::exchange_failure::not_connected) {
+    end_attempt(attempt_end::not_connected);
+  } else if (refused) {
+    end_attempt(end_of_answer());
+  } else {
+    end_attempt(attempt_end::broken);
+  }
+}
+
+void relay::end_attempt(attempt_end end) {
+  const auto now = io::now();
+  const auto last = *attempt_;
+  const bool answered = last.has_head && end != attempt_end::broken;
+  if (end == attempt_end::not_connected || end == attempt_end::broken) {
+    note_broken(owner_.dispatch, last.server.id, now);
+  } else if (end == attempt_end::failed && last.head.status >= status_server_error) {
+    note_answer(owner_.dispatch, last.server.id, true, now);
+  }
+  owner_.numbers.attempt_ended(std::string(name(end))).Increment();
+  release_attempt(answered);
+  const auto step = decide(state_, end, now, [&] {
+    return take_repeat(owner_.retries, service_, now);
+  });
+  io::log_event(io::log_level::info, "attempt_ended",
+                {{"request_id", call_.request_id},
+                 {"server", last.server.id},
+                 {"end", std::string(name(end))},
+                 {"status", std::to_string(last.head.status)},
+                 {"step", std::string(name(step))},
+                 {"time_left_ms", text_of(time_left())}});
+  if (!has_caller()) {
+    finish("left", name(end));
+    return;
+  }
+  settle(step, end, last);
+}
+
+void relay::settle(relay_step step, attempt_end end, const attempt& last) {
+  if (step == relay_step::try_again) {
+    send_attempt();
+    return;
+  }
+  if (answering_) {
+    cut(name(end));
+    return;
+  }
+  if (step == relay_step::pass_on) {
+    caller_->respond(last.head.status, platform::make_caller_fields(last.head),
+                     last.body);
+    finish("failed", last.server.id);
+  } else if (step == relay_step::answer_not_run) {
+    answer_not_run(name(end), refused_retry);
+  } else {
+    answer(status_bad_gateway, "the request may have run", std::nullopt);
+  }
+}
+
+void relay::release_attempt(bool reusable) {
+  if (!attempt_) {
+    return;
+  }
+  note_finished(owner_.dispatch, attempt_->server.id, attempt_->tokens);
+  if (reusable) {
+    owner_.pool.release(attempt_->connection,
+                        attempt_->facts.idle_timeout.value_or(default_idle_timeout));
+  } else {
+    owner_.pool.discard(attempt_->connection);
+  }
+  attempt_.reset();
+}
+
+void relay::handle_caller_left() {
+  caller_.clear();
+  if (done_) {
+    return;
+  }
+  // Work that may be repeated, or that nobody reads, ends; the rest runs on.
+  if (attempt_ && route_->kind == route_kind::once) {
+    return;
+  }
+  release_attempt(false);
+  finish("left", answering_ ? "after the answer began" : "before the answer");
+}
+
+void relay::handle_timeout() {
+  const bool sent = attempt_ && attempt_->connection->is_open();
+  if (sent) {
+    state_.may_have_run = true;
+  }
+  release_attempt(false);
+  if (!has_caller()) {
+    finish("left", "deadline");
+  } else if (answering_) {
+    cut("deadline passed");
+  } else if (state_.may_have_run) {
+    answer(status_timeout, "deadline passed", std::nullopt);
+  } else {
+    answer_not_run("deadline passed", refused_retry);
+  }
+}
+
+void relay::answer(unsigned status, std::string_view text,
+                   std::optional<duration> retry) {
+  if (has_caller()) {
+    std::vector<io::http_field> fields;
+    if (retry) {
+      fields.push_back(platform::make_retry_field(*retry));
+    }
+    caller_->respond(status, fields, std::string(text) + "\n");
+  }
+  const bool refused = status < status_server_error;
+  finish(status == status_unavailable ? "not_run" : refused ? "rejected" : "unknown",
+         text);
+}
+
+void relay::answer_not_run(std::string_view text, duration retry) {
+  answer(status_unavailable, text, retry);
+}
+
+// The caller has a part of the answer; a visible cut is all that is left.
+void relay::cut(std::string_view why) {
+  const auto caller = caller_;
+  finish("cut", why);
+  if (caller) {
+    caller->abort();
+  }
+}
+
+void relay::finish(std::string_view how, std::string_view detail) {
+  if (done_) {
+    return;
+  }
+  done_ = true;
+  deadline_timer_.stop();
+  if (has_caller()) {
+    caller_->on_closed = nullptr;
+    caller_->on_drained = nullptr;
+  }
+  const auto took = io::now() - began_at_;
+  owner_.numbers.ended(std::string(how)).Increment();
+  owner_.numbers.total_seconds.Observe(std::chrono::duration<double>(took).count());
+  io::log_event(io::log_level::info, "request_ended",
+                {{"request_id", call_.request_id},
+                 {"end", std::string(how)},
+                 {"detail", std::string(detail)},
+                 {"route", route_ == nullptr ? "" : route_->name},
+                 {"attempts", std::to_string(state_.sent + state_.lost_connects)},
+                 {"ms", text_of(took)}});
+  deleteLater();
+}
+
+} // namespace marigoldstep::gateway
--- /dev/null
+++ b/tools/gateway/relay.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "gateway/gateway.h"
+#include "marigoldstep/event_splitter.h"
+#include "marigoldstep/relay_policy.h"
+
+#include <QObject>
+#include <QPointer>
+#include <QTimer>
+
+#include <optional>
+#include <string>
+
+namespace marigoldstep::gateway {
+
+// One request of a caller on its way: finds the route, sends the request to
+// backend servers one after the other as the policy allows, and passes the answer
+// on. Deletes itself at the end.
+class relay : public QObject {
+public:
+  relay(gateway& owner, io::http_connection& caller, io::http_request request);
+  ~relay() override;
+
+  void start();
+
+private:
+  // One request sent to one server.
+  struct attempt {
+    io::backend_connection* connection = nullptr;
+    announced_server server;
+    std::uint64_t tokens = 0;
+    answer_facts facts;
+    io::http_head head;
+    std::string body; // of an answer that is passed on whole
+    bool has_head = false;
+    bool passing = false; // the answer goes to the caller as it arrives
+  };
+
+  bool find_target();
+  void send_attempt();
+  void send_to(const announced_server& server, const dispatch_choice& choice);
+  void handle_head(const io::http_head& head);
+  void handle_body(std::string piece);
+  void handle_done();
+  void handle_failed(io::exchange_failure why);
+  void pass_body(std::string_view piece);
+  void begin_answer();
+  void finish_answer();
+  void end_attempt(attempt_end end);
+  void settle(relay_step step, attempt_end end, const attempt& last);
+  void release_attempt(bool reusable);
+  void handle_caller_left();
+  void handle_timeout();
+  void handle_drained();
+
+  void answer(unsigned status, std::string_view text, std::optional<duration> retry);
+  void answer_not_run(std::string_view text, duration retry);
+  void cut(std::string_view why);
+  void finish(std::string_view how, std::string_view detail);
+
+  [[nodiscard]] bool has_caller() const { return !caller_.isNull(); }
+  [[nodiscard]] duration time_left() const;
+  [[nodiscard]] bool is_good_answer() const;
+  [[nodiscard]] attempt_end end_of_answer() const;
+
+  gateway& owner_;
+  QPointer<io::http_connection> caller_;
+  io::http_request request_;
+  call_facts call_;
+  std::shared_ptr<const routing_table> table_; // the version that the request began with
+  const route* route_ = nullptr;
+  std::string service_;
+  std::string workspace_;
+  std::optional<int> priority_;
+  relay_state state_;
+  std::vector<std::string> tried_;
+  std::optional<attempt> attempt_;
+  event_splitter events_;
+  QTimer deadline_timer_;
+  time_point began_at_{};
+  bool answering_ = false; // the caller has got the answer's head
+  bool counted_ = false;   // as a request of the service
+  bool done_ = false;
+};
+
+} // namespace marigoldstep::gateway
--- /dev/null
+++ b/tools/gateway/settings.cpp
@@ -0,0 +1,51 @@
+#include "gateway/settings.h"
+
+#include "marigoldstep/io/fleet_ports.h"
+
+namespace marigoldstep::gateway {
+
+namespace {
+
+constexpr auto longest_time = duration(600'000);
+
+retry_limits parse_retries(yaml_mapping& map) {
+  constexpr double highest_extra = 1e6;
+  retry_limits out;
+  auto it = read_mapping(map, "retry_budget");
+  out.ratio = read_number(it, "ratio", out.ratio, 0, 1);
+  out.extra = read_number(it, "extra", out.extra, 0, highest_extra);
+  out.window = std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+      read_number(it, "window_s", 10, 1, 600)));
+  finish(it);
+  return out;
+}
+
+} // namespace
+
+gateway_settings parse_gateway_settings(yaml_mapping& map) {
+  constexpr std::int64_t most_memory_mb = 1 << 20;
+  constexpr std::size_t bytes_per_mb = 1U << 20U;
+  // Reports come about once a second; three may be missing, and one may be late.
+  constexpr int reports_missed = 4;
+  gateway_settings out;
+  out.node_id = read_string(map, "node_id");
+  out.zone = read_string(map, "zone", "");
+  out.host = read_string(map, "host");
+  out.listen = io::read_endpoint(map, "listen");
+  out.listen_ready = io::read_endpoint(map, "listen_ready");
+  out.first_port = io::read_first_port(map);
+  out.seeds = io::read_endpoints(map, "seeds");
+  out.retries = parse_retries(map);
+  out.dispatch.silence =
+      reports_missed *
+      read_duration_ms(map, "report_interval_ms", duration(1000), duration(10), longest_time);
+  out.stop_time = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(read_number(map, "stop_time_s", 8, 0, 600)));
+  out.memory_bytes = bytes_per_mb * static_cast<std::size_t>(read_integer(
+                                        map, "memory_mb", 0, 0, most_memory_mb));
+  out.log_level = io::parse_log_level(
+      read_choice(map, "log_level", "info", {"debug", "info", "warning", "error"}));
+  return out;
+}
+
+} // namespace marigoldstep::gateway
