Read answers with a length: unset body limits count as 0 in Boost 1.74

Cause: basic_parser compares the content length with an unset optional limit, so every answer with a length was refused as too large. The parser now sets the largest limit.

--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -20,6 +20,8 @@
   malformed,     // bytes that are no answer
 };
 
+std::string_view name(exchange_failure why);
+
 // The client's side of one connection to a backend server; carries one request at
 // a time. Callbacks may not delete the connection, but may release or abort it.
 class backend_connection : public QObject {
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -44,6 +44,18 @@
 
 } // namespace
 
+std::string_view name(exchange_failure why) {
+  switch (why) {
+  case exchange_failure::not_connected:
+    return "not_connected";
+  case exchange_failure::closed:
+    return "closed";
+  case exchange_failure::malformed:
+    return "malformed";
+  }
+  return "malformed";
+}
+
 backend_connection::backend_connection(endpoint target, duration connect_timeout,
                                        QObject* parent)
     : QObject(parent), socket_(new QTcpSocket(this)), target_(std::move(target)),
--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace marigoldstep::io {
 
@@ -68,11 +69,9 @@
   beast_parser(const http_limits& limits, bool body_expected) {
     base::eager(true);
     base::header_limit(limits.header_bytes);
-    if (limits.body_bytes) {
-      base::body_limit(*limits.body_bytes);
-    } else {
-      base::body_limit(boost::none);
-    }
+    // Boost 1.74 takes an unset limit as 0 for bodies with a length.
+    base::body_limit(
+        limits.body_bytes.value_or(std::numeric_limits<std::uint64_t>::max()));
     base::skip(!body_expected);
   }
 
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -290,6 +290,12 @@
 }
 
 void relay::handle_failed(io::exchange_failure why) {
+  io::log_event(io::log_level::info, "exchange_failed",
+                {{"request_id", call_.request_id},
+                 {"server", attempt_->server.id},
+                 {"why", std::string(io::name(why))},
+                 {"new_connection", attempt_->connection->is_new() ? "true" : "false"},
+                 {"head", attempt_->has_head ? "true" : "false"}});
   // A refusal counts as soon as its head was read.
   const bool refused = attempt_->has_head && attempt_->facts.not_run;
   if (why == io::exchange_failure::not_connected) {
