Tell a reset from an orderly end of an answer without a length

Cause: Qt reports ECONNRESET like an orderly end, so an answer without a length whose server crashed was passed on as complete.

--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace marigoldstep::io {
@@ -22,6 +23,24 @@
 
 std::string_view name(exchange_failure why);
 
+namespace detail {
+// Owns a file descriptor; -1 for none.
+class file_descriptor {
+public:
+  explicit file_descriptor(int fd = -1) : fd_(fd) {}
+  file_descriptor(file_descriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  file_descriptor& operator=(file_descriptor&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    return *this;
+  }
+  ~file_descriptor();
+  [[nodiscard]] int get() const { return fd_; }
+
+private:
+  int fd_;
+};
+} // namespace detail
+
 // The client's side of one connection to a backend server; carries one request at
 // a time. Callbacks may not delete the connection, but may release or abort it.
 class backend_connection : public QObject {
@@ -63,8 +82,10 @@
   void handle_end();
   void fail(exchange_failure why);
   void clear_callbacks();
+  [[nodiscard]] bool ended_in_order() const;
 
   QTcpSocket* socket_;
+  detail::file_descriptor watched_; // of the socket, for answers without a length
   endpoint target_;
   http_parser parser_;
   std::string request_; // waits for the connection
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace marigoldstep::io {
 
@@ -44,6 +45,12 @@
 
 } // namespace
 
+detail::file_descriptor::~file_descriptor() {
+  if (fd_ >= 0) {
+    ::close(fd_);
+  }
+}
+
 std::string_view name(exchange_failure why) {
   switch (why) {
   case exchange_failure::not_connected:
@@ -103,6 +110,7 @@
   keep_alive_ = false;
   ++exchanges_;
   parser_ = http_parser(http_role::answer, {}, !is_head);
+  watched_ = detail::file_descriptor();
   if (state_ == state::open) {
     socket_->write(request.data(), static_cast<qint64>(request.size()));
   } else if (state_ == state::connecting) {
@@ -158,6 +166,10 @@
     const bool is_interim = parser_.head().status < first_final_status;
     if (!head_told_ && !is_interim) {
       head_told_ = true;
+      if (!parser_.is_done() && !parser_.head().length && !parser_.head().is_chunked) {
+        watched_ = detail::file_descriptor(
+            ::dup(static_cast<int>(socket_->socketDescriptor())));
+      }
       if (on_head) {
         on_head(parser_.head());
       }
@@ -202,7 +214,7 @@
   if (busy_ && parser_.has_head() && !skipping_) {
     std::error_code ec;
     parser_.finish(ec);
-    if (!ec) {
+    if (!ec && ended_in_order()) {
       state_ = state::closed;
       busy_ = false;
       const auto done = std::move(on_done);
@@ -216,6 +228,14 @@
   fail(exchange_failure::closed);
 }
 
+// Qt reports a reset like an orderly end and closes its descriptor before it tells.
+bool backend_connection::ended_in_order() const {
+  struct tcp_info info {};
+  socklen_t n = sizeof(info);
+  return ::getsockopt(watched_.get(), IPPROTO_TCP, TCP_INFO, &info, &n) == 0 &&
+         info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 void backend_connection::fail(exchange_failure why) {
   if (state_ == state::closed && !busy_) {
     return;
