Keep replication within thin links, and return to service after a storage failure

Change: probes carry no entries, a chunk of 32 kB is repeated after 500 ms, routing texts are compressed once by the leader, a process whose storage failed reads it anew each second. Peers, not the server itself, are the measure of an outlier.

--- a/include/marigoldstep/fleet_state.h
+++ b/include/marigoldstep/fleet_state.h
@@ -14,7 +14,7 @@
 // order give the same state on every voter.
 struct fleet_state : change_book {
   std::uint64_t routing_version = 0; // 0: none stored yet
-  std::string routing_text;          // as the operator sent it
+  bytes routing_packed_text;         // as in wire::StoreRouting
   unix_seconds time = 0; // newest leader clock seen; never falls
   claim_table claims;
   operator_table operators;
--- a/include/marigoldstep/raft.h
+++ b/include/marigoldstep/raft.h
@@ -26,7 +26,10 @@
   // Entries sent to a member and not yet acknowledged.
   std::uint64_t max_in_flight = 4096;
   std::size_t max_uncommitted_bytes = 64U << 20U;
-  std::size_t snapshot_chunk = 256U << 10U;
+  // A chunk takes 45 ms over a link of 6 Mbit/s; one is under way at a time.
+  std::size_t snapshot_chunk = 32U << 10U;
+  // A chunk without a reply is sent again after this time.
+  duration chunk_retry{500};
   // Largest snapshot accepted from a leader.
   std::uint64_t max_snapshot_bytes = 1U << 30U;
   // A snapshot is wanted after this many entries or bytes since the last one.
@@ -63,6 +66,7 @@
 struct snapshot_transfer {
   raft_snapshot snapshot;
   std::uint64_t offset = 0;
+  time_point sent_at{}; // of the newest chunk
 };
 
 // What a leader knows of another member.
@@ -250,10 +254,10 @@
 void truncate_from(raft_node& node, log_index index);
 void commit_up_to(raft_node& node, log_index index, raft_output& out);
 void advance_commit(raft_node& node, time_point now, raft_output& out);
-void send_append(raft_node& node, voter_id to, raft_output& out);
+void send_append(raft_node& node, voter_id to, time_point now, raft_output& out);
 void send_heartbeats(raft_node& node, time_point now, raft_output& out);
-void send_chunk(raft_node& node, voter_id to, raft_output& out);
-void start_transfer(raft_node& node, voter_id to, raft_output& out);
+void send_chunk(raft_node& node, voter_id to, time_point now, raft_output& out);
+void start_transfer(raft_node& node, voter_id to, time_point now, raft_output& out);
 void sync_progress(raft_node& node, time_point now);
 
 void confirm_reads(raft_node& node, time_point now, raft_output& out);
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace marigoldstep {
 
@@ -43,17 +44,19 @@
   return std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
 }
 
-double mean_failure_share(const std::vector<candidate>& list) {
-  double sum = 0;
-  for (const auto& it : list) {
-    sum += it.record->failure_share;
-  }
-  return list.empty() ? 0 : sum / static_cast<double>(list.size());
+double total_failure_share(const std::vector<candidate>& list) {
+  return std::accumulate(
+      list.begin(), list.end(), 0.0,
+      [](double sum, const auto& it) { return sum + it.record->failure_share; });
 }
 
-bool is_outlier(const server_record& record, double mean) {
-  return record.results >= min_results && record.failure_share > outlier_share &&
-         record.failure_share > outlier_factor * mean;
+// total and n include the server itself.
+bool is_outlier(const server_record& record, double total, std::size_t n) {
+  if (n < 2 || record.results < min_results || record.failure_share <= outlier_share) {
+    return false;
+  }
+  const double peers = (total - record.failure_share) / static_cast<double>(n - 1);
+  return record.failure_share > outlier_factor * peers;
 }
 
 std::vector<candidate> find_servers(const server_directory& directory,
@@ -76,11 +79,11 @@
                                const server_directory& directory,
                                const dispatch_limits& limits, time_point now) {
   std::vector<candidate> out;
-  const auto mean = mean_failure_share(all);
+  const auto total = total_failure_share(all);
   for (const auto& it : all) {
     const auto& entry = directory.entries.at(it.server->id);
     if (is_usable(entry, limits.silence, now) && it.record->ejected_until <= now &&
-        !is_outlier(*it.record, mean)) {
+        !is_outlier(*it.record, total, all.size())) {
       out.push_back(it);
     }
   }
--- a/src/fleet_state.cpp
+++ b/src/fleet_state.cpp
@@ -135,7 +135,7 @@
                                        const wire::StoreRoutingT& request) {
   if (request.version > state.routing_version) {
     state.routing_version = request.version;
-    state.routing_text = as_text(request.text);
+    state.routing_packed_text = request.packed_text;
   }
   wire::StoreRoutingReplyT reply;
   reply.version = state.routing_version;
@@ -297,8 +297,7 @@
   pack_operators(state, fleet);
   fleet.fencing = state.fencing;
   fleet.routing_version = state.routing_version;
-  const auto routing = as_bytes(state.routing_text);
-  fleet.routing_text.assign(routing.begin(), routing.end());
+  fleet.routing_packed_text = state.routing_packed_text;
   fleet.load_times_s.assign(state.load_times.begin(), state.load_times.end());
   flatbuffers::FlatBufferBuilder builder(initial_buffer_size + state.claims.usage.total);
   const auto packed_fleet = wire::FleetEntry::Pack(builder, &fleet);
@@ -335,7 +334,7 @@
   }
   state.fencing = fleet.fencing;
   state.routing_version = fleet.routing_version;
-  state.routing_text = as_text(fleet.routing_text);
+  state.routing_packed_text = std::move(fleet.routing_packed_text);
   for (auto& it : fleet.operators) {
     state.operators[it->name] = {std::move(it->salt), std::move(it->digest)};
   }
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -2,8 +2,7 @@
 
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/logging.h"
-
-#include <QByteArray>
+#include "marigoldstep/io/packed_text.h"
 
 namespace marigoldstep::io {
 
@@ -246,9 +245,7 @@
   if (text.version <= version || !on_routing) {
     return;
   }
-  const auto plain = qUncompress(text.compressed.data(),
-                                 static_cast<qsizetype>(text.compressed.size()));
-  on_routing(text.version, plain.toStdString());
+  on_routing(text.version, unpack_text(text.packed_text));
   acknowledge_version();
 }
 
--- a/src/raft.cpp
+++ b/src/raft.cpp
@@ -175,7 +175,7 @@
   return out;
 }
 
-raft_output propose(raft_node& node, std::vector<bytes> commands, time_point /*now*/) {
+raft_output propose(raft_node& node, std::vector<bytes> commands, time_point now) {
   raft_output out;
   if (node.role != raft_role::leader) {
     out.error = make_error_code(errc::not_leader);
@@ -193,7 +193,7 @@
         out);
   }
   for (const auto& [id, it] : node.progress) {
-    send_append(node, id, out);
+    send_append(node, id, now, out);
   }
   finish(node, out);
   return out;
--- a/src/raft_replication.cpp
+++ b/src/raft_replication.cpp
@@ -83,7 +83,7 @@
 }
 
 void handle_failure(raft_node& node, voter_id from, const append_reply& body,
-                    raft_output& out) {
+                    time_point now, raft_output& out) {
   auto& peer = node.progress[from];
   const bool stale = peer.probing ? body.rejected_index + 1 != peer.next_index
                                   : body.rejected_index <= peer.match_index;
@@ -94,7 +94,7 @@
   peer.paused = false;
   peer.next_index =
       std::max(peer.match_index + 1, std::min(body.match_index, body.rejected_index));
-  send_append(node, from, out);
+  send_append(node, from, now, out);
 }
 
 void handle_success(raft_node& node, voter_id from, const append_reply& body,
@@ -113,7 +113,7 @@
   advance_commit(node, now, out);
   if (node.role == raft_role::leader && peer.next_index <= last_index(node.log) &&
       peer.next_index <= peer.match_index + node.settings.max_in_flight) {
-    send_append(node, from, out);
+    send_append(node, from, now, out);
   }
 }
 
@@ -137,22 +137,25 @@
   node.progress = std::move(kept);
 }
 
-void send_append(raft_node& node, voter_id to, raft_output& out) {
+void send_append(raft_node& node, voter_id to, time_point now, raft_output& out) {
   auto& peer = node.progress[to];
   if (peer.transfer || peer.paused) {
     return;
   }
   const auto previous = peer.next_index - 1;
   if (previous < node.log.base_index) {
-    start_transfer(node, to, out);
+    start_transfer(node, to, now, out);
     return;
   }
   auto message = make_message(node, to);
-  append_request body{previous, term_at(node.log, previous), node.commit_index,
-                      node.round, entries_to_send(node, peer)};
+  append_request body{
+      previous, term_at(node.log, previous), node.commit_index, node.round, {}};
+  // A probe is repeated with each heartbeat; with entries it would fill a thin
+  // link before the first reply came.
   if (peer.probing) {
     peer.paused = true;
   } else {
+    body.entries = entries_to_send(node, peer);
     peer.next_index += body.entries.size();
   }
   message.body = std::move(body);
@@ -163,7 +166,9 @@
   node.heartbeat_due = now + node.settings.heartbeat;
   for (auto& [id, peer] : node.progress) {
     if (peer.transfer) {
-      send_chunk(node, id, out);
+      if (now - peer.transfer->sent_at >= node.settings.chunk_retry) {
+        send_chunk(node, id, now, out);
+      }
       // Keeps the member's part in rounds going during a long transfer.
       auto message = make_message(node, id);
       message.body = append_request{
@@ -172,7 +177,7 @@
       continue;
     }
     peer.paused = false;
-    send_append(node, id, out);
+    send_append(node, id, now, out);
   }
 }
 
@@ -226,7 +231,7 @@
   if (body.success) {
     handle_success(node, message.from, body, now, out);
   } else {
-    handle_failure(node, message.from, body, out);
+    handle_failure(node, message.from, body, now, out);
   }
   if (node.role == raft_role::leader) {
     confirm_reads(node, now, out);
--- a/src/raft_snapshot.cpp
+++ b/src/raft_snapshot.cpp
@@ -100,13 +100,14 @@
 
 namespace detail {
 
-void start_transfer(raft_node& node, voter_id to, raft_output& out) {
-  node.progress[to].transfer = snapshot_transfer{node.log.snapshot, 0};
-  send_chunk(node, to, out);
+void start_transfer(raft_node& node, voter_id to, time_point now, raft_output& out) {
+  node.progress[to].transfer = snapshot_transfer{node.log.snapshot, 0, now};
+  send_chunk(node, to, now, out);
 }
 
-void send_chunk(raft_node& node, voter_id to, raft_output& out) {
-  const auto& transfer = *node.progress[to].transfer;
+void send_chunk(raft_node& node, voter_id to, time_point now, raft_output& out) {
+  auto& transfer = *node.progress[to].transfer;
+  transfer.sent_at = now;
   const auto& data = *transfer.snapshot.data;
   const auto n = std::min<std::uint64_t>(node.settings.snapshot_chunk,
                                          data.size() - transfer.offset);
@@ -169,7 +170,7 @@
         std::min<std::uint64_t>(body.next_offset, peer.transfer->snapshot.data->size());
     // A repeated reply to a repeated chunk must not start a second stream.
     if (advanced) {
-      send_chunk(node, message.from, out);
+      send_chunk(node, message.from, now, out);
     }
     return;
   }
@@ -180,7 +181,7 @@
   peer.paused = false;
   advance_commit(node, now, out);
   if (node.role == raft_role::leader) {
-    send_append(node, message.from, out);
+    send_append(node, message.from, now, out);
   }
 }
 
--- /dev/null
+++ b/tests/dispatch_test.cpp
@@ -0,0 +1,203 @@
+#include "marigoldstep/dispatch.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <numeric>
+
+using namespace marigoldstep;
+
+namespace {
+
+const time_point start{duration(100'000)};
+
+struct fleet {
+  server_directory directory;
+  dispatch_state state;
+  dispatch_limits limits;
+  std::mt19937_64 random{7};
+};
+
+void add_server(fleet& it, const std::string& id, std::uint32_t slots,
+                const std::string& zone = "z") {
+  announced_server server;
+  server.id = id;
+  server.started = 1;
+  server.sequence = 1;
+  server.service = "s";
+  server.zone = zone;
+  server.host = "host-" + id;
+  server.port = 80;
+  server.slots = slots;
+  observe(it.directory, server, duration(0), start);
+}
+
+fleet make_fleet(int n, std::uint32_t slots) {
+  fleet out;
+  for (int i = 0; i < n; ++i) {
+    add_server(out, "s" + std::to_string(i), slots);
+  }
+  return out;
+}
+
+dispatch_choice choose(fleet& it, const dispatch_request& request,
+                       time_point now = start) {
+  return choose(it.directory, it.state, request, it.limits, now, it.random);
+}
+
+dispatch_request prompt_request(std::uint64_t shared) {
+  dispatch_request out;
+  out.service = "s";
+  out.batch = {64, 500'000};
+  out.prompt = {{1, 500}, {shared, 10'000}, {shared * 1000 + 7, 1300}};
+  return out;
+}
+
+dispatch_request plain_request() {
+  dispatch_request out;
+  out.service = "s";
+  out.zone = "z";
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("requests with the same shared part meet at one server") {
+  auto it = make_fleet(9, 64);
+  const auto first = choose(it, prompt_request(42));
+  REQUIRE(first.server != nullptr);
+  CHECK(first.reason == dispatch_reason::home);
+  auto second = prompt_request(42);
+  second.prompt.back() = {99, 200};
+  CHECK(choose(it, second).server == first.server);
+}
+
+TEST_CASE("a home changes only for the parts of a server that left") {
+  auto it = make_fleet(9, 64);
+  std::map<std::uint64_t, std::string> homes;
+  for (std::uint64_t part = 1; part <= 300; ++part) {
+    homes[part] = choose(it, prompt_request(part)).server->id;
+  }
+  auto left = it.directory.entries.at("s3").server;
+  left.state = announced_state::draining;
+  ++left.sequence;
+  observe(it.directory, left, duration(0), start);
+  for (const auto& [part, home] : homes) {
+    const auto now = choose(it, prompt_request(part)).server->id;
+    CHECK(now != "s3");
+    CHECK((home == "s3" || now == home));
+  }
+}
+
+TEST_CASE("a hot part spills over before its home is far above the mean") {
+  // 400 requests in flight on 9 servers, nine in ten for one part.
+  auto it = make_fleet(9, 64);
+  for (std::uint64_t i = 0; i < 400; ++i) {
+    const auto request = prompt_request(i % 10 == 0 ? 100 + i : 42);
+    const auto choice = choose(it, request);
+    REQUIRE(choice.server != nullptr);
+    note_sent(it.state, choice.server->id, 100);
+  }
+  std::uint32_t most = 0;
+  for (const auto& [id, record] : it.state.records) {
+    most = std::max(most, record.own.requests);
+  }
+  CHECK(most <= 2 * 400 / 9 + 3);
+}
+
+TEST_CASE("requests of other routers count") {
+  auto it = make_fleet(2, 64);
+  const auto home = choose(it, prompt_request(42)).server->id;
+  it.state.records[home].others = {60, 0};
+  CHECK(choose(it, prompt_request(42)).server->id != home);
+}
+
+TEST_CASE("plain requests go to the least loaded server, near ones first") {
+  fleet it;
+  add_server(it, "near", 6, "z");
+  add_server(it, "far", 6, "y");
+  CHECK(choose(it, plain_request()).server->id == "near");
+  it.state.records["near"].own.requests = 3;
+  CHECK(choose(it, plain_request()).server->id == "far");
+}
+
+TEST_CASE("a fresh report counts more than own counts that are lower") {
+  auto it = make_fleet(2, 6);
+  note_reported(it.state, "s0", 5, start);
+  CHECK(choose(it, plain_request()).server->id == "s1");
+  CHECK(known_load(it.state.records["s0"], start + duration(1000)) == 0);
+}
+
+TEST_CASE("full servers get nothing, and free ones are never refused") {
+  auto it = make_fleet(2, 6);
+  for (int i = 0; i < 1000; ++i) {
+    const auto choice = choose(it, plain_request());
+    if (choice.server == nullptr) {
+      CHECK(choice.reason == dispatch_reason::all_full);
+      break;
+    }
+    note_sent(it.state, choice.server->id, 0);
+  }
+  CHECK(it.state.records["s0"].own.requests >= 6);
+  CHECK(it.state.records["s1"].own.requests >= 6);
+  CHECK(choose(it, plain_request()).server == nullptr);
+  note_finished(it.state, "s1", 0);
+  REQUIRE(choose(it, plain_request()).server != nullptr);
+  CHECK(choose(it, plain_request()).server->id == "s1");
+}
+
+TEST_CASE("a server that was tried isn't tried again") {
+  auto it = make_fleet(2, 6);
+  auto request = plain_request();
+  request.tried = {"s0"};
+  CHECK(choose(it, request).server->id == "s1");
+  request.tried = {"s0", "s1"};
+  CHECK(choose(it, request).reason == dispatch_reason::none);
+}
+
+TEST_CASE("a server whose connections break is left out for a growing time") {
+  auto it = make_fleet(2, 6);
+  note_broken(it.state, "s0", start);
+  note_broken(it.state, "s0", start);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(choose(it, plain_request()).server->id == "s1");
+  }
+  const auto first = it.state.records["s0"].ejected_until - start;
+  const auto later = start + first;
+  note_broken(it.state, "s0", later);
+  CHECK(it.state.records["s0"].ejected_until - later > first);
+  note_answer(it.state, "s0", false, later);
+  CHECK(it.state.records["s0"].ejected_until <= later);
+}
+
+TEST_CASE("when every server is ejected the requests still go somewhere") {
+  auto it = make_fleet(1, 6);
+  note_broken(it.state, "s0", start);
+  note_broken(it.state, "s0", start);
+  const auto choice = choose(it, plain_request());
+  REQUIRE(choice.server != nullptr);
+  CHECK(choice.reason == dispatch_reason::last_resort);
+}
+
+TEST_CASE("a server that fails far more often than its peers is left out") {
+  auto it = make_fleet(4, 6);
+  for (int i = 0; i < 40; ++i) {
+    for (int n = 0; n < 4; ++n) {
+      // All answer one request in seven with an error, one half of them.
+      const bool fails = n == 0 ? i % 2 == 0 : i % 7 == 0;
+      note_answer(it.state, "s" + std::to_string(n), fails, start);
+    }
+  }
+  for (int i = 0; i < 50; ++i) {
+    CHECK(choose(it, plain_request()).server->id != "s0");
+  }
+}
+
+TEST_CASE("silent servers are used only when no other is left") {
+  auto it = make_fleet(2, 6);
+  observe_heard(it.directory, "s1", start + duration(10'000));
+  const auto now = start + duration(10'000);
+  CHECK(choose(it, plain_request(), now).server->id == "s1");
+  it.state.records["s1"].ejected_until = now + duration(1000);
+  CHECK(choose(it, plain_request(), now).server != nullptr);
+}
--- a/tools/control/api.cpp
+++ b/tools/control/api.cpp
@@ -2,6 +2,7 @@
 
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/logging.h"
+#include "marigoldstep/io/packed_text.h"
 #include "platform/messages.h"
 
 namespace marigoldstep::control {
@@ -151,8 +152,7 @@
     }
     wire::StoreRoutingT request;
     request.version = version;
-    const auto view = as_bytes(text);
-    request.text.assign(view.begin(), view.end());
+    request.packed_text = io::pack_text(text);
     auto command = encode_command(wire::control_frame(std::move(request), 0),
                                   io::wall_clock());
     group_.propose(std::move(command), [this, from, version](std::error_code result,
@@ -188,7 +188,7 @@
     if (ec || group_.state().routing_version == 0) {
       answer_problem(from, status_unavailable, ec ? ec.message() : "none stored yet");
     } else {
-      answer(from, status_ok, group_.state().routing_text);
+      answer(from, status_ok, io::unpack_text(group_.state().routing_packed_text));
     }
   });
 }
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -3,8 +3,6 @@
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/logging.h"
 
-#include <QByteArray>
-
 namespace marigoldstep::control {
 
 namespace {
@@ -159,17 +157,10 @@
 
 void link_service::send_routing(io::framed_connection* connection) {
   const auto& state = group_.state();
-  if (packed_version_ != state.routing_version) {
-    const auto packed =
-        qCompress(reinterpret_cast<const uchar*>(state.routing_text.data()),
-                  static_cast<qsizetype>(state.routing_text.size()));
-    packed_text_.assign(packed.begin(), packed.end());
-    packed_version_ = state.routing_version;
-  }
   wire::RoutingTextT text;
-  text.version = packed_version_;
+  text.version = state.routing_version;
   text.confirmed = subscribers_.at(connection).confirmed;
-  text.compressed = packed_text_;
+  text.packed_text = state.routing_packed_text;
   connection->send(wire::encode_link(std::move(text)));
 }
 
@@ -279,7 +270,7 @@
     seen_version_ = version;
     io::log_event(io::log_level::info, "routing_stored",
                   {{"version", std::to_string(version)},
-                   {"bytes", std::to_string(group_.state().routing_text.size())}});
+                   {"bytes", std::to_string(group_.state().routing_packed_text.size())}});
     for (auto& [connection, it] : subscribers_) {
       if (!it.node_id.empty()) {
         send_status(connection);
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -88,8 +88,6 @@
   std::set<std::string> heard_;        // reported here without a change
   std::vector<waiting> waiting_;
   std::map<std::string, time_point> routers_; // by node id, when last heard
-  std::uint64_t packed_version_ = 0;
-  std::vector<std::uint8_t> packed_text_;
   std::uint64_t seen_version_ = 0;
   bool push_queued_ = false;
   time_point status_at_{};
--- a/tools/control/replica.cpp
+++ b/tools/control/replica.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+// A full disk is often given room within seconds.
+constexpr auto storage_retry = duration(1000);
 // Short against the heartbeat interval of 75 ms.
 constexpr auto tick_interval = duration(15);
 
@@ -19,14 +21,7 @@
 } // namespace
 
 replica::replica(control_settings settings, QObject* parent)
-    : QObject(parent), settings_(std::move(settings)), log_(this), network_(this) {
-  log_.on_synced = [this](std::uint64_t id) { handle_synced(id); };
-  log_.on_failed = [this](const std::string& detail) { leave_service(detail); };
-  log_.on_sync_time = [this](double seconds) {
-    if (on_sync_time) {
-      on_sync_time(seconds);
-    }
-  };
+    : QObject(parent), settings_(std::move(settings)), log_(make_log()), network_(this) {
   network_.on_message = [this](const raft_message& message) {
     if (node_ && !out_of_service_) {
       process(step(*node_, message, io::now()));
@@ -36,9 +31,21 @@
   connect(&timer_, &QTimer::timeout, this, [this] { tick(); });
 }
 
+std::unique_ptr<io::log_file> replica::make_log() {
+  auto log = std::make_unique<io::log_file>(nullptr);
+  log->on_synced = [this](std::uint64_t id) { handle_synced(id); };
+  log->on_failed = [this](const std::string& detail) { leave_service(detail); };
+  log->on_sync_time = [this](double seconds) {
+    if (on_sync_time) {
+      on_sync_time(seconds);
+    }
+  };
+  return log;
+}
+
 void replica::start(const io::endpoint& client, std::error_code& ec,
                     std::string& detail) {
-  auto found = log_.open(settings_.data_dir, ec, detail);
+  auto found = log_->open(settings_.data_dir, ec, detail);
   if (ec) {
     return;
   }
@@ -93,13 +100,16 @@
 void replica::stop() {
   timer_.stop();
   network_.close();
-  log_.close();
+  log_->close();
 }
 
 void replica::tick() {
   const auto now = io::now();
   network_.tick(now);
   if (out_of_service_) {
+    if (now >= return_at_) {
+      return_to_service();
+    }
     return;
   }
   process(marigoldstep::tick(*node_, now));
@@ -111,7 +121,7 @@
 
 void replica::process(raft_output out) {
   if (!out.records.empty()) {
-    log_.store(out.sync_id, std::move(out.records));
+    log_->store(out.sync_id, std::move(out.records));
   }
   for (const auto& it : out.immediate) {
     send(it);
@@ -276,7 +286,8 @@
   }
   out_of_service_ = true;
   io::log_event(io::log_level::error, "storage_failed",
-                {{"detail", detail}, {"action", "out of service until restarted"}});
+                {{"detail", detail}, {"action", "out of service, storage is read anew"}});
+  return_at_ = io::now() + storage_retry;
   held_.clear();
   network_.set_targets({});
   fail_waiting();
@@ -287,4 +298,30 @@
   }
 }
 
+// What the disk holds after a failed write or sync is unknown, so this process
+// starts over from what can be read, as it would after a restart.
+void replica::return_to_service() {
+  return_at_ = io::now() + storage_retry;
+  log_->close();
+  log_ = make_log();
+  std::error_code ec;
+  std::string detail;
+  auto found = log_->open(settings_.data_dir, ec, detail);
+  fleet_state state;
+  if (!ec && found.raft.snapshot.data) {
+    state = decode_snapshot(*found.raft.snapshot.data, ec);
+  }
+  if (ec) {
+    io::log_event(io::log_level::warning, "storage_still_failing",
+                  {{"error", ec.message()}, {"detail", detail}});
+    return;
+  }
+  state_ = std::move(state);
+  queue_.clear();
+  changes_.clear();
+  synced_id_ = 0;
+  out_of_service_ = false;
+  prepare_node(std::move(found));
+}
+
 } // namespace marigoldstep::control
--- a/tools/control/replica.h
+++ b/tools/control/replica.h
@@ -11,6 +11,7 @@
 #include <QTimer>
 
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace marigoldstep::control {
@@ -62,7 +63,6 @@
   [[nodiscard]] const fleet_state& state() const { return state_; }
   [[nodiscard]] const raft_node* node() const { return node_ ? &*node_ : nullptr; }
   [[nodiscard]] bool out_of_service() const { return out_of_service_; }
-  [[nodiscard]] io::log_file& log() { return log_; }
   [[nodiscard]] const peer_network& network() const { return network_; }
 
 private:
@@ -107,12 +107,14 @@
   void bootstrap();
   void repair_group();
   void leave_service(const std::string& detail);
+  std::unique_ptr<io::log_file> make_log();
+  void return_to_service();
   [[nodiscard]] io::endpoint address_of(voter_id id) const;
   [[nodiscard]] bool has_commands() const;
 
   control_settings settings_;
   std::optional<raft_node> node_;
-  io::log_file log_;
+  std::unique_ptr<io::log_file> log_;
   peer_network network_;
   fleet_state state_;
   QTimer timer_;
@@ -131,6 +133,7 @@
   std::uint64_t next_token_ = 1;
   repair_view repair_;
   time_point repair_at_{};
+  time_point return_at_{}; // when the storage is tried again after a failure
 };
 
 // Log entries that make a text the accepted version 1.
