--- /dev/null
+++ b/tests/platform_messages_test.cpp
@@ -0,0 +1,247 @@
+#include "platform/messages.h"
+
+#include <catch2/catch.hpp>
+
+using namespace marigoldstep;
+using platform::control_call;
+
+namespace {
+
+io::http_head make_head(std::vector<io::http_field> fields) {
+  io::http_head out;
+  out.method = "POST";
+  out.target = "/p/q";
+  out.fields = std::move(fields);
+  return out;
+}
+
+const std::string valid_routing = R"({
+  "version": 7,
+  "routes": [
+    {"name": "r1", "host": "h", "path_prefix": "/a/", "type": "streaming",
+     "timeout_ms": 15000, "target_latency_ms": 800, "priority": 1, "max_attempts": 2,
+     "backends": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+     "public": false, "sticky": true, "can_resume": true, "target_gap_ms": 500},
+    {"name": "r2", "host": "h", "path_prefix": "/b/", "type": "unsafe",
+     "timeout_ms": 1500, "service": "t", "future": {"x": 1}}],
+  "services": [
+    {"name": "s", "max_conns": 360, "engine": {"slots": 64, "kv_capacity_tokens": 5000}},
+    {"name": "t"}],
+  "limits": {"header_bytes": 100, "body_bytes": 200, "header_timeout_ms": 300,
+             "idle_timeout_ms": 400},
+  "tenants": [{"name": "w", "api_keys": ["k"], "priority": 2}, {"name": "v", "api_keys": []}]
+})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+  const auto at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+const std::string valid_report =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":6,)"
+    R"("state":"ready","warmup_left_ms":5,"seq":4,"born":1700000000123})";
+
+} // namespace
+
+TEST_CASE("a routing configuration is read in full") {
+  std::string problem;
+  const auto config = platform::parse_routing(valid_routing, problem);
+  REQUIRE(problem.empty());
+  CHECK(find_problem(config).empty());
+  CHECK(config.version == 7);
+  REQUIRE(config.routes.size() == 2);
+  const auto& stream = config.routes[0];
+  CHECK(stream.kind == route_kind::resumable_stream);
+  CHECK(stream.timeout == duration(15'000));
+  CHECK(stream.objective == duration(800));
+  CHECK(stream.longest_pause == duration(500));
+  CHECK(stream.max_attempts == 2);
+  CHECK(stream.has_prompts);
+  CHECK(stream.services == std::vector<weighted_service>{{"s", 90}, {"t", 10}});
+  CHECK(config.routes[1].kind == route_kind::once);
+  CHECK(config.routes[1].services == std::vector<weighted_service>{{"t", 1}});
+  CHECK(config.services[0].batch == batch_limits{64, 5000});
+  CHECK(config.limits ==
+        caller_limits{100, 200, duration(300), duration(400)});
+  CHECK(config.workspaces[0] == routed_workspace{"w", {"k"}, 2});
+  CHECK(config.workspaces[1].priority == -1);
+}
+
+TEST_CASE("a kind that isn't known is never repeated") {
+  std::string problem;
+  const auto config = platform::parse_routing(
+      replaced(valid_routing, "\"unsafe\"", "\"something new\""), problem);
+  CHECK(problem.empty());
+  CHECK(config.routes[1].kind == route_kind::once);
+}
+
+TEST_CASE("a configuration that can't be read in full is refused") {
+  const auto text = GENERATE(
+      std::string(), std::string("null"), std::string("[]"),
+      valid_routing.substr(0, valid_routing.size() / 2),
+      replaced(valid_routing, "\"version\": 7", "\"version\": \"7\""),
+      replaced(valid_routing, "\"version\": 7", "\"version\": -1"),
+      replaced(valid_routing, "\"version\": 7,", ""),
+      replaced(valid_routing, "\"timeout_ms\": 1500", "\"timeout_ms\": null"),
+      replaced(valid_routing, "\"weight\": 90", "\"weight\": \"90\""),
+      replaced(valid_routing, "\"host\": \"h\"", "\"host\": 5"),
+      replaced(valid_routing, "[\"k\"]", "[1]"),
+      replaced(valid_routing, "\"public\": false", "\"public\": \"no\""),
+      std::string(R"({"version": 1, "services": []})"),
+      std::string(R"({"version": 1, "routes": [5], "services": []})"));
+  std::string problem;
+  const auto config = platform::parse_routing(text, problem);
+  CHECK_FALSE(problem.empty());
+  CHECK(config == routing_config());
+}
+
+TEST_CASE("a report of a server is read, and an unusable one is not") {
+  const auto server = platform::parse_announcement("i-1", valid_report);
+  REQUIRE(server);
+  CHECK(server->id == "i-1");
+  CHECK(server->started == 1'700'000'000'123);
+  CHECK(server->sequence == 4);
+  CHECK(server->host == "10.0.0.9");
+  CHECK(server->port == 80);
+  CHECK(server->state == announced_state::ready);
+  CHECK(server->warmup_left == duration(5));
+  const auto bad = GENERATE(
+      std::string("{"), std::string("5"), std::string("{}"),
+      replaced(valid_report, "\"ready\"", "\"sleeping\""),
+      replaced(valid_report, "\"10.0.0.9:80\"", "\"10.0.0.9\""),
+      replaced(valid_report, "\"10.0.0.9:80\"", "7"),
+      replaced(valid_report, "\"seq\":4", "\"seq\":\"4\""),
+      replaced(valid_report, "\"slots\":6", "\"slots\":null"),
+      replaced(valid_report, "\"service\":\"s\"", "\"service\":[]"),
+      replaced(valid_report, "1700000000123", "\"soon\""));
+  CHECK_FALSE(platform::parse_announcement("i-1", bad));
+  CHECK_FALSE(platform::parse_announcement("", valid_report));
+}
+
+TEST_CASE("a departure needs no body") {
+  const auto server = platform::parse_departure("i-1", "");
+  CHECK(server.id == "i-1");
+  CHECK(server.state == announced_state::gone);
+  CHECK(server.started == 0);
+  CHECK(platform::parse_departure("i-1", R"({"born":12})").started == 12);
+}
+
+TEST_CASE("calls of the control interface are told apart") {
+  const auto call = [](const std::string& method, const std::string& target) {
+    io::http_head head;
+    head.method = method;
+    head.target = target;
+    return platform::parse_control_request(head);
+  };
+  CHECK(call("POST", "/v1/Replicas.Heartbeat/i-1").call == control_call::announce);
+  CHECK(call("POST", "/v1/Replicas.Heartbeat/i-1").server_id == "i-1");
+  CHECK(call("POST", "/v1/Replicas.Deregister/i-2").call == control_call::depart);
+  CHECK(call("POST", "/v1/Config.Replace").call == control_call::store_routing);
+  CHECK(call("GET", "/v1/Config.Read?x=1").call == control_call::read_routing);
+  CHECK(call("GET", "/v1/Config.Replace").call == control_call::unknown);
+  CHECK(call("POST", "/elsewhere").call == control_call::unknown);
+}
+
+TEST_CASE("a caller's request is read, malformed hints are left out") {
+  const auto call = platform::parse_call(
+      make_head({{"Marigoldstep-Request-Id", "9c41"},
+                 {"authorization", "bearer KEY"},
+                 {"Marigoldstep-Deadline-Ms", "15000.5"},
+                 {"Marigoldstep-Token-Usage", "1460,80"},
+                 {"Marigoldstep-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+                 {"Last-Event-Id", "12"}}));
+  CHECK(call.request_id == "9c41");
+  CHECK(call.key == "KEY");
+  CHECK(call.deadline == duration(15'000));
+  CHECK(call.prompt_tokens == 1460);
+  CHECK(call.answer_tokens == 80);
+  CHECK(call.prompt == std::vector<prompt_part>{{0x5c1e07a2, 800}, {0x91bd3f06, 410}});
+  CHECK(call.last_event == 12);
+
+  const auto bad = platform::parse_call(
+      make_head({{"Marigoldstep-Request-Id", "a b"},
+                 {"Authorization", "Basic KEY"},
+                 {"Marigoldstep-Deadline-Ms", "soon"},
+                 {"Marigoldstep-Prompt-Prefix", "x:1,5:y"},
+                 {"Last-Event-Id", "-1"}}));
+  CHECK(bad.request_id.empty());
+  CHECK(bad.key.empty());
+  CHECK_FALSE(bad.deadline);
+  CHECK(bad.prompt.empty());
+  CHECK_FALSE(bad.last_event);
+}
+
+TEST_CASE("a request to a server carries the caller's fields but not the router's own") {
+  auto head = make_head({{"Host", "h"},
+                         {"Connection", "close, X-Hop"},
+                         {"X-Hop", "1"},
+                         {"Authorization", "Bearer KEY"},
+                         {"Marigoldstep-Tenant", "forged"},
+                         {"Marigoldstep-Target-Instance", "forged"},
+                         {"Marigoldstep-Kv-Hold", "forged"},
+                         {"Marigoldstep-Kv-Backup", "forged"},
+                         {"Kv-From", "forged"},
+                         {"Marigoldstep-Pin-Ms", "9"},
+                         {"Marigoldstep-Request-Priority", "0"},
+                         {"Marigoldstep-Deadline-Ms", "99999"},
+                         {"Content-Length", "4"},
+                         {"X-Own", "kept"}});
+  head.length = 4;
+  platform::attempt_fields added;
+  added.server_id = "i-1";
+  added.workspace = "w";
+  added.time_left = duration(750);
+  const auto text = platform::make_backend_request(head, "body", added);
+  CHECK(text.starts_with("POST /p/q HTTP/1.1\r\nHost: h\r\n"));
+  CHECK(text.ends_with("Content-Length: 4\r\n\r\nbody"));
+  CHECK(text.find("X-Own: kept\r\n") != std::string::npos);
+  CHECK(text.find("Marigoldstep-Tenant: w\r\n") != std::string::npos);
+  CHECK(text.find("Marigoldstep-Target-Instance: i-1\r\n") != std::string::npos);
+  CHECK(text.find("Marigoldstep-Deadline-Ms: 750\r\n") != std::string::npos);
+  for (const auto* absent : {"forged", "KEY", "X-Hop", "Connection", "99999", "Pin-Ms",
+                             "Request-Priority"}) {
+    CHECK(text.find(absent) == std::string::npos);
+  }
+}
+
+TEST_CASE("a resumed stream replaces the caller's last event") {
+  const auto head = make_head({{"Last-Event-Id", "3"}});
+  platform::attempt_fields added;
+  CHECK(platform::make_backend_request(head, "", added).find("Last-Event-Id: 3\r\n") !=
+        std::string::npos);
+  added.last_event = 8;
+  const auto text = platform::make_backend_request(head, "", added);
+  CHECK(text.find("Last-Event-Id: 8\r\n") != std::string::npos);
+  CHECK(text.find("Last-Event-Id: 3\r\n") == std::string::npos);
+}
+
+TEST_CASE("what a server says of its answer") {
+  auto head = make_head({{"Marigoldstep-Request-Id", "9c41"},
+                         {"Marigoldstep-Response-Seal", "s"},
+                         {"Marigoldstep-Replica-Load", "3,2,8"},
+                         {"Keep-Alive", "timeout=5, max=100"}});
+  head.status = 200;
+  const auto facts = platform::parse_answer(head);
+  CHECK(facts.request_id == "9c41");
+  CHECK(facts.is_signed);
+  CHECK_FALSE(facts.not_run);
+  CHECK(facts.load == 5U);
+  CHECK(facts.idle_timeout == duration(5000));
+
+  auto refused = make_head({{"Marigoldstep-Not-Executed", "1"}});
+  refused.status = 503;
+  CHECK(platform::parse_answer(refused).not_run);
+  auto misdirected = make_head({});
+  misdirected.status = 421;
+  CHECK(platform::parse_answer(misdirected).wrong_server);
+  CHECK(platform::parse_answer(misdirected).not_run);
+  auto failed = make_head({});
+  failed.status = 503;
+  CHECK_FALSE(platform::parse_answer(failed).not_run);
+}
+
+TEST_CASE("the time to come back is told in seconds") {
+  CHECK(platform::make_retry_field(duration(1250)) ==
+        io::http_field{"Retry-After", "1.250"});
+}
--- /dev/null
+++ b/tests/programs/gateway_fixture.h
@@ -0,0 +1,264 @@
+#pragma once
+
+#include "event_loop.h"
+#include "gateway/gateway.h"
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/fleet_ports.h"
+#include "marigoldstep/io/packed_text.h"
+#include "scripted_server.h"
+
+#include <QTcpSocket>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace marigoldstep::gateway::test {
+
+// Routes by path: /safe/, /once/, /stream/ and /resume/ to service "s"; /open/ needs
+// no key. %1 is the version.
+inline std::string routing_text(std::uint64_t version) {
+  const auto route = [](const std::string& name, const std::string& type,
+                        const std::string& more) {
+    return R"({"name":")" + name + R"(","host":"h","path_prefix":"/)" + name +
+           R"(/","type":")" + type +
+           R"(","timeout_ms":800,"target_latency_ms":300,"service":"s","max_attempts":2)" +
+           more + "}";
+  };
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
+         route("safe", "safe", "") + "," + route("once", "unsafe", "") + "," +
+         route("stream", "streaming", "") + "," +
+         route("resume", "streaming", R"(,"can_resume":true)") + "," +
+         route("open", "safe", R"(,"public":true)") +
+         R"(],"services":[{"name":"s","max_conns":50}],)"
+         R"("limits":{"header_bytes":2000,"body_bytes":3000000,"header_timeout_ms":400,)"
+         R"("idle_timeout_ms":5000},"tenants":[{"name":"w","api_keys":["KEY"]}]})";
+}
+
+// A control process that leads, with one routing configuration.
+class fake_control : public QObject {
+public:
+  fake_control() {
+    test_application();
+    // The links' port lies above the first port of the range.
+    listener_.listen("127.0.0.1", 0);
+    listener_.on_connection = [this](io::framed_connection* it) {
+      connections_.push_back(it);
+      it->on_frame = [this, it](byte_view buf) { handle(*it, buf); };
+    };
+  }
+
+  std::uint64_t version = 1; // 0: none yet
+  std::vector<announced_server> servers;
+
+  [[nodiscard]] std::uint16_t first_port() const {
+    return static_cast<std::uint16_t>(listener_.port() -
+                                      static_cast<std::uint16_t>(io::fleet_port::links));
+  }
+
+  void tell_status() {
+    for (auto* it : connections_) {
+      send_status(*it);
+    }
+  }
+
+  void tell_servers() {
+    for (auto* it : connections_) {
+      send_servers(*it, false);
+    }
+  }
+
+private:
+  void handle(io::framed_connection& to, byte_view buf) {
+    std::error_code ec;
+    const auto frame = wire::decode_link(buf, ec);
+    REQUIRE(frame);
+    if (frame->body.AsSubscribe() != nullptr) {
+      send_status(to);
+      send_servers(to, true);
+      // Without it the gateway may not use the fleet's part of the retry budget.
+      wire::FleetLoadT load;
+      load.routers = 1;
+      to.send(wire::encode_link(std::move(load)));
+    } else if (frame->body.AsFetchRouting() != nullptr) {
+      wire::RoutingTextT text;
+      text.version = version;
+      text.confirmed = true;
+      text.packed_text = io::pack_text(routing_text(version));
+      to.send(wire::encode_link(std::move(text)));
+    }
+  }
+
+  void send_status(io::framed_connection& to) {
+    wire::GroupStatusT status;
+    status.control_hosts = {"127.0.0.1"};
+    status.leads = status.has_leader = status.confirmed = true;
+    status.routing_version = version;
+    to.send(wire::encode_link(std::move(status)));
+  }
+
+  void send_servers(io::framed_connection& to, bool full) {
+    wire::ServerUpdateT update;
+    update.number = ++number_;
+    update.full = full;
+    for (const auto& it : servers) {
+      update.servers.push_back(
+          std::make_unique<wire::AnnouncedServerT>(io::to_wire({it, io::now()}, io::now())));
+    }
+    to.send(wire::encode_link(std::move(update)));
+  }
+
+  io::framed_listener listener_{nullptr};
+  std::vector<io::framed_connection*> connections_;
+  std::uint64_t number_ = 0;
+};
+
+// A caller with one connection.
+class test_caller {
+public:
+  explicit test_caller(const io::endpoint& target) {
+    socket_.connectToHost(QString::fromStdString(target.host), target.port);
+    REQUIRE(wait_until(
+        [&] { return socket_.state() == QAbstractSocket::ConnectedState; }));
+  }
+
+  void send(const std::string& text) {
+    socket_.write(QByteArray::fromStdString(text));
+    socket_.flush();
+  }
+
+  // Waits until what came contains the text; false when it ended without it.
+  bool wait_for(const std::string& text) {
+    return wait_until([&] {
+             read();
+             return received.find(text) != std::string::npos || is_closed();
+           }) &&
+           received.find(text) != std::string::npos;
+  }
+
+  bool wait_closed() {
+    return wait_until([&] {
+      read();
+      return is_closed();
+    });
+  }
+
+  void read() { received += socket_.readAll().toStdString(); }
+  void leave() { socket_.abort(); }
+  [[nodiscard]] bool is_closed() const {
+    return socket_.state() == QAbstractSocket::UnconnectedState;
+  }
+
+  std::string received;
+
+private:
+  QTcpSocket socket_;
+};
+
+// What the servers of a fixture answer: one list of scripts a server.
+using server_scripts = std::vector<std::vector<server_script>>;
+
+// One server that never answers.
+inline server_scripts silent_server() {
+  return server_scripts(1);
+}
+
+// A gateway in front of scripted servers s0, s1, ... of service "s".
+struct gateway_fixture {
+  std::vector<std::unique_ptr<scripted_server>> servers;
+  fake_control control;
+  prometheus::Registry registry;
+  std::unique_ptr<gateway> subject;
+
+  // scripts[i] belongs to server i.
+  explicit gateway_fixture(server_scripts scripts,
+                           std::uint64_t version = 1) {
+    for (auto& it : scripts) {
+      servers.push_back(std::make_unique<scripted_server>(std::move(it)));
+      control.servers.push_back(describe(servers.size() - 1));
+    }
+    control.version = version;
+    gateway_settings settings;
+    settings.node_id = "g";
+    settings.zone = "near";
+    settings.host = "127.0.0.2";
+    settings.listen = free_address();
+    settings.listen_ready = free_address();
+    settings.first_port = control.first_port();
+    settings.seeds = {{"127.0.0.1", 1}};
+    settings.retries = {1.0, 100, duration(10'000)};
+    settings.stop_time = duration(2000);
+    address = settings.listen;
+    ready_address = settings.listen_ready;
+    subject = std::make_unique<gateway>(settings, registry, nullptr);
+    REQUIRE_FALSE(subject->start());
+    if (version > 0) {
+      REQUIRE(wait_until(
+          [&] { return subject->is_ready() && subject->retries.routers == 1; }));
+    }
+  }
+
+  [[nodiscard]] announced_server describe(std::size_t i) const {
+    announced_server out;
+    out.id = "s" + std::to_string(i);
+    out.started = 1;
+    out.sequence = 1;
+    out.service = "s";
+    out.host = servers[i]->address().host;
+    out.port = servers[i]->address().port;
+    // The first server is the near one, so that it is asked first.
+    out.zone = i == 0 ? "near" : "far";
+    out.slots = 8;
+    return out;
+  }
+
+  static io::endpoint free_address() {
+    QTcpServer probe;
+    probe.listen(QHostAddress::LocalHost, 0);
+    return {"127.0.0.1", probe.serverPort()};
+  }
+
+  io::endpoint address;
+  io::endpoint ready_address;
+};
+
+inline std::string request_text(const std::string& method, const std::string& target,
+                                const std::string& id, const std::string& more = {},
+                                const std::string& body = {}) {
+  return method + " " + target +
+         " HTTP/1.1\r\nHost: h\r\nMarigoldstep-Request-Id: " + id +
+         "\r\nAuthorization: Bearer KEY\r\n" + more +
+         (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+         "\r\n" + body;
+}
+
+inline std::string answer_text(const std::string& body,
+                               const std::string& status = "200 OK") {
+  return "HTTP/1.1 " + status +
+         "\r\nMarigoldstep-Request-Id: {id}\r\nMarigoldstep-Response-Seal: seal\r\n"
+         "Content-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline std::string refusal_text() {
+  return "HTTP/1.1 503 Service Unavailable\r\nMarigoldstep-Request-Id: {id}\r\n"
+         "Marigoldstep-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+inline std::string stream_head() {
+  return "HTTP/1.1 200 OK\r\nMarigoldstep-Request-Id: {id}\r\n"
+         "Marigoldstep-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string chunk(const std::string& text) {
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+  return size.data() + text + "\r\n";
+}
+
+inline std::string event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+}
+
+} // namespace marigoldstep::gateway::test
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -66,6 +66,16 @@
   connect(&stop_timer_, &QTimer::timeout, this, [this] { end_stop(); });
 }
 
+// Relays use the parts of the gateway until they end.
+gateway::~gateway() {
+  const auto open = children();
+  for (auto* it : open) {
+    if (dynamic_cast<relay*>(it) != nullptr) {
+      delete it;
+    }
+  }
+}
+
 std::error_code gateway::start() {
   auto ec = callers_.listen(settings_.listen.host, settings_.listen.port);
   if (!ec) {
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -21,6 +21,7 @@
 class gateway : public QObject {
 public:
   gateway(gateway_settings settings, prometheus::Registry& registry, QObject* parent);
+  ~gateway() override;
 
   // Listens for callers and readiness checks and connects to control.
   std::error_code start();
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -52,6 +52,10 @@
 }
 
 relay::~relay() {
+  if (has_caller()) {
+    caller_->on_closed = nullptr;
+    caller_->on_drained = nullptr;
+  }
   release_attempt(false);
 }
 
@@ -435,6 +439,7 @@
   if (has_caller()) {
     caller_->on_closed = nullptr;
     caller_->on_drained = nullptr;
+    caller_.clear();
   }
   const auto took = io::now() - began_at_;
   owner_.numbers.ended(std::string(how)).Increment();
