--- a/tests/programs/gateway_test.cpp
+++ b/tests/programs/gateway_test.cpp
@@ -312,6 +312,21 @@
   CHECK(wait_until([&] { return stopped; }));
 }
 
+TEST_CASE("late in a stop only requests that surely end in time begin") {
+  gateway_fixture it({{{write_text(answer_text("early"))}}});
+  test_caller caller(it.address);
+  bool stopped = false;
+  it.subject->stop([&] { stopped = true; });
+  // The route's timeout is 800 ms, the stop takes 2000 ms.
+  run_event_loop(std::chrono::milliseconds(1300));
+  REQUIRE_FALSE(stopped);
+  caller.send(request_text("GET", "/safe/", "r1"));
+  REQUIRE(caller.wait_for("\r\n\r\n"));
+  CHECK(starts_with_status(caller.received, "503"));
+  CHECK(caller.received.find("Retry-After: ") != std::string::npos);
+  CHECK(it.servers[0]->requests.empty());
+}
+
 TEST_CASE("a newer configuration replaces the older one, and an older one doesn't") {
   gateway_fixture it(silent_server());
   it.control.version = 5;
--- /dev/null
+++ b/tests/programs/platform_control_test.cpp
@@ -0,0 +1,261 @@
+#include <catch2/catch.hpp>
+
+#include "control/api.h"
+#include "control/link_service.h"
+#include "event_loop.h"
+#include "gateway_fixture.h"
+#include "marigoldstep/io/clock.h"
+
+#include <QTemporaryDir>
+
+using namespace marigoldstep;
+using gateway::test::routing_text;
+using gateway::test::test_caller;
+
+namespace {
+
+// One control process that is its own group.
+struct control_fixture {
+  QTemporaryDir folder;
+  std::unique_ptr<control::replica> group;
+  std::unique_ptr<control::link_service> links;
+  std::unique_ptr<control::api> api;
+  io::endpoint api_address = gateway::test::gateway_fixture::free_address();
+  io::endpoint link_address = gateway::test::gateway_fixture::free_address();
+
+  explicit control_fixture(std::size_t tolerated_losses = 0, bool may_form = true) {
+    test_application();
+    start(tolerated_losses, may_form);
+    if (may_form) {
+      REQUIRE(wait_until([&] { return group->is_leader(); }));
+    }
+  }
+
+  void start(std::size_t tolerated_losses, bool may_form) {
+    control::control_settings settings;
+    settings.data_dir = folder.path().toStdString();
+    settings.listen_peer = settings.advertise_peer =
+        gateway::test::gateway_fixture::free_address();
+    settings.may_form_group = may_form;
+    settings.repair = repair_settings{tolerated_losses, duration(2500), duration(1500)};
+    group = std::make_unique<control::replica>(settings, nullptr);
+    links = std::make_unique<control::link_service>(
+        *group,
+        io::link_settings{"c", false, "127.0.0.1", link_address.port, {"127.0.0.1"}},
+        nullptr);
+    api = std::make_unique<control::api>(*group, *links, nullptr);
+    group->on_changed = [this] { links->handle_state_changed(); };
+    std::error_code ec;
+    std::string detail;
+    group->start(link_address, ec, detail);
+    REQUIRE_FALSE(ec);
+    REQUIRE_FALSE(links->listen(link_address));
+    REQUIRE_FALSE(api->listen(api_address));
+    links->start();
+  }
+
+  // Ends the process without a stop and starts another on the same files.
+  void restart() {
+    group->stop();
+    api.reset();
+    links.reset();
+    group.reset();
+    start(0, false);
+    REQUIRE(wait_until([&] { return group->is_leader(); }));
+  }
+
+  std::string call(const std::string& method, const std::string& target,
+                   const std::string& body = {}) const {
+    test_caller caller(api_address);
+    caller.send(method + " " + target + " HTTP/1.1\r\nHost: c\r\nConnection: close\r\n" +
+                "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    caller.wait_closed();
+    return caller.received;
+  }
+
+  std::string store(const std::string& text) const {
+    return call("POST", "/v1/Config.Replace", text);
+  }
+  std::string read() const { return call("GET", "/v1/Config.Read"); }
+};
+
+bool has_status(const std::string& answer, const std::string& status) {
+  return answer.starts_with("HTTP/1.1 " + status + " ");
+}
+
+std::string report(const std::string& state, int sequence) {
+  return R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v","slots":4,)"
+         R"("state":")" +
+         state + R"(","warmup_left_ms":0,"born":5,"seq":)" + std::to_string(sequence) +
+         "}";
+}
+
+// A gateway's side of a link, which acknowledges only when told to.
+struct link_client {
+  std::unique_ptr<io::framed_connection> connection;
+  std::vector<announced_server> servers;
+  std::uint64_t number = 0;
+  std::uint64_t version = 0; // as the control process says
+  bool confirmed = false;
+
+  explicit link_client(const io::endpoint& target) {
+    connection = std::make_unique<io::framed_connection>(
+        QString::fromStdString(target.host), target.port, nullptr);
+    connection->on_frame = [this](byte_view buf) { handle(buf); };
+    REQUIRE(wait_until([&] { return connection->is_open(); }));
+    wire::SubscribeT hello;
+    hello.node_id = "g";
+    hello.router = true;
+    connection->send(wire::encode_link(std::move(hello)));
+    REQUIRE(wait_until([&] { return number > 0; }));
+  }
+
+  void handle(byte_view buf) {
+    std::error_code ec;
+    const auto frame = wire::decode_link(buf, ec);
+    REQUIRE(frame);
+    if (const auto* status = frame->body.AsGroupStatus()) {
+      version = status->routing_version;
+      confirmed = confirmed || status->confirmed;
+    } else if (const auto* update = frame->body.AsServerUpdate()) {
+      number = update->number;
+      for (const auto& it : update->servers) {
+        servers.push_back(io::from_wire(*it));
+      }
+    }
+  }
+
+  void acknowledge(std::uint64_t applied) {
+    wire::UpdateAckT ack;
+    ack.number = number;
+    ack.routing_version = applied;
+    connection->send(wire::encode_link(std::move(ack)));
+  }
+};
+
+} // namespace
+
+TEST_CASE("the highest version stays, and a resend is acknowledged") {
+  const control_fixture it;
+  CHECK(has_status(it.read(), "503"));
+  CHECK(has_status(it.store(routing_text(5)), "200"));
+  CHECK(it.read().ends_with(routing_text(5)));
+  CHECK(has_status(it.store(routing_text(5)), "200"));
+  CHECK(has_status(it.store(routing_text(3)), "200"));
+  CHECK(it.read().ends_with(routing_text(5)));
+  CHECK(has_status(it.store(routing_text(9)), "200"));
+  CHECK(it.read().ends_with(routing_text(9)));
+}
+
+TEST_CASE("other content under the version held isn't taken") {
+  const control_fixture it;
+  it.store(routing_text(5));
+  auto other = routing_text(5);
+  other.replace(other.find("\"w\""), 3, "\"v\"");
+  CHECK(has_status(it.store(other), "200"));
+  CHECK(it.read().ends_with(routing_text(5)));
+}
+
+TEST_CASE("an invalid configuration is refused, whatever its version") {
+  const control_fixture it;
+  it.store(routing_text(5));
+  const auto version = GENERATE(4U, 5U, 6U);
+  auto unknown_service = routing_text(version);
+  unknown_service.replace(unknown_service.find("\"service\":\"s\""), 13,
+                          "\"service\":\"x\"");
+  CHECK(has_status(it.store(unknown_service), "400"));
+  CHECK(has_status(it.store(routing_text(version).substr(0, 300)), "400"));
+  CHECK(has_status(it.store(""), "400"));
+  CHECK(it.read().ends_with(routing_text(5)));
+}
+
+TEST_CASE("a confirmed configuration is there after a restart") {
+  control_fixture it;
+  it.store(routing_text(5));
+  it.restart();
+  CHECK(it.read().ends_with(routing_text(5)));
+}
+
+TEST_CASE("nothing is confirmed that a tolerated loss could take away") {
+  const control_fixture it(1);
+  CHECK(has_status(it.store(routing_text(5)), "503"));
+}
+
+TEST_CASE("a process with an empty disk never begins a group of its own") {
+  const control_fixture it(0, false);
+  run_event_loop(std::chrono::milliseconds(1500));
+  CHECK_FALSE(it.group->is_leader());
+  CHECK(has_status(it.store(routing_text(5)), "503"));
+  CHECK(has_status(it.read(), "503"));
+  CHECK(has_status(it.call("POST", "/v1/Replicas.Heartbeat/i-1", report("ready", 1)),
+                   "503"));
+}
+
+TEST_CASE("a change is confirmed when the connected gateways have applied it") {
+  const control_fixture it;
+  link_client client(it.link_address);
+  REQUIRE(wait_until([&] { return client.confirmed; }));
+  test_caller caller(it.api_address);
+  const auto text = routing_text(5);
+  caller.send("POST /v1/Config.Replace HTTP/1.1\r\nHost: c\r\nContent-Length: " +
+              std::to_string(text.size()) + "\r\n\r\n" + text);
+  REQUIRE(wait_until([&] { return client.version == 5; }));
+  run_event_loop(std::chrono::milliseconds(100));
+  caller.read();
+  CHECK(caller.received.empty());
+  client.acknowledge(5);
+  REQUIRE(caller.wait_for("\r\n\r\n"));
+  CHECK(has_status(caller.received, "200"));
+}
+
+TEST_CASE("a lost gateway doesn't hold up a confirmation for long") {
+  const control_fixture it;
+  const link_client client(it.link_address);
+  const auto begin = io::now();
+  CHECK(has_status(it.store(routing_text(5)), "200"));
+  // The operator moves on to another process after a second.
+  CHECK(io::now() - begin < duration(1000));
+}
+
+TEST_CASE("servers reach the gateways as they report") {
+  const control_fixture it;
+  link_client client(it.link_address);
+  CHECK(has_status(it.call("POST", "/v1/Replicas.Heartbeat/i-1", report("ready", 1)),
+                   "200"));
+  REQUIRE(wait_until([&] { return !client.servers.empty(); }));
+  CHECK(client.servers[0].id == "i-1");
+  CHECK(client.servers[0].host == "10.0.0.9");
+  CHECK(has_status(it.call("POST", "/v1/Replicas.Heartbeat/i-1", "{}"), "400"));
+  const link_client late(it.link_address);
+  REQUIRE(late.servers.size() == 1);
+  CHECK(late.servers[0].state == announced_state::ready);
+}
+
+TEST_CASE("a drain is confirmed only once the gateways know it") {
+  const control_fixture it;
+  link_client client(it.link_address);
+  it.call("POST", "/v1/Replicas.Heartbeat/i-1", report("ready", 1));
+  SECTION("acknowledged") {
+    test_caller caller(it.api_address);
+    const auto body = report("draining", 2);
+    caller.send("POST /v1/Replicas.Heartbeat/i-1 HTTP/1.1\r\nHost: c\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+    REQUIRE(wait_until([&] {
+      return !client.servers.empty() &&
+             client.servers.back().state == announced_state::draining;
+    }));
+    caller.read();
+    CHECK(caller.received.empty());
+    client.acknowledge(0);
+    REQUIRE(caller.wait_for("\r\n\r\n"));
+    CHECK(has_status(caller.received, "200"));
+  }
+  SECTION("not acknowledged") {
+    CHECK(has_status(it.call("POST", "/v1/Replicas.Deregister/i-1"), "503"));
+  }
+  SECTION("the gateway is gone") {
+    client.connection->abort();
+    run_event_loop(std::chrono::milliseconds(50));
+    CHECK(has_status(it.call("POST", "/v1/Replicas.Deregister/i-1"), "200"));
+  }
+}
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -25,6 +25,11 @@
 constexpr auto stop_interval = std::chrono::milliseconds(100);
 // Part of the stop time that is left unused, so that the process ends by itself.
 constexpr int stop_reserve = 16;
+// By then the balancer has noticed, so that only callers with open connections or
+// without another gateway still come.
+constexpr auto early_stop = duration(2500);
+// Between a request's timeout and the end of the process.
+constexpr auto stop_margin = duration(300);
 // Requests held in memory may take this part of the process's limit.
 constexpr std::size_t memory_share = 4;
 
@@ -97,6 +102,13 @@
   return table_ && links_.has_servers() && !stopping_;
 }
 
+bool gateway::may_begin(duration timeout) const {
+  const auto now = io::now();
+  const auto early = std::min(early_stop, settings_.stop_time * 5 / stop_reserve);
+  return !stopping_ || now - stop_began_ < early ||
+         now + timeout + stop_margin < stop_at_;
+}
+
 void gateway::note_ready() {
   if (is_ready() != seen_ready_) {
     seen_ready_ = is_ready();
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -36,6 +36,9 @@
     return table_;
   }
   [[nodiscard]] bool is_ready() const;
+  // Whether a request that may take this long should begin: while the process
+  // stops, only early ones and those that surely end in time.
+  [[nodiscard]] bool may_begin(duration timeout) const;
 
   dispatch_choice choose(const dispatch_request& request);
   server_directory directory;
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -22,7 +22,6 @@
 
 // Lets the backend server's own answer at the deadline come first.
 constexpr auto deadline_slack = duration(100);
-// A caller that sends no deadline waits as long as the route allows.
 // Answers up to this size are read whole first, so that a broken one can still be
 // replaced by another attempt.
 constexpr std::size_t whole_answer_bytes = 256U << 10U;
@@ -33,6 +32,8 @@
 constexpr auto start_retry = duration(500);
 // After a server refused: others had no room a moment ago either.
 constexpr auto refused_retry = duration(200);
+// Another gateway takes the request.
+constexpr auto stopping_retry = duration(20);
 // Idle connections whose server names no timeout.
 constexpr auto default_idle_timeout = duration(4000);
 
@@ -72,6 +73,10 @@
   if (!find_target()) {
     return;
   }
+  if (!owner_.may_begin(route_->timeout)) {
+    answer_not_run("stopping", stopping_retry);
+    return;
+  }
   state_.kind = route_->kind;
   state_.max_attempts = route_->max_attempts;
   const auto allowed = std::min(call_.deadline.value_or(route_->timeout), route_->timeout);
