Send loads in compact lists, fetch configurations from followers first

Cause: on the grown archive the leader's link of 3 Mbit/s was full: loads of 47 servers as a list of tables took 2.5 kB, 23 times, five times a second. Commits and confirmations waited behind them, and drains weren't confirmed. Change: parallel lists of 8 bytes a server, a byte budget that stretches the interval with the number of routers, and gateways fetch a new text from followers.

--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marigoldstep/dispatch.h"
 #include "marigoldstep/io/framed_connection.h"
 #include "marigoldstep/routing.h"
 #include "marigoldstep/server_directory.h"
@@ -69,6 +70,7 @@
   void handle_frame(const std::string& host, byte_view buf);
   void handle_status(const std::string& host, const wire::GroupStatusT& status);
   void handle_routing(const wire::RoutingTextT& text);
+  link* find_source(time_point now);
   void fetch_newer();
   void send_ack(link& it);
 
@@ -78,9 +80,16 @@
   QTimer timer_;
   time_point ack_at_{};
   time_point fetch_until_{};
+  time_point newer_since_{}; // when a version newer than the own one was heard of
   bool has_servers_ = false;
 };
 
+// Loads by server id, in the compact form of messages. Ids travel as hashes.
+std::uint32_t server_hash(std::string_view id);
+std::unique_ptr<wire::ServerLoadsT>
+to_wire(const std::map<std::uint32_t, load_count>& loads);
+std::map<std::uint32_t, load_count> from_wire(const wire::ServerLoadsT& loads);
+
 announced_server from_wire(const wire::AnnouncedServerT& entry);
 wire::AnnouncedServerT to_wire(const directory_entry& entry, time_point now);
 
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -4,6 +4,9 @@
 #include "marigoldstep/io/logging.h"
 #include "marigoldstep/io/packed_text.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace marigoldstep::io {
 
 namespace {
@@ -15,11 +18,43 @@
 constexpr auto silence_limit = duration(1500);
 constexpr auto connect_timeout = duration(1000);
 constexpr auto retry_delay = duration(250);
+// Followers hear of a commit with the next heartbeat of 75 ms.
+constexpr auto leader_delay = duration(150);
 // Another control process is asked when a text doesn't come in this time.
 constexpr auto fetch_timeout = duration(400);
 
 } // namespace
 
+std::uint32_t server_hash(std::string_view id) {
+  return static_cast<std::uint32_t>(stable_hash(id));
+}
+
+std::unique_ptr<wire::ServerLoadsT>
+to_wire(const std::map<std::uint32_t, load_count>& loads) {
+  constexpr std::uint64_t most = std::numeric_limits<std::uint16_t>::max();
+  constexpr std::uint64_t thousand = 1000;
+  auto out = std::make_unique<wire::ServerLoadsT>();
+  for (const auto& [server, it] : loads) {
+    out->servers.push_back(server);
+    out->requests.push_back(
+        static_cast<std::uint16_t>(std::min<std::uint64_t>(it.requests, most)));
+    out->kilotokens.push_back(static_cast<std::uint16_t>(
+        std::min((it.tokens + thousand - 1) / thousand, most)));
+  }
+  return out;
+}
+
+std::map<std::uint32_t, load_count> from_wire(const wire::ServerLoadsT& loads) {
+  constexpr std::uint64_t thousand = 1000;
+  std::map<std::uint32_t, load_count> out;
+  const auto n = std::min(
+      {loads.servers.size(), loads.requests.size(), loads.kilotokens.size()});
+  for (std::size_t i = 0; i < n; ++i) {
+    out[loads.servers[i]] = {loads.requests[i], loads.kilotokens[i] * thousand};
+  }
+  return out;
+}
+
 announced_server from_wire(const wire::AnnouncedServerT& entry) {
   announced_server out;
   out.id = entry.id;
@@ -219,24 +254,49 @@
   fetch_newer();
 }
 
-void control_links::fetch_newer() {
-  const auto now = io::now();
-  if (!on_routing || now < fetch_until_) {
-    return;
-  }
+// The process to fetch a newer version from: each node has its own order, and the
+// leader, which knows first, comes last, so that its link isn't shared by all.
+control_links::link* control_links::find_source(time_point now) {
   const auto version = routing_version ? routing_version() : 0;
+  link* best = nullptr;
+  std::uint64_t best_score = 0;
   for (auto& [host, it] : links_) {
     // A process with no configuration yet takes the first one only from a leader
     // that a quorum confirmed: another may be behind without knowing it.
     if (!it.is_open || it.version <= version || (version == 0 && !it.confirmed)) {
       continue;
     }
-    fetch_until_ = now + fetch_timeout;
-    wire::FetchRoutingT fetch;
-    fetch.have_version = version;
-    it.connection->send(wire::encode_link(std::move(fetch)));
+    const auto score = it.leads ? 1 : std::max<std::uint64_t>(
+                                          2, stable_hash(host + settings_.node_id));
+    if (best == nullptr || score > best_score) {
+      best = &it;
+      best_score = score;
+    }
+  }
+  if (best == nullptr) {
+    newer_since_ = {};
+    return nullptr;
+  }
+  if (newer_since_ == time_point{}) {
+    newer_since_ = now;
+  }
+  const bool wait = best->leads && version > 0 && now - newer_since_ < leader_delay;
+  return wait ? nullptr : best;
+}
+
+void control_links::fetch_newer() {
+  const auto now = io::now();
+  if (!on_routing || now < fetch_until_) {
+    return;
+  }
+  auto* source = find_source(now);
+  if (source == nullptr) {
     return;
   }
+  fetch_until_ = now + fetch_timeout;
+  wire::FetchRoutingT fetch;
+  fetch.have_version = routing_version ? routing_version() : 0;
+  source->connection->send(wire::encode_link(std::move(fetch)));
 }
 
 void control_links::handle_routing(const wire::RoutingTextT& text) {
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -3,6 +3,8 @@
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/logging.h"
 
+#include <algorithm>
+
 namespace marigoldstep::control {
 
 namespace {
@@ -11,6 +13,8 @@
 constexpr auto status_interval = duration(400);
 constexpr auto heard_interval = duration(250);
 constexpr auto load_interval = duration(200);
+// A tenth of a link of 3 Mbit/s.
+constexpr std::size_t load_bytes_per_ms = 40;
 // Three heartbeats of the other side are missing.
 constexpr auto silence_limit = duration(1500);
 // A server waits a second for its confirmation, an operator several.
@@ -130,10 +134,8 @@
 
 void link_service::handle_load(io::framed_connection* connection,
                                const wire::RouterLoadT& load) {
-  auto& it = subscribers_.at(connection);
-  it.load.clear();
-  for (const auto& entry : load.servers) {
-    it.load[entry->id] = {entry->requests, entry->tokens};
+  if (load.loads) {
+    subscribers_.at(connection).load = io::from_wire(*load.loads);
   }
 }
 
@@ -334,23 +336,22 @@
   }
   const auto now = io::now();
   std::erase_if(routers_, [&](const auto& it) { return now - it.second > router_memory; });
-  std::map<std::string, load_count> sum;
+  std::map<std::uint32_t, load_count> sum;
+  std::size_t receivers = 0;
   for (const auto& [connection, it] : subscribers_) {
-    for (const auto& [id, load] : it.load) {
-      sum[id].requests += load.requests;
-      sum[id].tokens += load.tokens;
+    receivers += it.is_router ? 1 : 0;
+    for (const auto& [server, load] : it.load) {
+      sum[server].requests += load.requests;
+      sum[server].tokens += load.tokens;
     }
   }
   wire::FleetLoadT load;
   load.routers = static_cast<std::uint32_t>(routers_.size());
-  for (const auto& [id, it] : sum) {
-    auto entry = std::make_unique<wire::ServerLoadT>();
-    entry->id = id;
-    entry->requests = it.requests;
-    entry->tokens = it.tokens;
-    load.servers.push_back(std::move(entry));
-  }
+  load.loads = io::to_wire(sum);
   const auto buf = wire::encode_link(std::move(load));
+  const auto needed = std::chrono::milliseconds(
+      static_cast<std::int64_t>(receivers * buf.size() / load_bytes_per_ms));
+  load_at_ = now + std::max<duration>(load_interval, needed);
   for (auto& [connection, it] : subscribers_) {
     if (it.is_router) {
       connection->send(buf);
@@ -378,7 +379,7 @@
   }
   if (now >= load_at_) {
     load_at_ = now + load_interval;
-    send_fleet_load();
+    send_fleet_load(); // may put off the next one
     forget_silent(directory_, keep_silent, now);
   }
   if (now >= status_at_) {
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -50,7 +50,7 @@
     std::uint64_t sent_number = 0;
     std::uint64_t acked_number = 0;
     time_point heard_at{};
-    std::map<std::string, load_count> load;
+    std::map<std::uint32_t, load_count> load; // by server hash
   };
   // Somebody who waits for acknowledgements.
   struct waiting {
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -205,31 +205,31 @@
     most = std::max(most, n);
   }
   set_routers(retries, most);
-  for (auto& [id, record] : dispatch.records) {
-    record.others = {};
-  }
-  for (const auto& it : load.servers) {
-    const auto told = told_[it->id];
-    auto& others = dispatch.records[it->id].others;
-    others.requests = it->requests - std::min(it->requests, told.requests);
-    others.tokens = it->tokens - std::min(it->tokens, told.tokens);
+  const auto loads = load.loads ? io::from_wire(*load.loads)
+                                : std::map<std::uint32_t, load_count>();
+  for (const auto& [id, entry] : directory.entries) {
+    const auto hash = io::server_hash(id);
+    const auto it = loads.find(hash);
+    const auto all = it == loads.end() ? load_count() : it->second;
+    const auto told = told_[hash];
+    dispatch.records[id].others = {all.requests - std::min(all.requests, told.requests),
+                                   all.tokens - std::min(all.tokens, told.tokens)};
   }
 }
 
 void gateway::send_load() {
-  wire::RouterLoadT load;
-  std::map<std::string, load_count> told;
+  std::map<std::uint32_t, load_count> own;
   for (const auto& [id, record] : dispatch.records) {
     if (record.own.requests > 0) {
-      auto entry = std::make_unique<wire::ServerLoadT>();
-      entry->id = id;
-      entry->requests = record.own.requests;
-      entry->tokens = record.own.tokens;
-      load.servers.push_back(std::move(entry));
-      told[id] = record.own;
+      own[io::server_hash(id)] = record.own;
     }
   }
-  told_ = std::move(told);
+  if (own.empty() && told_.empty()) {
+    return;
+  }
+  wire::RouterLoadT load;
+  load.loads = io::to_wire(own);
+  told_ = std::move(own);
   links_.send_load(std::move(load));
 }
 
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -64,7 +64,7 @@
   io::http_listener checks_;
   QTimer load_timer_;
   QTimer stop_timer_;
-  std::map<std::string, load_count> told_; // own load as last told to the leader
+  std::map<std::uint32_t, load_count> told_; // by server hash: as told to the leader
   std::vector<std::pair<time_point, std::uint32_t>> router_counts_;
   std::function<void()> stopped_;
   time_point stop_at_{};
