Pace texts over thin links and let every control process answer reads

Change: texts go out at 0.4 of the link's rate, gateways ask again after 1.2 s and take their first text from any process once a confirmed leader has named the version; a follower answers reads after the leader has confirmed its version.

--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -43,6 +43,9 @@
   void set_seeds(std::vector<std::string> seeds);
   // Tells the leader what this router has in flight; dropped without a leader.
   void send_load(wire::RouterLoadT load);
+  // Asks the leader which routing version a quorum confirms. Calls done with 0 when
+  // there is no leader or no answer in time.
+  void confirm_version(std::function<void(std::uint64_t)> done);
   // Acknowledges an applied version at once.
   void acknowledge_version();
 
@@ -55,7 +58,6 @@
     framed_connection* connection = nullptr;
     bool is_open = false;
     bool leads = false;
-    bool confirmed = false;
     std::uint64_t version = 0;
     std::uint64_t update_number = 0;
     time_point heard_at{};
@@ -73,6 +75,7 @@
   link* find_source(time_point now);
   void fetch_newer();
   void send_ack(link& it);
+  void end_confirmations(time_point now);
 
   link_settings settings_;
   std::set<std::string> members_;
@@ -80,6 +83,14 @@
   QTimer timer_;
   time_point ack_at_{};
   time_point fetch_until_{};
+  // What a confirmed leader said to be the newest version; nothing older is taken.
+  std::uint64_t confirmed_version_ = 0;
+  struct confirmation {
+    time_point until{};
+    std::function<void(std::uint64_t)> done;
+  };
+  std::map<std::uint64_t, confirmation> confirmations_; // by token
+  std::uint64_t next_token_ = 1;
   time_point newer_since_{}; // when a version newer than the own one was heard of
   bool has_servers_ = false;
 };
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -21,7 +21,9 @@
 // Followers hear of a commit with the next heartbeat of 75 ms.
 constexpr auto leader_delay = duration(150);
 // Another control process is asked when a text doesn't come in this time.
-constexpr auto fetch_timeout = duration(400);
+// Control processes pace these texts, so that their links stay usable.
+constexpr auto fetch_timeout = duration(1200);
+constexpr auto confirm_timeout = duration(500);
 
 } // namespace
 
@@ -188,6 +190,7 @@
   for (const auto& host : silent) {
     drop(host, "silent");
   }
+  end_confirmations(now);
   fetch_newer();
 }
 
@@ -231,6 +234,13 @@
     }
   } else if (const auto* text = frame->body.AsRoutingText()) {
     handle_routing(*text);
+  } else if (const auto* reply = frame->body.AsVersionConfirmed()) {
+    const auto waiting = confirmations_.find(reply->token);
+    if (waiting != confirmations_.end()) {
+      const auto done = std::move(waiting->second.done);
+      confirmations_.erase(waiting);
+      done(reply->version);
+    }
   } else if (const auto* load = frame->body.AsFleetLoad()) {
     if (on_fleet_load) {
       on_fleet_load(*load);
@@ -242,7 +252,9 @@
                                   const wire::GroupStatusT& status) {
   auto& it = links_.at(host);
   it.leads = status.leads;
-  it.confirmed = it.confirmed || status.confirmed;
+  if (status.confirmed) {
+    confirmed_version_ = std::max(confirmed_version_, status.routing_version);
+  }
   it.version = status.routing_version;
   // Only a process that follows a leader knows who the members are.
   const std::set<std::string> members(status.control_hosts.begin(),
@@ -261,9 +273,10 @@
   link* best = nullptr;
   std::uint64_t best_score = 0;
   for (auto& [host, it] : links_) {
-    // A process with no configuration yet takes the first one only from a leader
-    // that a quorum confirmed: another may be behind without knowing it.
-    if (!it.is_open || it.version <= version || (version == 0 && !it.confirmed)) {
+    // A process with no configuration yet waits until a leader that a quorum
+    // confirmed has named the newest version: others may be behind without knowing.
+    const auto wanted = std::max(version + 1, confirmed_version_);
+    if (!it.is_open || confirmed_version_ == 0 || it.version < wanted) {
       continue;
     }
     const auto score = it.leads ? 1 : std::max<std::uint64_t>(
@@ -302,7 +315,7 @@
 void control_links::handle_routing(const wire::RoutingTextT& text) {
   fetch_until_ = {};
   const auto version = routing_version ? routing_version() : 0;
-  if (text.version <= version || !on_routing) {
+  if (text.version <= version || text.version < confirmed_version_ || !on_routing) {
     return;
   }
   on_routing(text.version, unpack_text(text.packed_text));
@@ -318,6 +331,33 @@
   }
 }
 
+void control_links::confirm_version(std::function<void(std::uint64_t)> done) {
+  for (auto& [host, it] : links_) {
+    if (it.is_open && it.leads) {
+      wire::ConfirmVersionT ask;
+      ask.token = next_token_++;
+      confirmations_[ask.token] = {io::now() + confirm_timeout, std::move(done)};
+      it.connection->send(wire::encode_link(ask));
+      return;
+    }
+  }
+  done(0);
+}
+
+void control_links::end_confirmations(time_point now) {
+  std::vector<std::function<void(std::uint64_t)>> ended;
+  std::erase_if(confirmations_, [&](auto& it) {
+    if (now < it.second.until) {
+      return false;
+    }
+    ended.push_back(std::move(it.second.done));
+    return true;
+  });
+  for (const auto& done : ended) {
+    done(0);
+  }
+}
+
 std::size_t control_links::open_links() const {
   std::size_t n = 0;
   for (const auto& [host, it] : links_) {
--- a/tests/programs/platform_control_test.cpp
+++ b/tests/programs/platform_control_test.cpp
@@ -42,7 +42,7 @@
     links = std::make_unique<control::link_service>(
         *group,
         io::link_settings{"c", false, "127.0.0.1", link_address.port, {"127.0.0.1"}},
-        nullptr);
+        0, nullptr);
     api = std::make_unique<control::api>(*group, *links, nullptr);
     group->on_changed = [this] { links->handle_state_changed(); };
     std::error_code ec;
--- a/tools/control/api.cpp
+++ b/tools/control/api.cpp
@@ -76,7 +76,7 @@
     handle_store(to, request);
     return;
   case control_call::read_routing:
-    handle_read(to, request.head.target);
+    handle_read(to);
     return;
   case control_call::unknown:
     answer_problem(to, status_not_found, "no such call");
@@ -179,12 +179,9 @@
   });
 }
 
-void api::handle_read(const connection& from, const std::string& target) {
-  if (!group_.is_leader()) {
-    redirect(from, target);
-    return;
-  }
-  group_.confirm([this, from](std::error_code ec) {
+// Any process answers: large configurations would fill the leader's link.
+void api::handle_read(const connection& from) {
+  links_.when_state_is_newest([this, from](std::error_code ec) {
     if (ec || group_.state().routing_version == 0) {
       answer_problem(from, status_unavailable, ec ? ec.message() : "none stored yet");
     } else {
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -13,6 +13,9 @@
 constexpr auto status_interval = duration(400);
 constexpr auto heard_interval = duration(250);
 constexpr auto load_interval = duration(200);
+// Part of the link for texts, and how much of it may go out at once.
+constexpr double text_share = 0.4;
+constexpr double text_burst_ms = 200;
 // A tenth of a link of 3 Mbit/s.
 constexpr std::size_t load_bytes_per_ms = 40;
 // Three heartbeats of the other side are missing.
@@ -32,8 +35,10 @@
 
 } // namespace
 
-link_service::link_service(replica& group, io::link_settings settings, QObject* parent)
-    : QObject(parent), group_(group), listener_(this), peers_(std::move(settings), this) {
+link_service::link_service(replica& group, io::link_settings settings,
+                           double link_bytes_per_ms, QObject* parent)
+    : QObject(parent), group_(group), listener_(this), peers_(std::move(settings), this),
+      link_bytes_per_ms_(link_bytes_per_ms) {
   listener_.on_connection = [this](io::framed_connection* it) { accept(it); };
   peers_.on_servers = [this](const wire::ServerUpdateT& it) { handle_peer_update(it); };
   connect(&timer_, &QTimer::timeout, this, [this] { tick(); });
@@ -77,6 +82,7 @@
                   {{"node", it->second.node_id}, {"reason", std::string(why)}});
   }
   subscribers_.erase(it);
+  std::erase(texts_due_, connection);
   connection->on_frame = nullptr;
   connection->on_closed = nullptr;
   connection->abort();
@@ -100,7 +106,11 @@
   if (const auto* hello = frame->body.AsSubscribe()) {
     handle_subscribe(connection, *hello);
   } else if (frame->body.AsFetchRouting() != nullptr) {
-    send_routing(connection);
+    std::erase(texts_due_, connection);
+    texts_due_.push_back(connection);
+    send_due_texts(io::now());
+  } else if (const auto* ask = frame->body.AsConfirmVersion()) {
+    answer_version(connection, ask->token);
   } else if (const auto* ack = frame->body.AsUpdateAck()) {
     from.acked_number = ack->number;
     from.version = ack->routing_version;
@@ -166,6 +176,46 @@
   connection->send(wire::encode_link(std::move(text)));
 }
 
+// Texts of many routes to many gateways at once would fill a thin link, and the
+// group's heartbeats would wait behind them.
+void link_service::send_due_texts(time_point now) {
+  const double rate = link_bytes_per_ms_ * text_share;
+  const auto elapsed = static_cast<double>((now - budget_at_).count());
+  budget_at_ = now;
+  text_budget_ = std::min(rate * text_burst_ms, text_budget_ + rate * elapsed);
+  const auto size = static_cast<double>(group_.state().routing_packed_text.size());
+  while (!texts_due_.empty() && (rate <= 0 || text_budget_ > 0)) {
+    auto* connection = texts_due_.front();
+    texts_due_.erase(texts_due_.begin());
+    send_routing(connection);
+    text_budget_ -= size;
+  }
+}
+
+void link_service::answer_version(io::framed_connection* connection,
+                                  std::uint64_t token) {
+  group_.confirm([this, connection, token](std::error_code ec) {
+    if (!subscribers_.contains(connection)) {
+      return;
+    }
+    wire::VersionConfirmedT reply;
+    reply.token = token;
+    reply.version = ec ? 0 : group_.state().routing_version;
+    connection->send(wire::encode_link(reply));
+  });
+}
+
+void link_service::when_state_is_newest(std::function<void(std::error_code)> done) {
+  if (group_.is_leader()) {
+    group_.confirm(std::move(done));
+    return;
+  }
+  peers_.confirm_version([this, done = std::move(done)](std::uint64_t version) {
+    const bool newest = version != 0 && group_.state().routing_version >= version;
+    done(newest ? std::error_code() : make_error_code(errc::control_unavailable));
+  });
+}
+
 // A process without a configuration takes the first one only after a quorum has
 // confirmed that this leader's is the newest.
 void link_service::confirm_subscribers() {
@@ -373,6 +423,7 @@
   }
   check_waiting();
   confirm_subscribers();
+  send_due_texts(now);
   if (now >= heard_at_ && !heard_.empty()) {
     heard_at_ = now + heard_interval;
     push_changes();
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -19,7 +19,9 @@
 // configuration, the announced backend servers and the load of the fleet.
 class link_service : public QObject {
 public:
-  link_service(replica& group, io::link_settings settings, QObject* parent);
+  // link_bytes_per_ms is what this VM's network link carries; 0 for no limit.
+  link_service(replica& group, io::link_settings settings, double link_bytes_per_ms,
+               QObject* parent);
 
   std::error_code listen(const io::endpoint& address);
   void start();
@@ -35,6 +37,9 @@
   void handle_report(const announced_server& server, settled_callback done);
   // Waits until the version is in force at every connected gateway.
   void when_version_applied(std::uint64_t version, settled_callback done);
+  // Calls done once this process holds what a quorum confirms as the newest routing
+  // version, or with errc::control_unavailable.
+  void when_state_is_newest(std::function<void(std::error_code)> done);
   // The replicated state has a newer routing configuration, or another leader.
   void handle_state_changed();
 
@@ -65,6 +70,8 @@
   void handle_subscribe(io::framed_connection* connection, const wire::SubscribeT& hello);
   void handle_load(io::framed_connection* connection, const wire::RouterLoadT& load);
   void send_routing(io::framed_connection* connection);
+  void send_due_texts(time_point now);
+  void answer_version(io::framed_connection* connection, std::uint64_t token);
   void send_status(io::framed_connection* connection);
   void send_update(io::framed_connection* connection, subscriber& to,
                    wire::ServerUpdateT update);
@@ -87,6 +94,10 @@
   std::set<std::string> changed_peer_; // learned from another control process
   std::set<std::string> heard_;        // reported here without a change
   std::vector<waiting> waiting_;
+  std::vector<io::framed_connection*> texts_due_; // subscribers that asked for a text
+  double link_bytes_per_ms_;
+  double text_budget_ = 0; // bytes that may be sent now
+  time_point budget_at_{};
   std::map<std::string, time_point> routers_; // by node id, when last heard
   std::uint64_t seen_version_ = 0;
   bool push_queued_ = false;
--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -29,7 +29,7 @@
       : links(group,
               {settings.node_id, false, settings.links.host, settings.links.port,
                io::hosts_of(settings.peers)},
-              nullptr),
+              settings.link_bytes_per_ms, nullptr),
         api(group, links, nullptr) {
     group.on_changed = [this] { links.handle_state_changed(); };
   }
--- a/tools/control/replica.h
+++ b/tools/control/replica.h
@@ -63,6 +63,7 @@
   [[nodiscard]] const fleet_state& state() const { return state_; }
   [[nodiscard]] const raft_node* node() const { return node_ ? &*node_ : nullptr; }
   [[nodiscard]] bool out_of_service() const { return out_of_service_; }
+  [[nodiscard]] io::log_file& log() { return *log_; }
   [[nodiscard]] const peer_network& network() const { return network_; }
 
 private:
--- a/tools/control/settings.cpp
+++ b/tools/control/settings.cpp
@@ -70,6 +70,9 @@
   for (const auto& it : io::read_endpoints(map, "seeds")) {
     out.peers.push_back({it.host, out.listen_peer.port});
   }
+  constexpr double most_mbps = 1e6;
+  constexpr double bytes_per_ms = 125; // of one Mbit/s
+  out.link_bytes_per_ms = bytes_per_ms * read_number(map, "link_mbps", 0, 0, most_mbps);
   // A process that isn't among the seeds joins their group, and so does one that
   // lost its disk.
   const bool is_seed = std::erase(out.peers, out.advertise_peer) > 0;
