--- a/include/marigoldstep/dispatch.h
+++ b/include/marigoldstep/dispatch.h
@@ -33,12 +33,12 @@
 
 // What answers told of a server.
 struct server_record {
-  load_count own;    // in flight from this router
-  load_count others; // from the other routers, as last told
+  load_count own;                      // in flight from this router
+  load_count others;                   // from the other routers, as last told
   std::uint32_t reported_requests = 0; // running and waiting, from the last answer
   time_point reported_at{};
   unsigned failures_in_a_row = 0;
-  unsigned ejections = 0; // since the last success
+  unsigned ejections = 0;   // since the last success
   double failure_share = 0; // moving average of answers that failed
   unsigned results = 0;     // answers behind the average, capped
   time_point ejected_until{};
@@ -71,9 +71,9 @@
 struct dispatch_choice {
   const announced_server* server = nullptr; // into the directory; null: refuse
   dispatch_reason reason = dispatch_reason::none;
-  std::uint32_t load = 0;       // of the chosen server
-  double mean_load = 0;         // of the service
-  std::size_t candidates = 0;   // servers considered
+  std::uint32_t load = 0;     // of the chosen server
+  double mean_load = 0;       // of the service
+  std::size_t candidates = 0; // servers considered
 };
 
 // Requests that a server carries as far as this router knows.
--- a/include/marigoldstep/event_splitter.h
+++ b/include/marigoldstep/event_splitter.h
@@ -10,8 +10,8 @@
 namespace marigoldstep {
 
 struct event_splitter {
-  std::string partial;                      // bytes after the last whole event
-  std::optional<std::uint64_t> last_event;  // id of the last whole event
+  std::string partial;                     // bytes after the last whole event
+  std::optional<std::uint64_t> last_event; // id of the last whole event
 };
 
 // Takes in bytes of a stream and returns those up to the end of the last whole
--- a/include/marigoldstep/fleet_state.h
+++ b/include/marigoldstep/fleet_state.h
@@ -15,7 +15,7 @@
 struct fleet_state : change_book {
   std::uint64_t routing_version = 0; // 0: none stored yet
   bytes routing_packed_text;         // as in wire::StoreRouting
-  unix_seconds time = 0; // newest leader clock seen; never falls
+  unix_seconds time = 0;             // newest leader clock seen; never falls
   claim_table claims;
   operator_table operators;
   std::uint64_t fencing = 0;           // last token given out
--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -20,8 +20,8 @@
 struct link_settings {
   std::string node_id;
   bool is_router = true;
-  std::string own_host; // never connected to
-  std::uint16_t port = 0; // of the links, the same on every control VM
+  std::string own_host;           // never connected to
+  std::uint16_t port = 0;         // of the links, the same on every control VM
   std::vector<std::string> seeds; // hosts
 };
 
--- a/include/marigoldstep/relay_policy.h
+++ b/include/marigoldstep/relay_policy.h
@@ -15,21 +15,21 @@
 // What the router needs to know of a caller's request, besides its bytes.
 struct call_facts {
   std::string request_id;
-  std::string key; // of a workspace; empty when none was sent
+  std::string key;                  // of a workspace; empty when none was sent
   std::optional<duration> deadline; // how long the caller waits
   std::vector<prompt_part> prompt;
   std::uint32_t prompt_tokens = 0;
-  std::uint32_t answer_tokens = 0;          // the most that the answer may have
+  std::uint32_t answer_tokens = 0;         // the most that the answer may have
   std::optional<std::uint64_t> last_event; // the caller resumes a stream after this
 };
 
 // What the router needs to know of a backend server's answer.
 struct answer_facts {
-  std::string request_id; // empty when the answer names none
-  bool is_signed = false; // a server made it; without, its bytes aren't an answer
-  bool not_run = false;   // the server says that it didn't run the request
+  std::string request_id;    // empty when the answer names none
+  bool is_signed = false;    // a server made it; without, its bytes aren't an answer
+  bool not_run = false;      // the server says that it didn't run the request
   bool wrong_server = false; // another server has the address; it didn't run it
-  std::optional<std::uint32_t> load; // running and waiting requests
+  std::optional<std::uint32_t> load;    // running and waiting requests
   std::optional<duration> idle_timeout; // of the connection
 };
 
@@ -55,9 +55,9 @@
 struct relay_state {
   route_kind kind = route_kind::once;
   std::uint32_t max_attempts = 1;
-  std::uint32_t sent = 0;        // attempts whose request was sent to a server
+  std::uint32_t sent = 0;          // attempts whose request was sent to a server
   std::uint32_t lost_connects = 0; // attempts that got no connection
-  bool may_have_run = false;     // of any attempt
+  bool may_have_run = false;       // of any attempt
   time_point deadline{};
 };
 
--- a/include/marigoldstep/routing.h
+++ b/include/marigoldstep/routing.h
@@ -56,8 +56,9 @@
 
 struct routed_service {
   std::string name;
-  std::uint32_t max_connections = 0; // that one server accepts from all callers; 0: unknown
-  batch_limits batch;                // all zero for a plain service
+  std::uint32_t max_connections =
+      0;              // that one server accepts from all callers; 0: unknown
+  batch_limits batch; // all zero for a plain service
 
   friend bool operator==(const routed_service&, const routed_service&) = default;
 };
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -45,9 +45,9 @@
 }
 
 double total_failure_share(const std::vector<candidate>& list) {
-  return std::accumulate(
-      list.begin(), list.end(), 0.0,
-      [](double sum, const auto& it) { return sum + it.record->failure_share; });
+  return std::accumulate(list.begin(), list.end(), 0.0, [](double sum, const auto& it) {
+    return sum + it.record->failure_share;
+  });
 }
 
 // total and n include the server itself.
@@ -132,8 +132,7 @@
 }
 
 const candidate* choose_least(const std::vector<candidate>& list,
-                              const dispatch_request& request,
-                              std::mt19937_64& random) {
+                              const dispatch_request& request, std::mt19937_64& random) {
   const candidate* best = nullptr;
   double best_cost = 0;
   std::uniform_real_distribution<double> tie(0, 1.0 / 64);
@@ -151,8 +150,8 @@
 
 void eject(server_record& record, time_point now) {
   const auto doublings = std::min(record.ejections, max_doublings);
-  record.ejected_until = now + std::min(first_ejection * (1U << doublings),
-                                        longest_ejection);
+  record.ejected_until =
+      now + std::min(first_ejection * (1U << doublings), longest_ejection);
   ++record.ejections;
 }
 
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -167,8 +167,8 @@
     if (!head_told_ && !is_interim) {
       head_told_ = true;
       if (!parser_.is_done() && !parser_.head().length && !parser_.head().is_chunked) {
-        watched_ = detail::file_descriptor(
-            ::dup(static_cast<int>(socket_->socketDescriptor())));
+        watched_ =
+            detail::file_descriptor(::dup(static_cast<int>(socket_->socketDescriptor())));
       }
       if (on_head) {
         on_head(parser_.head());
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -49,8 +49,8 @@
 std::map<std::uint32_t, load_count> from_wire(const wire::ServerLoadsT& loads) {
   constexpr std::uint64_t thousand = 1000;
   std::map<std::uint32_t, load_count> out;
-  const auto n = std::min(
-      {loads.servers.size(), loads.requests.size(), loads.kilotokens.size()});
+  const auto n =
+      std::min({loads.servers.size(), loads.requests.size(), loads.kilotokens.size()});
   for (std::size_t i = 0; i < n; ++i) {
     out[loads.servers[i]] = {loads.requests[i], loads.kilotokens[i] * thousand};
   }
@@ -279,8 +279,8 @@
     if (!it.is_open || confirmed_version_ == 0 || it.version < wanted) {
       continue;
     }
-    const auto score = it.leads ? 1 : std::max<std::uint64_t>(
-                                          2, stable_hash(host + settings_.node_id));
+    const auto score =
+        it.leads ? 1 : std::max<std::uint64_t>(2, stable_hash(host + settings_.node_id));
     if (best == nullptr || score > best_score) {
       best = &it;
       best_score = score;
--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -136,13 +136,13 @@
 
 bool is_hop_by_hop(const http_head& head, std::string_view name) {
   static constexpr std::array<std::string_view, 9> names = {
-      "connection", "keep-alive",        "proxy-connection", "proxy-authenticate",
-      "te",         "transfer-encoding", "trailer",          "upgrade",
-      "proxy-authorization"};
+      "connection",        "keep-alive", "proxy-connection", "proxy-authenticate", "te",
+      "transfer-encoding", "trailer",    "upgrade",          "proxy-authorization"};
   const bool listed = std::any_of(names.begin(), names.end(), [&](std::string_view it) {
     return equal_ignoring_case(it, name);
   });
-  return listed || std::any_of(head.fields.begin(), head.fields.end(), [&](const auto& f) {
+  return listed ||
+         std::any_of(head.fields.begin(), head.fields.end(), [&](const auto& f) {
            return equal_ignoring_case(f.name, "connection") && has_token(f.value, name);
          });
 }
--- a/src/io/logging.cpp
+++ b/src/io/logging.cpp
@@ -133,7 +133,8 @@
                                    << " node=" << format_log_value(node_id) << " "
                                    << expr::smessage;
   if (path.empty() || path == log_to_stdout) {
-    log::add_console_log(path.empty() ? std::clog : std::cout, log::keywords::format = format,
+    log::add_console_log(path.empty() ? std::clog : std::cout,
+                         log::keywords::format = format,
                          log::keywords::auto_flush = true);
     return;
   }
--- a/src/io/packed_text.cpp
+++ b/src/io/packed_text.cpp
@@ -11,8 +11,7 @@
 }
 
 std::string unpack_text(byte_view packed) {
-  return qUncompress(packed.data(), static_cast<qsizetype>(packed.size()))
-      .toStdString();
+  return qUncompress(packed.data(), static_cast<qsizetype>(packed.size())).toStdString();
 }
 
 } // namespace marigoldstep::io
--- a/src/io/program.cpp
+++ b/src/io/program.cpp
@@ -173,8 +173,8 @@
 }
 
 void on_stop_signal(std::function<void()> stop) {
-  stop_write_fd = notify_in_event_loop(
-      [stop = std::move(stop), called = false]() mutable {
+  stop_write_fd =
+      notify_in_event_loop([stop = std::move(stop), called = false]() mutable {
         if (!std::exchange(called, true)) {
           stop();
         }
--- a/src/relay_policy.cpp
+++ b/src/relay_policy.cpp
@@ -42,8 +42,8 @@
   } else if (end != attempt_end::wrong_server) {
     ++state.sent;
   }
-  state.may_have_run = state.may_have_run || end == attempt_end::failed ||
-                       end == attempt_end::broken;
+  state.may_have_run =
+      state.may_have_run || end == attempt_end::failed || end == attempt_end::broken;
 }
 
 bool has_attempts_left(const relay_state& state, attempt_end end, time_point now) {
@@ -70,8 +70,8 @@
   // plain ones are faster.
   constexpr auto shortest = duration(150);
   constexpr auto spread = duration(600);
-  const auto jitter = duration(static_cast<duration::rep>(
-      ticket % static_cast<std::uint64_t>(spread.count())));
+  const auto jitter = duration(
+      static_cast<duration::rep>(ticket % static_cast<std::uint64_t>(spread.count())));
   const auto base = choice.reason == dispatch_reason::none ? 2 * shortest : shortest;
   return std::min(base + jitter, std::max(shortest, left / 4));
 }
--- a/src/retry_share.cpp
+++ b/src/retry_share.cpp
@@ -32,8 +32,7 @@
   expire(it.repeats, share.limits.window, now);
   const double extra = share.routers == 0 ? 0 : share.limits.extra / share.routers;
   const double allowed =
-      safety *
-      (share.limits.ratio * static_cast<double>(it.requests.size()) + extra);
+      safety * (share.limits.ratio * static_cast<double>(it.requests.size()) + extra);
   if (static_cast<double>(it.repeats.size()) + 1 > allowed) {
     return false;
   }
--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -92,9 +92,9 @@
 }
 
 TEST_CASE("an answer to another request can be skipped") {
-  scripted_server server({{write_text(
-      "HTTP/1.1 200 OK\r\nX: other\r\nContent-Length: 3\r\n\r\nbad"
-      "HTTP/1.1 200 OK\r\nX: mine\r\nContent-Length: 4\r\n\r\ngood")}});
+  scripted_server server(
+      {{write_text("HTTP/1.1 200 OK\r\nX: other\r\nContent-Length: 3\r\n\r\nbad"
+                   "HTTP/1.1 200 OK\r\nX: mine\r\nContent-Length: 4\r\n\r\ngood")}});
   backend_pool pool(nullptr);
   exchange_result result;
   auto* connection = pool.acquire(server.address(), false);
--- a/tests/http_parser_test.cpp
+++ b/tests/http_parser_test.cpp
@@ -48,9 +48,9 @@
 }
 
 TEST_CASE("bytes after an answer are left to the caller") {
-  const auto result = feed_in_pieces(
-      http_role::answer, {}, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200",
-      4096);
+  const auto result =
+      feed_in_pieces(http_role::answer, {},
+                     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200", 4096);
   CHECK(result.done);
   CHECK(result.body == "ok");
   CHECK(result.rest == "HTTP/1.1 200");
--- a/tests/platform_messages_test.cpp
+++ b/tests/platform_messages_test.cpp
@@ -62,8 +62,7 @@
   CHECK(config.routes[1].kind == route_kind::once);
   CHECK(config.routes[1].services == std::vector<weighted_service>{{"t", 1}});
   CHECK(config.services[0].batch == batch_limits{64, 5000});
-  CHECK(config.limits ==
-        caller_limits{100, 200, duration(300), duration(400)});
+  CHECK(config.limits == caller_limits{100, 200, duration(300), duration(400)});
   CHECK(config.workspaces[0] == routed_workspace{"w", {"k"}, 2});
   CHECK(config.workspaces[1].priority == -1);
 }
@@ -77,19 +76,19 @@
 }
 
 TEST_CASE("a configuration that can't be read in full is refused") {
-  const auto text = GENERATE(
-      std::string(), std::string("null"), std::string("[]"),
-      valid_routing.substr(0, valid_routing.size() / 2),
-      replaced(valid_routing, "\"version\": 7", "\"version\": \"7\""),
-      replaced(valid_routing, "\"version\": 7", "\"version\": -1"),
-      replaced(valid_routing, "\"version\": 7,", ""),
-      replaced(valid_routing, "\"timeout_ms\": 1500", "\"timeout_ms\": null"),
-      replaced(valid_routing, "\"weight\": 90", "\"weight\": \"90\""),
-      replaced(valid_routing, "\"host\": \"h\"", "\"host\": 5"),
-      replaced(valid_routing, "[\"k\"]", "[1]"),
-      replaced(valid_routing, "\"public\": false", "\"public\": \"no\""),
-      std::string(R"({"version": 1, "services": []})"),
-      std::string(R"({"version": 1, "routes": [5], "services": []})"));
+  const auto text =
+      GENERATE(std::string(), std::string("null"), std::string("[]"),
+               valid_routing.substr(0, valid_routing.size() / 2),
+               replaced(valid_routing, "\"version\": 7", "\"version\": \"7\""),
+               replaced(valid_routing, "\"version\": 7", "\"version\": -1"),
+               replaced(valid_routing, "\"version\": 7,", ""),
+               replaced(valid_routing, "\"timeout_ms\": 1500", "\"timeout_ms\": null"),
+               replaced(valid_routing, "\"weight\": 90", "\"weight\": \"90\""),
+               replaced(valid_routing, "\"host\": \"h\"", "\"host\": 5"),
+               replaced(valid_routing, "[\"k\"]", "[1]"),
+               replaced(valid_routing, "\"public\": false", "\"public\": \"no\""),
+               std::string(R"({"version": 1, "services": []})"),
+               std::string(R"({"version": 1, "routes": [5], "services": []})"));
   std::string problem;
   const auto config = platform::parse_routing(text, problem);
   CHECK_FALSE(problem.empty());
@@ -106,15 +105,14 @@
   CHECK(server->port == 80);
   CHECK(server->state == announced_state::ready);
   CHECK(server->warmup_left == duration(5));
-  const auto bad = GENERATE(
-      std::string("{"), std::string("5"), std::string("{}"),
-      replaced(valid_report, "\"ready\"", "\"sleeping\""),
-      replaced(valid_report, "\"10.0.0.9:80\"", "\"10.0.0.9\""),
-      replaced(valid_report, "\"10.0.0.9:80\"", "7"),
-      replaced(valid_report, "\"seq\":4", "\"seq\":\"4\""),
-      replaced(valid_report, "\"slots\":6", "\"slots\":null"),
-      replaced(valid_report, "\"service\":\"s\"", "\"service\":[]"),
-      replaced(valid_report, "1700000000123", "\"soon\""));
+  const auto bad = GENERATE(std::string("{"), std::string("5"), std::string("{}"),
+                            replaced(valid_report, "\"ready\"", "\"sleeping\""),
+                            replaced(valid_report, "\"10.0.0.9:80\"", "\"10.0.0.9\""),
+                            replaced(valid_report, "\"10.0.0.9:80\"", "7"),
+                            replaced(valid_report, "\"seq\":4", "\"seq\":\"4\""),
+                            replaced(valid_report, "\"slots\":6", "\"slots\":null"),
+                            replaced(valid_report, "\"service\":\"s\"", "\"service\":[]"),
+                            replaced(valid_report, "1700000000123", "\"soon\""));
   CHECK_FALSE(platform::parse_announcement("i-1", bad));
   CHECK_FALSE(platform::parse_announcement("", valid_report));
 }
@@ -159,12 +157,12 @@
   CHECK(call.prompt == std::vector<prompt_part>{{0x5c1e07a2, 800}, {0x91bd3f06, 410}});
   CHECK(call.last_event == 12);
 
-  const auto bad = platform::parse_call(
-      make_head({{"Marigoldstep-Request-Id", "a b"},
-                 {"Authorization", "Basic KEY"},
-                 {"Marigoldstep-Deadline-Ms", "soon"},
-                 {"Marigoldstep-Prompt-Prefix", "x:1,5:y"},
-                 {"Last-Event-Id", "-1"}}));
+  const auto bad =
+      platform::parse_call(make_head({{"Marigoldstep-Request-Id", "a b"},
+                                      {"Authorization", "Basic KEY"},
+                                      {"Marigoldstep-Deadline-Ms", "soon"},
+                                      {"Marigoldstep-Prompt-Prefix", "x:1,5:y"},
+                                      {"Last-Event-Id", "-1"}}));
   CHECK(bad.request_id.empty());
   CHECK(bad.key.empty());
   CHECK_FALSE(bad.deadline);
@@ -199,8 +197,8 @@
   CHECK(text.find("Marigoldstep-Tenant: w\r\n") != std::string::npos);
   CHECK(text.find("Marigoldstep-Target-Instance: i-1\r\n") != std::string::npos);
   CHECK(text.find("Marigoldstep-Deadline-Ms: 750\r\n") != std::string::npos);
-  for (const auto* absent : {"forged", "KEY", "X-Hop", "Connection", "99999", "Pin-Ms",
-                             "Request-Priority"}) {
+  for (const auto* absent :
+       {"forged", "KEY", "X-Hop", "Connection", "99999", "Pin-Ms", "Request-Priority"}) {
     CHECK(text.find(absent) == std::string::npos);
   }
 }
--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -102,8 +102,8 @@
     update.number = ++number_;
     update.full = full;
     for (const auto& it : servers) {
-      update.servers.push_back(
-          std::make_unique<wire::AnnouncedServerT>(io::to_wire({it, io::now()}, io::now())));
+      update.servers.push_back(std::make_unique<wire::AnnouncedServerT>(
+          io::to_wire({it, io::now()}, io::now())));
     }
     to.send(wire::encode_link(std::move(update)));
   }
@@ -118,8 +118,8 @@
 public:
   explicit test_caller(const io::endpoint& target) {
     socket_.connectToHost(QString::fromStdString(target.host), target.port);
-    REQUIRE(wait_until(
-        [&] { return socket_.state() == QAbstractSocket::ConnectedState; }));
+    REQUIRE(
+        wait_until([&] { return socket_.state() == QAbstractSocket::ConnectedState; }));
   }
 
   void send(const std::string& text) {
@@ -171,8 +171,7 @@
   std::unique_ptr<gateway> subject;
 
   // scripts[i] belongs to server i.
-  explicit gateway_fixture(server_scripts scripts,
-                           std::uint64_t version = 1) {
+  explicit gateway_fixture(server_scripts scripts, std::uint64_t version = 1) {
     for (auto& it : scripts) {
       servers.push_back(std::make_unique<scripted_server>(std::move(it)));
       control.servers.push_back(describe(servers.size() - 1));
--- a/tests/programs/gateway_test.cpp
+++ b/tests/programs/gateway_test.cpp
@@ -109,8 +109,7 @@
 
 TEST_CASE("a repeatable request is sent to another server when the first breaks") {
   const auto script = GENERATE(
-      server_script{reset_connection()},
-      server_script{write_text("garbage\r\n\r\n")},
+      server_script{reset_connection()}, server_script{write_text("garbage\r\n\r\n")},
       server_script{write_text(answer_text("bad", "500 Internal Server Error"))},
       server_script{write_text("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab"),
                     close_in_order()},
@@ -139,12 +138,12 @@
 }
 
 TEST_CASE("another server at the address isn't the one that was meant") {
-  gateway_fixture it({{{write_text(
-                          "HTTP/1.1 421 Misdirected Request\r\n"
-                          "Marigoldstep-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n")}},
-                      {{write_text(answer_text("ok"))}}});
-  CHECK(starts_with_status(
-      ask(it, request_text("POST", "/once/", "r1", "", "x"), "ok"), "200"));
+  gateway_fixture it(
+      {{{write_text("HTTP/1.1 421 Misdirected Request\r\n"
+                    "Marigoldstep-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n")}},
+       {{write_text(answer_text("ok"))}}});
+  CHECK(starts_with_status(ask(it, request_text("POST", "/once/", "r1", "", "x"), "ok"),
+                           "200"));
 }
 
 TEST_CASE("an answer to another request is never passed on") {
@@ -170,10 +169,11 @@
 }
 
 TEST_CASE("an early answer to a long body doesn't spoil the connection") {
-  gateway_fixture it({{{write_text(answer_text("done"))}, {write_text(answer_text("two"))}}});
+  gateway_fixture it(
+      {{{write_text(answer_text("done"))}, {write_text(answer_text("two"))}}});
   const std::string body(2'000'000, 'x');
-  CHECK(starts_with_status(ask(it, request_text("POST", "/once/", "r1", "", body), "done"),
-                           "200"));
+  CHECK(starts_with_status(
+      ask(it, request_text("POST", "/once/", "r1", "", body), "done"), "200"));
   CHECK(starts_with_status(ask(it, request_text("GET", "/safe/", "r2"), "two"), "200"));
   CHECK(it.servers[0]->requests[1].starts_with("GET /safe/"));
 }
@@ -190,9 +190,9 @@
 }
 
 TEST_CASE("a stream that breaks is visibly cut when it may not be resumed") {
-  gateway_fixture it(
-      {{{write_text(stream_head() + chunk(event(1))), pause_script(50), reset_connection()}},
-       {{write_text(stream_head() + chunk(event(2)) + "0\r\n\r\n")}}});
+  gateway_fixture it({{{write_text(stream_head() + chunk(event(1))), pause_script(50),
+                        reset_connection()}},
+                      {{write_text(stream_head() + chunk(event(2)) + "0\r\n\r\n")}}});
   test_caller caller(it.address);
   caller.send(request_text("POST", "/stream/", "r1", "", "x"));
   REQUIRE(caller.wait_closed());
@@ -202,10 +202,10 @@
 }
 
 TEST_CASE("a stream that may be resumed goes on after its last whole event") {
-  gateway_fixture it({{{write_text(stream_head() + chunk(event(1) + "id: 2\nda")),
-                        pause_script(50), reset_connection()}},
-                      {{write_text(stream_head() + chunk(event(2) + event(3)) +
-                                   "0\r\n\r\n")}}});
+  gateway_fixture it(
+      {{{write_text(stream_head() + chunk(event(1) + "id: 2\nda")), pause_script(50),
+         reset_connection()}},
+       {{write_text(stream_head() + chunk(event(2) + event(3)) + "0\r\n\r\n")}}});
   test_caller caller(it.address);
   caller.send(request_text("POST", "/resume/", "r1", "", "x"));
   REQUIRE(caller.wait_for("0\r\n\r\n"));
@@ -261,7 +261,8 @@
 }
 
 TEST_CASE("a server that leaves gets no new requests") {
-  gateway_fixture it({{{write_text(answer_text("zero"))}}, {{write_text(answer_text("one"))}}});
+  gateway_fixture it(
+      {{{write_text(answer_text("zero"))}}, {{write_text(answer_text("one"))}}});
   it.control.servers[0].state = announced_state::draining;
   it.control.servers[0].sequence = 2;
   it.control.tell_servers();
@@ -280,13 +281,14 @@
     CHECK(starts_with_status(answer, "408"));
   }
   SECTION("large header") {
-    const auto answer = ask(
-        it, "GET /safe/ HTTP/1.1\r\nX: " + std::string(3000, 'a') + "\r\n\r\n", "\r\n\r\n");
+    const auto answer =
+        ask(it, "GET /safe/ HTTP/1.1\r\nX: " + std::string(3000, 'a') + "\r\n\r\n",
+            "\r\n\r\n");
     CHECK(starts_with_status(answer, "431"));
   }
   SECTION("large body") {
-    const auto answer = ask(
-        it, "POST /safe/ HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n", "\r\n\r\n");
+    const auto answer =
+        ask(it, "POST /safe/ HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n", "\r\n\r\n");
     CHECK(starts_with_status(answer, "413"));
   }
   SECTION("nonsense") {
--- a/tests/programs/platform_control_test.cpp
+++ b/tests/programs/platform_control_test.cpp
@@ -41,8 +41,8 @@
     group = std::make_unique<control::replica>(settings, nullptr);
     links = std::make_unique<control::link_service>(
         *group,
-        io::link_settings{"c", false, "127.0.0.1", link_address.port, {"127.0.0.1"}},
-        0, nullptr);
+        io::link_settings{"c", false, "127.0.0.1", link_address.port, {"127.0.0.1"}}, 0,
+        nullptr);
     api = std::make_unique<control::api>(*group, *links, nullptr);
     group->on_changed = [this] { links->handle_state_changed(); };
     std::error_code ec;
@@ -238,8 +238,9 @@
   SECTION("acknowledged") {
     test_caller caller(it.api_address);
     const auto body = report("draining", 2);
-    caller.send("POST /v1/Replicas.Heartbeat/i-1 HTTP/1.1\r\nHost: c\r\nContent-Length: " +
-                std::to_string(body.size()) + "\r\n\r\n" + body);
+    caller.send(
+        "POST /v1/Replicas.Heartbeat/i-1 HTTP/1.1\r\nHost: c\r\nContent-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body);
     REQUIRE(wait_until([&] {
       return !client.servers.empty() &&
              client.servers.back().state == announced_state::draining;
--- a/tests/raft_thin_link_test.cpp
+++ b/tests/raft_thin_link_test.cpp
@@ -59,8 +59,8 @@
   }
 
   void add_learner() {
-    handle(propose_member(node, member_change::add_learner,
-                          {learner_id, "b", 1, true}, 0, now));
+    handle(propose_member(node, member_change::add_learner, {learner_id, "b", 1, true}, 0,
+                          now));
   }
 };
 
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -64,12 +64,13 @@
     bool may_have_run = false;
     std::uint32_t sent = 0;
     for (int i = 0; i < 20; ++i) {
-      const auto end = *rc::gen::element(
-          attempt_end::not_connected, attempt_end::not_run, attempt_end::wrong_server,
-          attempt_end::failed, attempt_end::broken);
+      const auto end = *rc::gen::element(attempt_end::not_connected, attempt_end::not_run,
+                                         attempt_end::wrong_server, attempt_end::failed,
+                                         attempt_end::broken);
       may_have_run =
           may_have_run || end == attempt_end::failed || end == attempt_end::broken;
-      sent += end == attempt_end::not_connected || end == attempt_end::wrong_server ? 0 : 1;
+      sent +=
+          end == attempt_end::not_connected || end == attempt_end::wrong_server ? 0 : 1;
       const auto step = after(state, end, *rc::gen::arbitrary<bool>());
       RC_ASSERT(step != relay_step::answer_not_run || !may_have_run);
       RC_ASSERT(step != relay_step::try_again || !may_have_run || is_repeatable(kind));
@@ -83,8 +84,8 @@
 
 TEST_CASE("no attempt begins when no time is left") {
   auto state = make_state(route_kind::repeatable, 9);
-  const auto step = decide(state, attempt_end::not_run, start + duration(995),
-                           [] { return true; });
+  const auto step =
+      decide(state, attempt_end::not_run, start + duration(995), [] { return true; });
   CHECK(step == relay_step::answer_not_run);
 }
 
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -48,17 +48,33 @@
 
 TEST_CASE("every way to be unusable is found") {
   auto config = make_config();
-  SECTION("unknown service") { config.routes[0].services = {{"c", 1}}; }
+  SECTION("unknown service") {
+    config.routes[0].services = {{"c", 1}};
+  }
   SECTION("same place") {
     config.routes.push_back(make_route("other", "X.Example", "/p/"));
   }
-  SECTION("no weight") { config.routes[0].services = {{"a", 0}, {"b", 0}}; }
-  SECTION("no services") { config.routes[0].services.clear(); }
-  SECTION("no timeout") { config.routes[0].timeout = duration(0); }
-  SECTION("no attempts") { config.routes[0].max_attempts = 0; }
-  SECTION("prefix without a slash") { config.routes[0].path_prefix = "/p"; }
-  SECTION("shared key") { config.workspaces.push_back({"v", {"k2"}, -1}); }
-  SECTION("service twice") { config.services.push_back({"a", 1, {}}); }
+  SECTION("no weight") {
+    config.routes[0].services = {{"a", 0}, {"b", 0}};
+  }
+  SECTION("no services") {
+    config.routes[0].services.clear();
+  }
+  SECTION("no timeout") {
+    config.routes[0].timeout = duration(0);
+  }
+  SECTION("no attempts") {
+    config.routes[0].max_attempts = 0;
+  }
+  SECTION("prefix without a slash") {
+    config.routes[0].path_prefix = "/p";
+  }
+  SECTION("shared key") {
+    config.workspaces.push_back({"v", {"k2"}, -1});
+  }
+  SECTION("service twice") {
+    config.services.push_back({"a", 1, {}});
+  }
   CHECK_FALSE(find_problem(config).empty());
 }
 
@@ -100,7 +116,8 @@
   rc::prop("find_route agrees with a search through all routes", [] {
     const auto segment = rc::gen::element<std::string>("a", "b", "cc");
     const auto path_of = [&](int most) {
-      const auto parts = *rc::gen::resize(most, rc::gen::container<std::vector<std::string>>(segment));
+      const auto parts =
+          *rc::gen::resize(most, rc::gen::container<std::vector<std::string>>(segment));
       std::string out = "/";
       for (const auto& it : parts) {
         out += it + "/";
@@ -111,9 +128,8 @@
     config.services = {{"a", 1, {}}};
     const auto n = *rc::gen::inRange(0, 12);
     for (int i = 0; i < n; ++i) {
-      config.routes.push_back(make_route(std::to_string(i),
-                                         *rc::gen::element<std::string>("h", "i"),
-                                         path_of(3)));
+      config.routes.push_back(make_route(
+          std::to_string(i), *rc::gen::element<std::string>("h", "i"), path_of(3)));
     }
     RC_PRE(find_problem(config).empty());
     const auto table = make_routing_table(config);
--- a/tests/server_directory_test.cpp
+++ b/tests/server_directory_test.cpp
@@ -125,9 +125,8 @@
       const auto state = *rc::gen::element(
           announced_state::ready, announced_state::draining, announced_state::gone);
       // Within one start a sequence number is used once.
-      reports.push_back(at(server(id, *rc::gen::inRange(1, 3),
-                                  static_cast<std::uint64_t>(i), state),
-                           id));
+      reports.push_back(at(
+          server(id, *rc::gen::inRange(1, 3), static_cast<std::uint64_t>(i), state), id));
     }
     auto shuffled = reports;
     const auto swaps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, n));
--- a/tools/control/api.cpp
+++ b/tools/control/api.cpp
@@ -109,10 +109,10 @@
     return;
   }
   if (from) {
-    from->respond(status_redirect,
-                  {{"Location", "http://" + leader.host + ":" + std::to_string(port_) +
-                                    target}},
-                  "");
+    from->respond(
+        status_redirect,
+        {{"Location", "http://" + leader.host + ":" + std::to_string(port_) + target}},
+        "");
   }
 }
 
@@ -153,19 +153,19 @@
     wire::StoreRoutingT request;
     request.version = version;
     request.packed_text = io::pack_text(text);
-    auto command = encode_command(wire::control_frame(std::move(request), 0),
-                                  io::wall_clock());
-    group_.propose(std::move(command), [this, from, version](std::error_code result,
-                                                             const auto& /*reply*/) {
-      io::log_event(io::log_level::info, "routing_proposed",
-                    {{"version", std::to_string(version)},
-                     {"result", result ? result.message() : "committed"}});
-      if (result) {
-        answer_problem(from, status_unavailable, result.message());
-      } else {
-        answer_stored(from, version);
-      }
-    });
+    auto command =
+        encode_command(wire::control_frame(std::move(request), 0), io::wall_clock());
+    group_.propose(std::move(command),
+                   [this, from, version](std::error_code result, const auto& /*reply*/) {
+                     io::log_event(io::log_level::info, "routing_proposed",
+                                   {{"version", std::to_string(version)},
+                                    {"result", result ? result.message() : "committed"}});
+                     if (result) {
+                       answer_problem(from, status_unavailable, result.message());
+                     } else {
+                       answer_stored(from, version);
+                     }
+                   });
   });
 }
 
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -385,7 +385,8 @@
     return;
   }
   const auto now = io::now();
-  std::erase_if(routers_, [&](const auto& it) { return now - it.second > router_memory; });
+  std::erase_if(routers_,
+                [&](const auto& it) { return now - it.second > router_memory; });
   std::map<std::uint32_t, load_count> sum;
   std::size_t receivers = 0;
   for (const auto& [connection, it] : subscribers_) {
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "control/replica.h"
+#include "marigoldstep/dispatch.h"
 #include "marigoldstep/io/control_links.h"
 #include "marigoldstep/io/framed_connection.h"
-#include "marigoldstep/dispatch.h"
 #include "marigoldstep/server_directory.h"
 
 #include <QTimer>
--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -54,9 +54,8 @@
                     direct_parts& parts) {
   io::on_reload(path, [&group, &parts, path] {
     control::control_settings changed;
-    const bool valid = io::load_settings(path, [&](yaml_mapping& map) {
-      changed = control::parse_control_settings(map);
-    });
+    const bool valid = io::load_settings(
+        path, [&](yaml_mapping& map) { changed = control::parse_control_settings(map); });
     io::log_event(valid ? io::log_level::info : io::log_level::error, "settings_reloaded",
                   {{"valid", valid ? "true" : "false"}});
     if (valid) {
--- a/tools/control/replica.cpp
+++ b/tools/control/replica.cpp
@@ -83,8 +83,8 @@
   const auto entries = found.raft.entries.size();
   raft_settings algorithm;
   algorithm.snapshot_bytes = settings_.snapshot_bytes;
-  node_ = make_raft_node(algorithm, std::move(found.raft), io::random_engine()(),
-                         io::now());
+  node_ =
+      make_raft_node(algorithm, std::move(found.raft), io::random_engine()(), io::now());
   if (is_new) {
     process(store_identity(*node_));
   }
--- a/tools/control/settings.cpp
+++ b/tools/control/settings.cpp
@@ -78,12 +78,12 @@
   const bool is_seed = std::erase(out.peers, out.advertise_peer) > 0;
   out.may_form_group = read_bool(map, "first_start", false) && is_seed;
   repair_settings repair;
-  repair.tolerated_losses = static_cast<std::size_t>(
-      read_integer(map, "tolerated_losses", 1, 0, most_losses));
+  repair.tolerated_losses =
+      static_cast<std::size_t>(read_integer(map, "tolerated_losses", 1, 0, most_losses));
   out.repair = repair;
   out.snapshot_bytes =
-      bytes_per_mb * static_cast<std::size_t>(read_integer(map, "snapshot_mb", 4, 1,
-                                                           most_megabytes));
+      bytes_per_mb *
+      static_cast<std::size_t>(read_integer(map, "snapshot_mb", 4, 1, most_megabytes));
 }
 
 } // namespace
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -57,7 +57,8 @@
   callers_.on_request = [this](io::http_connection& from, io::http_request request) {
     handle_request(from, std::move(request));
   };
-  checks_.on_request = [this](io::http_connection& from, const io::http_request& request) {
+  checks_.on_request = [this](io::http_connection& from,
+                              const io::http_request& request) {
     const auto status = !platform::is_ready_check(request.head) ? status_not_found
                         : is_ready()                            ? status_ok
                                                                 : status_unavailable;
@@ -205,8 +206,8 @@
     most = std::max(most, n);
   }
   set_routers(retries, most);
-  const auto loads = load.loads ? io::from_wire(*load.loads)
-                                : std::map<std::uint32_t, load_count>();
+  const auto loads =
+      load.loads ? io::from_wire(*load.loads) : std::map<std::uint32_t, load_count>();
   for (const auto& [id, entry] : directory.entries) {
     const auto hash = io::server_hash(id);
     const auto it = loads.find(hash);
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -29,15 +29,14 @@
     std::cerr << program << ": cannot listen: " << ec.message() << "\n";
     return io::exit_failed;
   }
-  io::log_event(io::log_level::info, "started",
-                {{"listen", settings.listen.host + ":" +
-                                std::to_string(settings.listen.port)},
-                 {"zone", settings.zone}});
+  io::log_event(
+      io::log_level::info, "started",
+      {{"listen", settings.listen.host + ":" + std::to_string(settings.listen.port)},
+       {"zone", settings.zone}});
   io::on_reload(path, [&] {
     gateway::gateway_settings changed;
-    const bool valid = io::load_settings(path, [&](yaml_mapping& map) {
-      changed = gateway::parse_gateway_settings(map);
-    });
+    const bool valid = io::load_settings(
+        path, [&](yaml_mapping& map) { changed = gateway::parse_gateway_settings(map); });
     io::log_event(valid ? io::log_level::info : io::log_level::error, "settings_reloaded",
                   {{"valid", valid ? "true" : "false"}});
     if (valid) {
--- a/tools/gateway/metrics.cpp
+++ b/tools/gateway/metrics.cpp
@@ -39,8 +39,8 @@
                    .Register(registry)),
       first_byte_seconds(histogram(registry, "first_byte_seconds",
                                    "From the request to the answer's first byte")),
-      total_seconds(histogram(registry, "total_seconds",
-                              "From the request to the answer's end")),
+      total_seconds(
+          histogram(registry, "total_seconds", "From the request to the answer's end")),
       routing_version(gauge(registry, "routing_version", "Routing version in force")),
       servers(gauge(registry, "servers", "Announced backend servers")),
       open_links(gauge(registry, "control_links", "Open links to control processes")) {}
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -79,7 +79,8 @@
   }
   state_.kind = route_->kind;
   state_.max_attempts = route_->max_attempts;
-  const auto allowed = std::min(call_.deadline.value_or(route_->timeout), route_->timeout);
+  const auto allowed =
+      std::min(call_.deadline.value_or(route_->timeout), route_->timeout);
   state_.deadline = began_at_ + allowed;
   events_.last_event = call_.last_event;
   deadline_timer_.start(allowed + deadline_slack);
@@ -260,8 +261,7 @@
   if (it.facts.not_run) {
     return attempt_end::not_run;
   }
-  const bool is_success =
-      it.head.status >= status_ok && it.head.status < status_redirect;
+  const bool is_success = it.head.status >= status_ok && it.head.status < status_redirect;
   return is_success ? attempt_end::broken : attempt_end::failed;
 }
 
@@ -327,9 +327,8 @@
   }
   owner_.numbers.attempt_ended(std::string(name(end))).Increment();
   release_attempt(answered);
-  const auto step = decide(state_, end, now, [&] {
-    return take_repeat(owner_.retries, service_, now);
-  });
+  const auto step = decide(state_, end, now,
+                           [&] { return take_repeat(owner_.retries, service_, now); });
   io::log_event(io::log_level::info, "attempt_ended",
                 {{"request_id", call_.request_id},
                  {"server", last.server.id},
@@ -418,7 +417,9 @@
     caller_->respond(status, fields, std::string(text) + "\n");
   }
   const bool refused = status < status_server_error;
-  finish(status == status_unavailable ? "not_run" : refused ? "rejected" : "unknown",
+  finish(status == status_unavailable ? "not_run"
+         : refused                    ? "rejected"
+                                      : "unknown",
          text);
 }
 
--- a/tools/gateway/settings.cpp
+++ b/tools/gateway/settings.cpp
@@ -14,8 +14,8 @@
   auto it = read_mapping(map, "retry_budget");
   out.ratio = read_number(it, "ratio", out.ratio, 0, 1);
   out.extra = read_number(it, "extra", out.extra, 0, highest_extra);
-  out.window = std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-      read_number(it, "window_s", 10, 1, 600)));
+  out.window = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(read_number(it, "window_s", 10, 1, 600)));
   finish(it);
   return out;
 }
@@ -37,12 +37,13 @@
   out.seeds = io::read_endpoints(map, "seeds");
   out.retries = parse_retries(map);
   out.dispatch.silence =
-      reports_missed *
-      read_duration_ms(map, "report_interval_ms", duration(1000), duration(10), longest_time);
+      reports_missed * read_duration_ms(map, "report_interval_ms", duration(1000),
+                                        duration(10), longest_time);
   out.stop_time = std::chrono::duration_cast<duration>(
       std::chrono::duration<double>(read_number(map, "stop_time_s", 8, 0, 600)));
-  out.memory_bytes = bytes_per_mb * static_cast<std::size_t>(read_integer(
-                                        map, "memory_mb", 0, 0, most_memory_mb));
+  out.memory_bytes =
+      bytes_per_mb *
+      static_cast<std::size_t>(read_integer(map, "memory_mb", 0, 0, most_memory_mb));
   out.log_level = io::parse_log_level(
       read_choice(map, "log_level", "info", {"debug", "info", "warning", "error"}));
   return out;
--- a/tools/gateway/settings.h
+++ b/tools/gateway/settings.h
@@ -15,15 +15,15 @@
 struct gateway_settings {
   std::string node_id;
   std::string zone;
-  std::string host;          // own address, for the metrics
-  io::endpoint listen;       // for callers
-  io::endpoint listen_ready; // for the balancer's readiness checks
-  std::uint16_t first_port = 0; // of the fleet's own connections
+  std::string host;                // own address, for the metrics
+  io::endpoint listen;             // for callers
+  io::endpoint listen_ready;       // for the balancer's readiness checks
+  std::uint16_t first_port = 0;    // of the fleet's own connections
   std::vector<io::endpoint> seeds; // control processes to begin with
   retry_limits retries;
   dispatch_limits dispatch;
-  duration stop_time{8000};      // from SIGTERM to the kill
-  std::size_t memory_bytes = 0;  // of this process; 0: not limited
+  duration stop_time{8000};     // from SIGTERM to the kill
+  std::size_t memory_bytes = 0; // of this process; 0: not limited
   io::log_level log_level = io::log_level::info;
 };
 
