--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -23,7 +23,7 @@
 constexpr int keepalive_idle_s = 1;
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
-constexpr qint64 read_buffer_bytes = 64 * 1024;
+constexpr qint64 read_buffer_bytes = 1 << 16;
 // A server may close an idle connection at any moment near its timeout; a request
 // that crosses the close may have run.
 constexpr auto idle_margin = duration(1000);
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -198,7 +198,7 @@
   wire::UpdateAckT ack;
   ack.number = it.update_number;
   ack.routing_version = routing_version ? routing_version() : 0;
-  it.connection->send(wire::encode_link(std::move(ack)));
+  it.connection->send(wire::encode_link(ack));
 }
 
 void control_links::acknowledge_version() {
@@ -309,7 +309,7 @@
   fetch_until_ = now + fetch_timeout;
   wire::FetchRoutingT fetch;
   fetch.have_version = routing_version ? routing_version() : 0;
-  source->connection->send(wire::encode_link(std::move(fetch)));
+  source->connection->send(wire::encode_link(fetch));
 }
 
 void control_links::handle_routing(const wire::RoutingTextT& text) {
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -19,7 +19,7 @@
 constexpr auto linger_time = duration(1000);
 constexpr auto tick_interval = std::chrono::milliseconds(100);
 // Bytes read ahead of an unfinished answer.
-constexpr qint64 read_buffer_bytes = 64 * 1024;
+constexpr qint64 read_buffer_bytes = 1 << 16;
 constexpr int accept_backlog = 512;
 
 unsigned status_of(std::error_code ec) {
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -100,7 +100,6 @@
   time_point budget_at_{};
   std::map<std::string, time_point> routers_; // by node id, when last heard
   std::uint64_t seen_version_ = 0;
-  bool push_queued_ = false;
   time_point status_at_{};
   time_point heard_at_{};
   time_point load_at_{};
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -79,7 +79,6 @@
   QTimer deadline_timer_;
   time_point began_at_{};
   bool answering_ = false; // the caller has got the answer's head
-  bool counted_ = false;   // as a request of the service
   bool done_ = false;
 };
 
--- a/tools/gateway/settings.cpp
+++ b/tools/gateway/settings.cpp
@@ -27,6 +27,10 @@
   constexpr std::size_t bytes_per_mb = 1U << 20U;
   // Reports come about once a second; three may be missing, and one may be late.
   constexpr int reports_missed = 4;
+  // Load that a server may have as a multiple of the mean.
+  constexpr double default_load_factor = 2;
+  // Counts are up to half a second old, so a part of the allowed factor stays unused.
+  constexpr double bound_share = 0.85;
   gateway_settings out;
   out.node_id = read_string(map, "node_id");
   out.zone = read_string(map, "zone", "");
@@ -39,6 +43,8 @@
   out.dispatch.silence =
       reports_missed * read_duration_ms(map, "report_interval_ms", duration(1000),
                                         duration(10), longest_time);
+  out.dispatch.bound =
+      bound_share * read_number(map, "most_load_factor", default_load_factor, 1, 100);
   out.stop_time = std::chrono::duration_cast<duration>(
       std::chrono::duration<double>(read_number(map, "stop_time_s", 8, 0, 600)));
   out.memory_bytes =
