Copy shared prompt parts between servers, allow homes more load, return sooner after an outage

A home at 1.25 times the mean load sent parts on to servers that had to read them; and after the final fault gateways hung for a second in connects to VMs without power while callers were told to come back too early.

--- a/include/marigoldstep/dispatch.h
+++ b/include/marigoldstep/dispatch.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 // Choice of a backend server by a router that reaches the servers itself. Pure
@@ -44,8 +45,15 @@
   time_point ejected_until{};
 };
 
+// Where this router last sent a prompt with a shared part.
+struct part_place {
+  std::string server;
+  time_point sent_at{};
+};
+
 struct dispatch_state {
-  std::map<std::string, server_record> records; // by server id
+  std::map<std::string, server_record> records;         // by server id
+  std::unordered_map<std::uint64_t, part_place> places; // by the part's id
 };
 
 struct dispatch_limits {
@@ -70,6 +78,9 @@
 
 struct dispatch_choice {
   const announced_server* server = nullptr; // into the directory; null: refuse
+  // Another server that has probably read the shared parts. Copying them takes a
+  // tenth of the time and cost of reading them again.
+  const announced_server* copy_from = nullptr;
   dispatch_reason reason = dispatch_reason::none;
   std::uint32_t load = 0;     // of the chosen server
   double mean_load = 0;       // of the service
@@ -88,6 +99,9 @@
                        time_point now, std::mt19937_64& random);
 
 void note_sent(dispatch_state& state, const std::string& id, std::uint64_t tokens);
+// Remembers where a prompt's shared parts are from now on.
+void note_prompt_sent(dispatch_state& state, const std::vector<prompt_part>& prompt,
+                      const std::string& id, time_point now);
 void note_finished(dispatch_state& state, const std::string& id, std::uint64_t tokens);
 
 // An answer arrived that the server made itself. failed: a server error.
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -23,10 +23,14 @@
 constexpr double outlier_factor = 2.5;
 // A report describes the moment the answer was made; later it says little.
 constexpr auto report_age = duration(300);
-// Smallest load at which a home counts as too busy.
-constexpr double min_bound = 3;
+// Requests above the bound that a home may have: small counts vary by themselves.
+constexpr double load_slack = 2;
 // Load that a server of another availability zone must be lighter by, in slots.
 constexpr double zone_penalty = 0.5;
+// Parts used less recently have probably yielded to others.
+constexpr auto kept_for = duration(60'000);
+// Bounds the memory for places; a deployment has thousands of parts in use.
+constexpr std::size_t max_places = 20'000;
 
 struct candidate {
   const announced_server* server = nullptr;
@@ -99,6 +103,38 @@
   return largest == prompt.end() ? 0 : largest->id;
 }
 
+// A server that leaves still hands out copies for a while.
+const announced_server* find_holder(const server_directory& directory,
+                                    const dispatch_state& state, const std::string& id,
+                                    const dispatch_limits& limits, time_point now) {
+  const auto entry = directory.entries.find(id);
+  if (entry == directory.entries.end() ||
+      entry->second.server.state == announced_state::gone ||
+      now - entry->second.heard_at > limits.silence ||
+      record_of(state, id).ejected_until > now) {
+    return nullptr;
+  }
+  return &entry->second.server;
+}
+
+// Where the shared parts probably are, if not at the chosen server: where this
+// router sent them last, or else at their home. candidates are in home order.
+const announced_server* find_copy(const server_directory& directory,
+                                  const dispatch_state& state,
+                                  const dispatch_request& request,
+                                  const dispatch_limits& limits,
+                                  const std::vector<candidate>& candidates,
+                                  const announced_server& chosen, time_point now) {
+  const auto place = state.places.find(home_key(request.prompt));
+  if (place != state.places.end() && now - place->second.sent_at <= kept_for) {
+    return place->second.server == chosen.id
+               ? nullptr
+               : find_holder(directory, state, place->second.server, limits, now);
+  }
+  const auto* home = candidates.front().server;
+  return home->id == chosen.id ? nullptr : home;
+}
+
 std::uint64_t capacity(const candidate& it, const dispatch_request& request,
                        const dispatch_limits& limits) {
   const auto slots = request.batch.slots != 0 ? request.batch.slots : it.server->slots;
@@ -212,7 +248,7 @@
   if (!request.prompt.empty()) {
     // The mean counts this request as well.
     const double with_this = out.mean_load + 1.0 / static_cast<double>(list.size());
-    const double bound = std::max(min_bound, limits.bound * with_this + 1);
+    const double bound = limits.bound * with_this + load_slack;
     chosen = choose_home(with_room, request, bound, out.reason);
   }
   if (chosen == nullptr) {
@@ -224,6 +260,10 @@
   }
   out.server = chosen->server;
   out.load = chosen->load;
+  if (!request.prompt.empty()) {
+    out.copy_from =
+        find_copy(directory, state, request, limits, with_room, *out.server, now);
+  }
   return out;
 }
 
@@ -233,6 +273,17 @@
   own.tokens += tokens;
 }
 
+void note_prompt_sent(dispatch_state& state, const std::vector<prompt_part>& prompt,
+                      const std::string& id, time_point now) {
+  if (state.places.size() >= max_places) {
+    std::erase_if(state.places,
+                  [&](const auto& it) { return now - it.second.sent_at > kept_for; });
+  }
+  if (!prompt.empty() && state.places.size() < max_places) {
+    state.places[home_key(prompt)] = {id, now};
+  }
+}
+
 void note_finished(dispatch_state& state, const std::string& id, std::uint64_t tokens) {
   auto& own = state.records[id].own;
   own.requests -= std::min(own.requests, 1U);
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -16,7 +16,8 @@
 constexpr auto ack_interval = duration(400);
 // Three heartbeats of a control process are missing.
 constexpr auto silence_limit = duration(1500);
-constexpr auto connect_timeout = duration(1000);
+// The kernel repeats a lost opening packet after a second only.
+constexpr auto connect_timeout = duration(250);
 constexpr auto retry_delay = duration(250);
 // Followers hear of a commit with the next heartbeat of 75 ms.
 constexpr auto leader_delay = duration(150);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -105,6 +105,41 @@
   CHECK(most <= 2 * 400 / 9 + 3);
 }
 
+TEST_CASE("a prompt that leaves its home copies its shared parts from there") {
+  auto it = make_fleet(9, 64);
+  const auto request = prompt_request(42);
+  const auto home = choose(it, request);
+  CHECK(home.copy_from == nullptr);
+  it.state.records[home.server->id].others = {60, 0};
+  const auto away = choose(it, request);
+  REQUIRE(away.copy_from != nullptr);
+  CHECK(away.copy_from->id == home.server->id);
+  // From now on the parts are at both.
+  note_prompt_sent(it.state, request.prompt, away.server->id, start);
+  CHECK(choose(it, request).copy_from == nullptr);
+  it.state.records[home.server->id].others = {};
+  const auto back = choose(it, request);
+  CHECK(back.server == home.server);
+  REQUIRE(back.copy_from != nullptr);
+  CHECK(back.copy_from->id == away.server->id);
+}
+
+TEST_CASE("parts are copied from a server that drains, but not from one that is lost") {
+  auto it = make_fleet(9, 64);
+  const auto request = prompt_request(42);
+  const auto home = choose(it, request).server->id;
+  note_prompt_sent(it.state, request.prompt, home, start);
+  auto leaving = it.directory.entries.at(home).server;
+  leaving.state = announced_state::draining;
+  ++leaving.sequence;
+  observe(it.directory, leaving, duration(0), start);
+  REQUIRE(choose(it, request).copy_from != nullptr);
+  CHECK(choose(it, request).copy_from->id == home);
+  leaving.state = announced_state::gone;
+  observe(it.directory, leaving, duration(0), start);
+  CHECK(choose(it, request).copy_from == nullptr);
+}
+
 TEST_CASE("requests of other routers count") {
   auto it = make_fleet(2, 64);
   const auto home = choose(it, prompt_request(42)).server->id;
--- a/tests/platform_messages_test.cpp
+++ b/tests/platform_messages_test.cpp
@@ -203,6 +203,13 @@
   }
 }
 
+TEST_CASE("a server is told where to copy a prompt's parts from") {
+  platform::attempt_fields added;
+  added.copy_from = "10.0.0.9:80";
+  const auto text = platform::make_backend_request(make_head({}), "", added);
+  CHECK(text.find("Kv-Fetch: 10.0.0.9:80\r\n") != std::string::npos);
+}
+
 TEST_CASE("a resumed stream replaces the caller's last event") {
   const auto head = make_head({{"Last-Event-Id", "3"}});
   platform::attempt_fields added;
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -90,7 +90,8 @@
 }
 
 TEST_CASE("a refusal's delay is short against the time left, and spread") {
-  const dispatch_choice full{nullptr, dispatch_reason::all_full, 0, 0, 0};
+  dispatch_choice full;
+  full.reason = dispatch_reason::all_full;
   std::set<duration> seen;
   for (std::uint64_t ticket = 0; ticket < 100; ++ticket) {
     const auto delay = refusal_delay(full, duration(3000), ticket * 7919);
--- a/tools/control/peers.cpp
+++ b/tools/control/peers.cpp
@@ -10,8 +10,9 @@
 namespace {
 
 constexpr auto reconnect_delay = duration(100);
-// A silently isolated VM answers nothing; slower connects count as failed.
-constexpr auto connect_timeout = duration(1000);
+// A silently isolated VM answers nothing, and the kernel repeats a lost opening
+// packet after a second only; slower connects count as failed.
+constexpr auto connect_timeout = duration(300);
 constexpr auto introduction_interval = duration(1000);
 // A process that doesn't read gets no more messages until it does; the
 // algorithm repeats what it needs.
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -28,8 +28,10 @@
 // A caller that reads slowly holds at most this much of its answer here.
 constexpr std::size_t pause_above_bytes = 256U << 10U;
 constexpr std::size_t resume_below_bytes = 64U << 10U;
-// Until the first configuration or server is known.
-constexpr auto start_retry = duration(500);
+// A restarted fleet has its first configuration about a second later; callers
+// come back spread over the second part.
+constexpr auto start_retry = duration(900);
+constexpr std::uint64_t start_retry_spread_ms = 300;
 // After a server refused: others had no room a moment ago either.
 constexpr auto refused_retry = duration(200);
 // Another gateway takes the request.
@@ -65,11 +67,12 @@
 }
 
 void relay::start() {
+  call_ = platform::parse_call(request_.head);
   if (!table_) {
-    answer_not_run("no configuration yet", start_retry);
+    const auto spread = stable_hash(call_.request_id, 1) % start_retry_spread_ms;
+    answer_not_run("no configuration yet", start_retry + duration(spread));
     return;
   }
-  call_ = platform::parse_call(request_.head);
   if (!find_target()) {
     return;
   }
@@ -145,19 +148,27 @@
   attempt it;
   it.server = server;
   it.tokens = std::uint64_t{call_.prompt_tokens} + call_.answer_tokens;
-  io::log_decision({call_.request_id,
-                    "route",
-                    server.id,
-                    std::string(name(choice.reason)),
-                    {"load:" + std::to_string(choice.load),
-                     "candidates:" + std::to_string(choice.candidates),
-                     "routing:" + std::to_string(table_->config.version)}});
+  io::log_decision(
+      {call_.request_id,
+       "route",
+       server.id,
+       std::string(name(choice.reason)),
+       {"load:" + std::to_string(choice.load),
+        "candidates:" + std::to_string(choice.candidates),
+        "routing:" + std::to_string(table_->config.version),
+        "copy_from:" +
+            (choice.copy_from == nullptr ? std::string("none") : choice.copy_from->id)}});
   platform::attempt_fields added;
   added.server_id = server.id;
   added.workspace = workspace_;
   added.time_left = std::max(duration(1), time_left());
   if (route_->has_prompts) {
     added.priority = priority_;
+    note_prompt_sent(owner_.dispatch, call_.prompt, server.id, io::now());
+  }
+  if (choice.copy_from != nullptr) {
+    added.copy_from =
+        choice.copy_from->host + ":" + std::to_string(choice.copy_from->port);
   }
   if (answering_) {
     added.last_event = events_.last_event;
