--- a/src/raft.cpp
+++ b/src/raft.cpp
@@ -40,6 +40,10 @@
   node.durable_index = last_index(node.log);
   node.durable_term = node.state.term;
   reset_election_deadline(node, now);
+  // A group that restarted as a whole has no leader to wait for, and pre-votes
+  // protect one that is alive.
+  constexpr int first_deadline_divisor = 2;
+  node.election_deadline = now + (node.election_deadline - now) / first_deadline_divisor;
   return node;
 }
 
