--- a/include/marigoldstep/io/program.h
+++ b/include/marigoldstep/io/program.h
@@ -34,6 +34,10 @@
 bool load_settings(const std::string& path,
                    const std::function<void(yaml_mapping&)>& parse);
 
+// Keeps SIGTERM, SIGINT and SIGHUP waiting until handlers for them are installed,
+// so that none ends the process while it starts. To be called first in main().
+void hold_signals();
+
 // Calls stop once on SIGTERM or SIGINT, from the event loop.
 void on_stop_signal(std::function<void()> stop);
 
--- /dev/null
+++ b/scripts/lib/soak_servers.py
@@ -0,0 +1,164 @@
+"""Backend servers of the soak, the loopback proxies before them, and what they saw."""
+import asyncio
+import collections
+import json
+import random
+import time
+
+REPORT_INTERVAL_S = 0.5
+SLOTS = 16
+
+
+async def read_message(reader):
+    """Returns (first line, headers, body) of one HTTP message with a length."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if ": " in line:
+            name, value = line.split(": ", 1)
+            headers[name.lower()] = value
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return lines[0], headers, body
+
+
+class Proxy:
+    """Forwards TCP connections to a port and harms them on demand."""
+
+    def __init__(self, port):
+        self.port = port
+        self.mode = "pass"
+        self.delay_s = 0.0
+        self.writers = set()
+
+    async def start(self, host):
+        self.server = await asyncio.start_server(self.accept, host, 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def accept(self, reader, writer):
+        try:
+            up_reader, up_writer = await asyncio.open_connection("127.0.0.1", self.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, up_writer}
+        await asyncio.gather(self.pump(reader, up_writer, "up"), self.pump(up_reader, writer, "down"))
+        self.writers -= {writer, up_writer}
+
+    async def pump(self, reader, writer, direction):
+        try:
+            while data := await reader.read(65536):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                while self.mode == "silent" or self.mode == "one_way_" + direction:
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        writer.close()
+
+    def reset(self):
+        for it in list(self.writers):
+            it.transport.abort()
+
+
+class Server:
+    """One backend server: counts runs by request id and misbehaves now and then."""
+
+    def __init__(self, fleet, name, service, seed):
+        self.fleet, self.name, self.service = fleet, name, service
+        self.random = random.Random(seed)
+        self.started = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = "ready"
+        self.misbehaves = 0.0  # share of requests
+        self.alive = True
+
+    async def start(self):
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.proxy = Proxy(self.listener.sockets[0].getsockname()[1])
+        self.address = "127.0.0.1:%d" % await self.proxy.start("127.0.0.1")
+        self.reporter = asyncio.create_task(self.report_forever())
+
+    async def report_forever(self):
+        while self.alive:
+            await self.report()
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    async def report(self):
+        self.sequence += 1
+        body = json.dumps({
+            "service": self.service, "address": self.address, "zone": "z", "version": "v1",
+            "slots": SLOTS, "state": self.state, "warmup_left_ms": 0, "seq": self.sequence,
+            "born": self.started})
+        for host in self.random.sample(self.fleet.control_hosts, len(self.fleet.control_hosts)):
+            status, _ = await self.fleet.call(
+                host, "POST", f"/v1/Replicas.Heartbeat/{self.name}", body, limit_s=1)
+            if status == 200:
+                return True
+        return False
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                line, headers, body = await read_message(reader)
+                if not await self.answer(line, headers, writer):
+                    return
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, line, headers, writer):
+        request = headers.get("marigoldstep-request-id", "")
+        path = line.split(" ")[1]
+        head = f"Marigoldstep-Request-Id: {request}\r\nMarigoldstep-Response-Seal: s\r\n"
+        if headers.get("marigoldstep-target-instance") != self.name:
+            writer.write(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+            return True
+        bad = self.random.random() < self.misbehaves
+        kind = self.random.choice(["refuse", "lose", "truncate", "garbage", "extra", "error", "slow"])
+        if bad and kind == "refuse":
+            writer.write(("HTTP/1.1 503 Service Unavailable\r\nMarigoldstep-Not-Executed: 1\r\n"
+                          f"Marigoldstep-Request-Id: {request}\r\nContent-Length: 0\r\n\r\n").encode())
+            return True
+        self.fleet.runs[request] += 1
+        if "/stream/" in path:
+            return await self.stream(request, head, writer, bad)
+        await asyncio.sleep(self.random.uniform(0.0, 0.03) + (0.4 if bad and kind == "slow" else 0))
+        text = f"answer to {request}"
+        whole = f"HTTP/1.1 200 OK\r\n{head}Content-Length: {len(text)}\r\n\r\n{text}".encode()
+        if bad and kind in ("lose", "truncate", "garbage"):
+            writer.write({"lose": b"", "truncate": whole[:-3], "garbage": b"\x00\x01 what\r\n\r\n"}[kind])
+            return False
+        if bad and kind == "error":
+            whole = (f"HTTP/1.1 500 Internal Server Error\r\n{head}Content-Length: 3\r\n\r\nbad").encode()
+        writer.write(whole + (whole if bad and kind == "extra" else b""))
+        await writer.drain()
+        return True
+
+    async def stream(self, request, head, writer, bad):
+        writer.write(f"HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+        n = self.fleet.events_of(request)
+        for i in range(1, n + 1):
+            if bad and i == n:
+                writer.transport.abort()
+                return False
+            text = f"id: {i}\ndata: {request} {i}\n\n"
+            writer.write(f"{len(text):x}\r\n{text}\r\n".encode())
+            await asyncio.sleep(0.02)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    async def crash(self):
+        self.alive = False
+        self.reporter.cancel()
+        self.listener.close()
+        self.proxy.server.close()
+        self.proxy.reset()
+
+
+def new_run_counts():
+    return collections.Counter()
--- a/src/io/program.cpp
+++ b/src/io/program.cpp
@@ -66,6 +66,10 @@
   action.sa_handler = handler; // NOLINT(cppcoreguidelines-pro-type-union-access)
   sigemptyset(&action.sa_mask);
   sigaction(signal, &action, nullptr);
+  sigset_t released;
+  sigemptyset(&released);
+  sigaddset(&released, signal);
+  pthread_sigmask(SIG_UNBLOCK, &released, nullptr);
 }
 
 void usage_error(program_options& options, std::string_view program,
@@ -172,6 +176,15 @@
   return report.problems.empty();
 }
 
+void hold_signals() {
+  sigset_t held;
+  sigemptyset(&held);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&held, signal);
+  }
+  pthread_sigmask(SIG_BLOCK, &held, nullptr);
+}
+
 void on_stop_signal(std::function<void()> stop) {
   stop_write_fd =
       notify_in_event_loop([stop = std::move(stop), called = false]() mutable {
--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -122,6 +122,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+  io::hold_signals();
   const auto options = io::parse_program_options(
       argc, argv, program, "member of the control group of a marigoldstep fleet");
   if (options.done) {
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -56,6 +56,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+  io::hold_signals();
   const auto options = io::parse_program_options(
       argc, argv, program, "router of a marigoldstep fleet whose servers have no agents");
   if (options.done) {
