Admit control processes whose seeds don't name the leader

A new process at a new address would not even have been heard by the leader. Change: links tell the members' hosts, and a process outside of the group connects to all of them. Test: platform_control_test, "a process is admitted though its seeds don't name the leader", fails without the change.

--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -36,6 +36,8 @@
   std::function<void(std::uint64_t version, std::string text)> on_routing;
   std::function<void(const wire::ServerUpdateT&)> on_servers;
   std::function<void(const wire::FleetLoadT&)> on_fleet_load;
+  // The hosts of the group's members changed.
+  std::function<void(const std::set<std::string>&)> on_members;
   // The version in use here.
   std::function<std::uint64_t()> routing_version;
 
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -263,6 +263,9 @@
   if (status.has_leader && !members.empty() && members != members_) {
     members_ = members;
     update_targets();
+    if (on_members) {
+      on_members(members_);
+    }
   }
   fetch_newer();
 }
--- a/tests/programs/platform_control_test.cpp
+++ b/tests/programs/platform_control_test.cpp
@@ -133,8 +133,89 @@
   }
 };
 
+// Several control processes on loopback addresses with the same ports, as on VMs.
+struct control_group {
+  struct process {
+    std::unique_ptr<QTemporaryDir> folder = std::make_unique<QTemporaryDir>();
+    std::unique_ptr<control::replica> group;
+    std::unique_ptr<control::link_service> links;
+  };
+
+  std::uint16_t peer_port = gateway::test::gateway_fixture::free_address().port;
+  std::uint16_t link_port = gateway::test::gateway_fixture::free_address().port;
+  std::map<int, process> processes;
+
+  static std::string host(int i) { return "127.66.0." + std::to_string(i); }
+
+  void start(int i, int seed) {
+    control::control_settings settings;
+    auto& it = processes[i];
+    settings.data_dir = it.folder->path().toStdString();
+    settings.listen_peer = settings.advertise_peer = {host(i), peer_port};
+    settings.may_form_group = i == seed;
+    settings.repair = repair_settings{1, duration(2500), duration(1500)};
+    if (i != seed) {
+      settings.peers = {{host(seed), peer_port}};
+    }
+    it.group = std::make_unique<control::replica>(settings, nullptr);
+    it.links = std::make_unique<control::link_service>(
+        *it.group, io::link_settings{host(i), false, host(i), link_port, {host(seed)}}, 0,
+        nullptr);
+    auto* group = it.group.get();
+    it.links->on_members = [group](const std::set<std::string>& hosts) {
+      group->set_member_hosts(hosts);
+    };
+    std::error_code ec;
+    std::string detail;
+    it.group->start({host(i), link_port}, ec, detail);
+    REQUIRE_FALSE(ec);
+    REQUIRE_FALSE(it.links->listen({host(i), link_port}));
+    it.links->start();
+  }
+
+  void kill(int i) {
+    processes[i].group->stop();
+    processes.erase(i);
+  }
+
+  int leader() const {
+    for (const auto& [i, it] : processes) {
+      if (it.group->is_leader()) {
+        return i;
+      }
+    }
+    return 0;
+  }
+
+  bool is_voter(int i) const {
+    const auto at = leader();
+    if (at == 0) {
+      return false;
+    }
+    const auto& node = *processes.at(at).group->node();
+    return marigoldstep::is_voter(members(node),
+                                  processes.at(i).group->node()->identity.id);
+  }
+};
+
 } // namespace
 
+TEST_CASE("a process is admitted though its seeds don't name the leader") {
+  test_application();
+  control_group it;
+  it.start(1, 1);
+  REQUIRE(wait_until([&] { return it.leader() == 1; }));
+  for (const int i : {2, 3}) {
+    it.start(i, 1);
+    REQUIRE(wait_until([&] { return it.is_voter(i); }));
+  }
+  it.kill(1);
+  REQUIRE(wait_until([&] { return it.leader() != 0; }));
+  const int follower = it.leader() == 2 ? 3 : 2;
+  it.start(4, follower);
+  CHECK(wait_until([&] { return it.is_voter(4); }));
+}
+
 TEST_CASE("the highest version stays, and a resend is acknowledged") {
   const control_fixture it;
   CHECK(has_status(it.read(), "503"));
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -41,6 +41,11 @@
       link_bytes_per_ms_(link_bytes_per_ms) {
   listener_.on_connection = [this](io::framed_connection* it) { accept(it); };
   peers_.on_servers = [this](const wire::ServerUpdateT& it) { handle_peer_update(it); };
+  peers_.on_members = [this](const std::set<std::string>& hosts) {
+    if (on_members) {
+      on_members(hosts);
+    }
+  };
   connect(&timer_, &QTimer::timeout, this, [this] { tick(); });
 }
 
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -28,6 +28,9 @@
   void stop();
   void set_seeds(std::vector<std::string> seeds);
 
+  // The hosts of the group's members, as other processes tell them.
+  std::function<void(const std::set<std::string>&)> on_members;
+
   // Called with true once every subscriber that is connected has acknowledged, or
   // with false after the time given.
   using settled_callback = std::function<void(bool)>;
--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -32,6 +32,9 @@
               settings.link_bytes_per_ms, nullptr),
         api(group, links, nullptr) {
     group.on_changed = [this] { links.handle_state_changed(); };
+    links.on_members = [&group](const std::set<std::string>& hosts) {
+      group.set_member_hosts(hosts);
+    };
   }
 
   std::error_code start(const control::control_settings& settings) {
--- a/tools/control/replica.cpp
+++ b/tools/control/replica.cpp
@@ -225,6 +225,13 @@
   if (!is_member || settings_.repair) {
     targets.insert(settings_.peers.begin(), settings_.peers.end());
   }
+  // The leader may be none of the seeds: only it admits a process, and only over a
+  // connection to it do the process's replies arrive.
+  if (!is_member) {
+    for (const auto& host : member_hosts_) {
+      targets.insert({host, settings_.advertise_peer.port});
+    }
+  }
   targets.erase(settings_.advertise_peer);
   network_.set_targets(std::move(targets));
   network_.introduce_as({node_->identity.id, settings_.advertise_peer,
--- a/tools/control/replica.h
+++ b/tools/control/replica.h
@@ -52,6 +52,9 @@
   }
   // Other processes to look for while this one belongs to no group.
   void set_seeds(std::vector<io::endpoint> seeds);
+  // Hosts of the group that this process may not belong to yet; all of them have the
+  // same port for members.
+  void set_member_hosts(const std::set<std::string>& hosts);
   // Voters that the group needs to bear the losses of the settings.
   [[nodiscard]] std::size_t wanted_voters() const;
 
@@ -134,7 +137,8 @@
   std::uint64_t next_token_ = 1;
   repair_view repair_;
   time_point repair_at_{};
-  time_point return_at_{}; // when the storage is tried again after a failure
+  std::set<std::string> member_hosts_; // as told over the links
+  time_point return_at_{};             // when the storage is tried again after a failure
 };
 
 // Log entries that make a text the accepted version 1.
--- a/tools/control/replica_requests.cpp
+++ b/tools/control/replica_requests.cpp
@@ -157,6 +157,13 @@
   }
 }
 
+void replica::set_member_hosts(const std::set<std::string>& hosts) {
+  member_hosts_ = hosts;
+  if (node_ && !out_of_service_) {
+    update_targets();
+  }
+}
+
 std::size_t replica::wanted_voters() const {
   return settings_.repair ? marigoldstep::wanted_voters(*settings_.repair) : 1;
 }
