--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -81,6 +81,7 @@
   void read_answer();
   void handle_end();
   void fail(exchange_failure why);
+  void end_exchange();
   void clear_callbacks();
   [[nodiscard]] bool ended_in_order() const;
 
@@ -107,9 +108,8 @@
 
   duration connect_timeout{400};
 
-  // An idle connection that stays open for at least the margin, or a new one.
-  // only_new: the request must not meet a connection that the server closes.
-  backend_connection* acquire(const endpoint& target, bool only_new);
+  // An idle connection that its server keeps open for a second longer, or a new one.
+  backend_connection* acquire(const endpoint& target);
   // Gives a connection back after a whole answer. The server keeps it open for
   // idle_timeout.
   void release(backend_connection* connection, duration idle_timeout);
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -191,16 +191,21 @@
       continue;
     }
     keep_alive_ = parser_.head().keep_alive;
-    busy_ = false;
-    const auto done = std::move(on_done);
-    clear_callbacks();
-    if (done) {
-      done();
-    }
+    end_exchange();
     return;
   }
 }
 
+// The callback may send the next request, so the old ones are dropped before.
+void backend_connection::end_exchange() {
+  busy_ = false;
+  const auto done = std::move(on_done);
+  clear_callbacks();
+  if (done) {
+    done();
+  }
+}
+
 // The server closed its side in order: the end of an answer without a length.
 void backend_connection::handle_end() {
   if (state_ == state::closed) {
@@ -216,12 +221,7 @@
     parser_.finish(ec);
     if (!ec && ended_in_order()) {
       state_ = state::closed;
-      busy_ = false;
-      const auto done = std::move(on_done);
-      clear_callbacks();
-      if (done) {
-        done();
-      }
+      end_exchange();
       return;
     }
   }
@@ -281,10 +281,10 @@
   timer->start(expire_interval);
 }
 
-backend_connection* backend_pool::acquire(const endpoint& target, bool only_new) {
+backend_connection* backend_pool::acquire(const endpoint& target) {
   auto& list = idle_[target];
   const auto now = io::now();
-  while (!only_new && !list.empty()) {
+  while (!list.empty()) {
     const auto it = list.back();
     list.pop_back();
     it.connection->on_idle_end = nullptr;
--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -32,7 +32,7 @@
   scripted_server server({script});
   backend_pool pool(nullptr);
   exchange_result result;
-  auto* connection = pool.acquire(server.address(), false);
+  auto* connection = pool.acquire(server.address());
   watch(*connection, result);
   connection->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", false);
   REQUIRE(wait_until([&] { return result.ended(); }));
@@ -83,7 +83,7 @@
   }
   backend_pool pool(nullptr);
   exchange_result result;
-  auto* connection = pool.acquire(target, false);
+  auto* connection = pool.acquire(target);
   watch(*connection, result);
   connection->send("GET / HTTP/1.1\r\n\r\n", false);
   REQUIRE(wait_until([&] { return result.ended(); }));
@@ -97,7 +97,7 @@
                    "HTTP/1.1 200 OK\r\nX: mine\r\nContent-Length: 4\r\n\r\ngood")}});
   backend_pool pool(nullptr);
   exchange_result result;
-  auto* connection = pool.acquire(server.address(), false);
+  auto* connection = pool.acquire(server.address());
   watch(*connection, result);
   connection->on_head = [&](const http_head& head) {
     if (*find_field(head, "X") == "other") {
@@ -117,13 +117,13 @@
   scripted_server server({{write_text(answer), pause_script(50), write_text(extra)}});
   backend_pool pool(nullptr);
   exchange_result result;
-  auto* first = pool.acquire(server.address(), false);
+  auto* first = pool.acquire(server.address());
   watch(*first, result);
   first->send("GET / HTTP/1.1\r\n\r\n", false);
   REQUIRE(wait_until([&] { return result.ended(); }));
   pool.release(first, duration(5000));
   run_event_loop(std::chrono::milliseconds(150));
-  auto* second = pool.acquire(server.address(), false);
+  auto* second = pool.acquire(server.address());
   CHECK((pool.connects() == 1) == extra.empty());
   pool.discard(second);
 }
--- a/tests/programs/gateway_test.cpp
+++ b/tests/programs/gateway_test.cpp
@@ -120,7 +120,7 @@
   CHECK(answer.ends_with("again"));
 }
 
-TEST_CASE("a server's own failure reaches the caller with its seal") {
+TEST_CASE("a server's own failure reaches the caller with its signature") {
   gateway_fixture it({{{write_text(answer_text("bad", "500 Internal Server Error"))}}});
   const auto answer = ask(it, request_text("POST", "/once/", "r1", "", "x"), "bad");
   CHECK(starts_with_status(answer, "500"));
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -174,8 +174,7 @@
     added.last_event = events_.last_event;
     events_.partial.clear();
   }
-  // A request that may not be repeated must not meet a closing connection.
-  it.connection = owner_.pool.acquire({server.host, server.port}, false);
+  it.connection = owner_.pool.acquire({server.host, server.port});
   it.connection->on_head = [this](const io::http_head& head) { handle_head(head); };
   it.connection->on_body = [this](std::string piece) { handle_body(std::move(piece)); };
   it.connection->on_done = [this] { handle_done(); };
