Charge what follows a wrong server to the retry budget, and stop after the second

Cause, found in reading: a 421 counted neither as an attempt nor as a repeat, though the server sees an arrival, and the condition under the comment "two servers in a row" looked at lost connects. Two new cases of relay_policy_test failed before.

--- a/include/marigoldstep/relay_policy.h
+++ b/include/marigoldstep/relay_policy.h
@@ -57,6 +57,7 @@
   std::uint32_t max_attempts = 1;
   std::uint32_t sent = 0;          // attempts whose request was sent to a server
   std::uint32_t lost_connects = 0; // attempts that got no connection
+  std::uint32_t wrong_servers = 0; // attempts that met another server
   bool may_have_run = false;       // of any attempt
   time_point deadline{};
 };
@@ -70,10 +71,13 @@
 namespace detail {
 // Connections are cheap to try; more than this many say that the service is down.
 inline constexpr std::uint32_t max_lost_connects = 3;
+// One address may just have changed hands; a second says that the list is out of
+// date.
+inline constexpr std::uint32_t max_wrong_servers = 2;
 // With less time left another attempt can't bring an answer.
 inline constexpr duration min_time_left{20};
 
-bool has_attempts_left(const relay_state& state, attempt_end end, time_point now);
+bool has_attempts_left(const relay_state& state, time_point now);
 void count_end(relay_state& state, attempt_end end);
 relay_step give_up(const relay_state& state, attempt_end end);
 } // namespace detail
@@ -83,11 +87,11 @@
                   Budget budget_left) {
   detail::count_end(state, end);
   const bool safe = !state.may_have_run || is_repeatable(state.kind);
-  if (!safe || !detail::has_attempts_left(state, end, now)) {
+  if (!safe || !detail::has_attempts_left(state, now)) {
     return detail::give_up(state, end);
   }
   // A request that no server received isn't a repeat.
-  const bool is_repeat = state.sent > 0;
+  const bool is_repeat = state.sent + state.wrong_servers > 0;
   if (is_repeat && !budget_left()) {
     return detail::give_up(state, end);
   }
--- a/src/relay_policy.cpp
+++ b/src/relay_policy.cpp
@@ -39,20 +39,19 @@
 void count_end(relay_state& state, attempt_end end) {
   if (end == attempt_end::not_connected) {
     ++state.lost_connects;
-  } else if (end != attempt_end::wrong_server) {
+  } else if (end == attempt_end::wrong_server) {
+    ++state.wrong_servers;
+  } else {
     ++state.sent;
   }
   state.may_have_run =
       state.may_have_run || end == attempt_end::failed || end == attempt_end::broken;
 }
 
-bool has_attempts_left(const relay_state& state, attempt_end end, time_point now) {
-  if (state.deadline - now < min_time_left || state.lost_connects >= max_lost_connects) {
-    return false;
-  }
-  // Two servers in a row at taken addresses: the list is out of date.
-  const bool list_is_stale = end == attempt_end::wrong_server && state.lost_connects > 0;
-  return state.sent < state.max_attempts && !list_is_stale;
+bool has_attempts_left(const relay_state& state, time_point now) {
+  return state.deadline - now >= min_time_left &&
+         state.lost_connects < max_lost_connects &&
+         state.wrong_servers < max_wrong_servers && state.sent < state.max_attempts;
 }
 
 relay_step give_up(const relay_state& state, attempt_end end) {
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -48,6 +48,17 @@
   CHECK(after(state, attempt_end::not_connected) == relay_step::answer_not_run);
 }
 
+TEST_CASE("a second server at a wrong address says that the list is out of date") {
+  auto state = make_state(route_kind::once, 1);
+  CHECK(after(state, attempt_end::wrong_server) == relay_step::try_again);
+  CHECK(after(state, attempt_end::wrong_server) == relay_step::answer_not_run);
+}
+
+TEST_CASE("what follows a wrong server draws on the budget like any repeat") {
+  auto state = make_state(route_kind::once, 1);
+  CHECK(after(state, attempt_end::wrong_server, false) == relay_step::answer_not_run);
+}
+
 TEST_CASE("a repeatable request is sent again within attempts and budget") {
   auto state = make_state(route_kind::repeatable, 2);
   CHECK(after(state, attempt_end::broken) == relay_step::try_again);
