--- a/include/marigoldstep/io/program.h
+++ b/include/marigoldstep/io/program.h
@@ -34,6 +34,17 @@
 bool load_settings(const std::string& path,
                    const std::function<void(yaml_mapping&)>& parse);
 
+// How every daemon begins: parse_program_options(), and the settings through parse.
+// With done set the process ends with exit_status: after a usage error, with
+// settings that can't be used, or when --check-config asked for no more.
+program_options start_program(int argc, const char* const* argv, std::string_view program,
+                              std::string_view summary,
+                              const std::function<void(yaml_mapping&)>& parse);
+
+// Reads changed settings and logs whether they can be used.
+bool reload_settings(const std::string& path,
+                     const std::function<void(yaml_mapping&)>& parse);
+
 // Keeps SIGTERM, SIGINT and SIGHUP waiting until handlers for them are installed,
 // so that none ends the process while it starts. To be called first in main().
 void hold_signals();
--- a/src/io/program.cpp
+++ b/src/io/program.cpp
@@ -1,5 +1,6 @@
 #include "marigoldstep/io/program.h"
 
+#include "marigoldstep/io/logging.h"
 #include "marigoldstep/io/tls.h"
 
 #include <QCoreApplication>
@@ -176,6 +177,27 @@
   return report.problems.empty();
 }
 
+program_options start_program(int argc, const char* const* argv, std::string_view program,
+                              std::string_view summary,
+                              const std::function<void(yaml_mapping&)>& parse) {
+  auto options = parse_program_options(argc, argv, program, summary);
+  if (options.done) {
+    return options;
+  }
+  const bool valid = load_settings(options.config_path, parse);
+  options.done = !valid || options.check_only;
+  options.exit_status = valid ? exit_ok : exit_bad_usage;
+  return options;
+}
+
+bool reload_settings(const std::string& path,
+                     const std::function<void(yaml_mapping&)>& parse) {
+  const bool valid = load_settings(path, parse);
+  log_event(valid ? log_level::info : log_level::error, "settings_reloaded",
+            {{"valid", valid ? "true" : "false"}});
+  return valid;
+}
+
 void hold_signals() {
   sigset_t held;
   sigemptyset(&held);
--- a/tools/agent/main.cpp
+++ b/tools/agent/main.cpp
@@ -9,23 +9,15 @@
   using namespace marigoldstep;
   // Gives the last frames to the routers time to leave the socket buffers.
   static constexpr auto flush_time = std::chrono::milliseconds(100);
-  const auto options = io::parse_program_options(
+  agent::agent_settings settings;
+  const auto options = io::start_program(
       argc, argv, "mstep-agent",
       "the process beside a backend server: load limits, fairness, draining, "
-      "at-most-once claims");
+      "at-most-once claims",
+      [&](yaml_mapping& map) { settings = agent::parse_agent_settings(map); });
   if (options.done) {
     return options.exit_status;
   }
-  agent::agent_settings settings;
-  const bool usable = io::load_settings(options.config_path, [&](yaml_mapping& map) {
-    settings = agent::parse_agent_settings(map);
-  });
-  if (!usable) {
-    return io::exit_bad_usage;
-  }
-  if (options.check_only) {
-    return io::exit_ok;
-  }
   QCoreApplication app(argc, argv);
   io::start_logging("mstep-agent", settings.node_id, settings.log_level,
                     settings.log_file);
--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -57,11 +57,9 @@
                     direct_parts& parts) {
   io::on_reload(path, [&group, &parts, path] {
     control::control_settings changed;
-    const bool valid = io::load_settings(
-        path, [&](yaml_mapping& map) { changed = control::parse_control_settings(map); });
-    io::log_event(valid ? io::log_level::info : io::log_level::error, "settings_reloaded",
-                  {{"valid", valid ? "true" : "false"}});
-    if (valid) {
+    if (io::reload_settings(path, [&](yaml_mapping& map) {
+          changed = control::parse_control_settings(map);
+        })) {
       group.set_seeds(changed.peers);
       parts.links.set_seeds(io::hosts_of(changed.peers));
     }
@@ -126,21 +124,13 @@
 
 int main(int argc, char** argv) {
   io::hold_signals();
-  const auto options = io::parse_program_options(
-      argc, argv, program, "member of the control group of a marigoldstep fleet");
+  control::control_settings settings;
+  const auto options = io::start_program(
+      argc, argv, program, "member of the control group of a marigoldstep fleet",
+      [&](yaml_mapping& map) { settings = control::parse_control_settings(map); });
   if (options.done) {
     return options.exit_status;
   }
-  control::control_settings settings;
-  const bool valid = io::load_settings(options.config_path, [&](yaml_mapping& map) {
-    settings = control::parse_control_settings(map);
-  });
-  if (!valid) {
-    return io::exit_bad_usage;
-  }
-  if (options.check_only) {
-    return io::exit_ok;
-  }
   const QCoreApplication app(argc, argv);
   return run(options.config_path, settings);
 }
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -35,11 +35,9 @@
        {"zone", settings.zone}});
   io::on_reload(path, [&] {
     gateway::gateway_settings changed;
-    const bool valid = io::load_settings(
-        path, [&](yaml_mapping& map) { changed = gateway::parse_gateway_settings(map); });
-    io::log_event(valid ? io::log_level::info : io::log_level::error, "settings_reloaded",
-                  {{"valid", valid ? "true" : "false"}});
-    if (valid) {
+    if (io::reload_settings(path, [&](yaml_mapping& map) {
+          changed = gateway::parse_gateway_settings(map);
+        })) {
       gateway.apply(changed);
     }
   });
@@ -57,21 +55,13 @@
 
 int main(int argc, char** argv) {
   io::hold_signals();
-  const auto options = io::parse_program_options(
-      argc, argv, program, "router of a marigoldstep fleet whose servers have no agents");
+  gateway::gateway_settings settings;
+  const auto options = io::start_program(
+      argc, argv, program, "router of a marigoldstep fleet whose servers have no agents",
+      [&](yaml_mapping& map) { settings = gateway::parse_gateway_settings(map); });
   if (options.done) {
     return options.exit_status;
   }
-  gateway::gateway_settings settings;
-  const bool valid = io::load_settings(options.config_path, [&](yaml_mapping& map) {
-    settings = gateway::parse_gateway_settings(map);
-  });
-  if (!valid) {
-    return io::exit_bad_usage;
-  }
-  if (options.check_only) {
-    return io::exit_ok;
-  }
   const QCoreApplication app(argc, argv);
   return run(options.config_path, settings);
 }
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -8,22 +8,15 @@
 using namespace marigoldstep;
 
 int main(int argc, char** argv) {
-  const auto options =
-      io::parse_program_options(argc, argv, "mstep-load",
-                                "sends returning chats and service calls and checks "
-                                "every answer byte for byte");
+  load::load_settings settings;
+  const auto options = io::start_program(
+      argc, argv, "mstep-load",
+      "sends returning chats and service calls and checks "
+      "every answer byte for byte",
+      [&](yaml_mapping& map) { settings = load::parse_load_settings(map); });
   if (options.done) {
     return options.exit_status;
   }
-  load::load_settings settings;
-  if (!io::load_settings(options.config_path, [&](yaml_mapping& map) {
-        settings = load::parse_load_settings(map);
-      })) {
-    return io::exit_bad_usage;
-  }
-  if (options.check_only) {
-    return io::exit_ok;
-  }
   QCoreApplication app(argc, argv);
   load::runner run(settings, &app);
   run.on_done = [&settings](const load::load_report& report) {
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -9,22 +9,13 @@
 using namespace marigoldstep;
 
 int main(int argc, char** argv) {
-  const auto options = io::parse_program_options(
-      argc, argv, "mstep-router", "routes callers' requests to backend servers");
+  router::router_settings settings;
+  const auto options = io::start_program(
+      argc, argv, "mstep-router", "routes callers' requests to backend servers",
+      [&](yaml_mapping& map) { settings = router::parse_settings(map); });
   if (options.done) {
     return options.exit_status;
   }
-  router::router_settings settings;
-  const bool usable =
-      io::load_settings(options.config_path, [&settings](yaml_mapping& map) {
-        settings = router::parse_settings(map);
-      });
-  if (!usable) {
-    return io::exit_bad_usage;
-  }
-  if (options.check_only) {
-    return io::exit_ok;
-  }
   const QCoreApplication app(argc, argv);
   io::start_logging("mstep-router", settings.node_id,
                     io::parse_log_level(settings.log_level), settings.log_file);
--- a/tools/stand_in/main.cpp
+++ b/tools/stand_in/main.cpp
@@ -21,20 +21,13 @@
 } // namespace
 
 int main(int argc, char** argv) {
-  const auto options = io::parse_program_options(
-      argc, argv, "mstep-stand-in", "stands in for a model engine or a plain service");
+  stand_in::stand_in_settings settings;
+  const auto options = io::start_program(
+      argc, argv, "mstep-stand-in", "stands in for a model engine or a plain service",
+      [&](yaml_mapping& map) { settings = stand_in::parse_stand_in_settings(map); });
   if (options.done) {
     return options.exit_status;
   }
-  stand_in::stand_in_settings settings;
-  if (!io::load_settings(options.config_path, [&](yaml_mapping& map) {
-        settings = stand_in::parse_stand_in_settings(map);
-      })) {
-    return io::exit_bad_usage;
-  }
-  if (options.check_only) {
-    return io::exit_ok;
-  }
   QCoreApplication app(argc, argv);
   io::start_logging("mstep-stand-in", settings.node_id, settings.log_level,
                     settings.log_file);
