Name HTTP statuses once, and remove what nothing used

Cause: the same statuses were constants in four files; the pool counted open connections that nobody asked for, and a text's "confirmed" was never read.

--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -117,7 +117,6 @@
   // Closes idle connections to servers that left.
   void drop(const endpoint& target);
 
-  [[nodiscard]] std::size_t open_connections(const endpoint& target) const;
   [[nodiscard]] std::uint64_t connects() const { return connects_; }
 
 private:
@@ -130,7 +129,6 @@
   void remove_idle(backend_connection* connection);
 
   std::map<endpoint, std::vector<idle_connection>> idle_;
-  std::map<endpoint, std::size_t> open_;
   std::uint64_t connects_ = 0;
 };
 
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -1,6 +1,7 @@
 #include "marigoldstep/io/backend_pool.h"
 
 #include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/http_status.h"
 
 #include <QHostAddress>
 #include <QPointer>
@@ -162,8 +163,7 @@
     if (!parser_.has_head()) {
       return;
     }
-    constexpr unsigned first_final_status = 200;
-    const bool is_interim = parser_.head().status < first_final_status;
+    const bool is_interim = parser_.head().status < http_status::ok;
     if (!head_told_ && !is_interim) {
       head_told_ = true;
       if (!parser_.is_done() && !parser_.head().length && !parser_.head().is_chunked) {
@@ -294,7 +294,6 @@
     discard(it.connection);
   }
   ++connects_;
-  ++open_[target];
   return new backend_connection(target, connect_timeout, this);
 }
 
@@ -318,8 +317,6 @@
 void backend_pool::discard(backend_connection* connection) {
   connection->on_idle_end = nullptr;
   connection->abort();
-  auto& open = open_[connection->target()];
-  open -= std::min<std::size_t>(open, 1);
   connection->deleteLater();
 }
 
@@ -331,11 +328,6 @@
   }
 }
 
-std::size_t backend_pool::open_connections(const endpoint& target) const {
-  const auto it = open_.find(target);
-  return it == open_.end() ? 0 : it->second;
-}
-
 void backend_pool::expire() {
   const auto now = io::now();
   std::vector<backend_connection*> ended;
@@ -351,7 +343,6 @@
     discard(it);
   }
   std::erase_if(idle_, [](const auto& it) { return it.second.empty(); });
-  std::erase_if(open_, [](const auto& it) { return it.second == 0; });
 }
 
 } // namespace marigoldstep::io
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "marigoldstep/error.h"
 #include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/http_status.h"
 
 #include <QHostAddress>
 #include <QTimer>
@@ -23,17 +24,13 @@
 constexpr int accept_backlog = 512;
 
 unsigned status_of(std::error_code ec) {
-  constexpr unsigned bad_request = 400;
-  constexpr unsigned content_too_large = 413;
-  constexpr unsigned header_too_large = 431;
   if (ec == errc::message_too_large) {
-    return header_too_large;
+    return http_status::header_too_large;
   }
-  return ec == errc::body_too_large ? content_too_large : bad_request;
+  return ec == errc::body_too_large ? http_status::content_too_large
+                                    : http_status::bad_request;
 }
 
-constexpr unsigned request_timeout = 408;
-
 } // namespace
 
 http_connection::http_connection(QTcpSocket* socket, const http_server_limits& limits,
@@ -238,7 +235,7 @@
   } else if (phase_ == phase::reading && age > limits_.header_timeout) {
     phase_ = phase::answering;
     close_after_ = true;
-    respond(request_timeout, {}, "request timeout\n");
+    respond(http_status::request_timeout, {}, "request timeout\n");
   } else if (phase_ == phase::lingering) {
     if (socket_->bytesToWrite() == 0) {
       ::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR);
--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -83,7 +83,6 @@
     } else if (frame->body.AsFetchRouting() != nullptr) {
       wire::RoutingTextT text;
       text.version = version;
-      text.confirmed = true;
       text.packed_text = io::pack_text(routing_text(version));
       to.send(wire::encode_link(std::move(text)));
     }
--- a/tools/control/api.cpp
+++ b/tools/control/api.cpp
@@ -1,6 +1,7 @@
 #include "control/api.h"
 
 #include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/http_status.h"
 #include "marigoldstep/io/logging.h"
 #include "marigoldstep/io/packed_text.h"
 #include "platform/messages.h"
@@ -9,12 +10,6 @@
 
 namespace {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_redirect = 307;
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_unavailable = 503;
-
 // Hundreds of routes take a few hundred kilobytes.
 constexpr std::uint64_t max_body_bytes = 8U << 20U;
 
@@ -66,7 +61,8 @@
     } else {
       io::log_event(io::log_level::warning, "report_refused",
                     {{"server", call.server_id}});
-      answer_problem(to, status_bad_request, "the report describes no usable server");
+      answer_problem(to, io::http_status::bad_request,
+                     "the report describes no usable server");
     }
     return;
   case control_call::depart:
@@ -79,7 +75,7 @@
     handle_read(to);
     return;
   case control_call::unknown:
-    answer_problem(to, status_not_found, "no such call");
+    answer_problem(to, io::http_status::not_found, "no such call");
     return;
   }
 }
@@ -88,29 +84,29 @@
 // might not reach them.
 void api::handle_report(const connection& from, const announced_server& server) {
   if (!group_.is_ready()) {
-    answer_problem(from, status_unavailable, "this process follows no leader");
+    answer_problem(from, io::http_status::unavailable, "this process follows no leader");
     return;
   }
   links_.handle_report(server, [from, id = server.id](bool settled) {
     if (settled) {
-      answer(from, status_ok, "{}");
+      answer(from, io::http_status::ok, "{}");
       return;
     }
     io::log_event(io::log_level::warning, "report_not_confirmed",
                   {{"server", id}, {"reason", "a router did not acknowledge in time"}});
-    answer_problem(from, status_unavailable, "not every router knows it yet");
+    answer_problem(from, io::http_status::unavailable, "not every router knows it yet");
   });
 }
 
 void api::redirect(const connection& from, const std::string& target) {
   const auto leader = group_.leader();
   if (leader.host.empty() || group_.is_leader()) {
-    answer_problem(from, status_unavailable, "no leader");
+    answer_problem(from, io::http_status::unavailable, "no leader");
     return;
   }
   if (from) {
     from->respond(
-        status_redirect,
+        io::http_status::temporary_redirect,
         {{"Location", "http://" + leader.host + ":" + std::to_string(port_) + target}},
         "");
   }
@@ -122,7 +118,7 @@
   problem = problem.empty() ? find_problem(config) : problem;
   if (!problem.empty()) {
     io::log_event(io::log_level::warning, "routing_refused", {{"problem", problem}});
-    answer_problem(from, status_bad_request, problem);
+    answer_problem(from, io::http_status::bad_request, problem);
     return;
   }
   if (!group_.is_leader()) {
@@ -140,7 +136,8 @@
 void api::store(const connection& from, std::uint64_t version, const std::string& text) {
   group_.confirm([this, from, version, text](std::error_code ec) {
     if (ec || !can_bear_losses()) {
-      answer_problem(from, status_unavailable, ec ? ec.message() : "too few voters");
+      answer_problem(from, io::http_status::unavailable,
+                     ec ? ec.message() : "too few voters");
       return;
     }
     if (version <= group_.state().routing_version) {
@@ -155,17 +152,17 @@
     request.packed_text = io::pack_text(text);
     auto command =
         encode_command(wire::control_frame(std::move(request), 0), io::wall_clock());
-    group_.propose(std::move(command),
-                   [this, from, version](std::error_code result, const auto& /*reply*/) {
-                     io::log_event(io::log_level::info, "routing_proposed",
-                                   {{"version", std::to_string(version)},
-                                    {"result", result ? result.message() : "committed"}});
-                     if (result) {
-                       answer_problem(from, status_unavailable, result.message());
-                     } else {
-                       answer_stored(from, version);
-                     }
-                   });
+    group_.propose(std::move(command), [this, from, version](std::error_code result,
+                                                             const auto& /*reply*/) {
+      io::log_event(io::log_level::info, "routing_proposed",
+                    {{"version", std::to_string(version)},
+                     {"result", result ? result.message() : "committed"}});
+      if (result) {
+        answer_problem(from, io::http_status::unavailable, result.message());
+      } else {
+        answer_stored(from, version);
+      }
+    });
   });
 }
 
@@ -175,7 +172,7 @@
     io::log_event(io::log_level::info, "routing_acknowledged",
                   {{"version", std::to_string(version)},
                    {"in_force_everywhere", settled ? "true" : "false"}});
-    answer(from, status_ok, "{}");
+    answer(from, io::http_status::ok, "{}");
   });
 }
 
@@ -183,9 +180,11 @@
 void api::handle_read(const connection& from) {
   links_.when_state_is_newest([this, from](std::error_code ec) {
     if (ec || group_.state().routing_version == 0) {
-      answer_problem(from, status_unavailable, ec ? ec.message() : "none stored yet");
+      answer_problem(from, io::http_status::unavailable,
+                     ec ? ec.message() : "none stored yet");
     } else {
-      answer(from, status_ok, io::unpack_text(group_.state().routing_packed_text));
+      answer(from, io::http_status::ok,
+             io::unpack_text(group_.state().routing_packed_text));
     }
   });
 }
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -176,7 +176,6 @@
   const auto& state = group_.state();
   wire::RoutingTextT text;
   text.version = state.routing_version;
-  text.confirmed = subscribers_.at(connection).confirmed;
   text.packed_text = state.routing_packed_text;
   connection->send(wire::encode_link(std::move(text)));
 }
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/relay.h"
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/fleet_ports.h"
+#include "marigoldstep/io/http_status.h"
 #include "marigoldstep/io/logging.h"
 #include "platform/messages.h"
 
@@ -12,10 +13,6 @@
 
 namespace {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_unavailable = 503;
-
 // Counts of in-flight requests reach the other routers within two intervals.
 constexpr auto load_interval = std::chrono::milliseconds(200);
 // Servers that nobody heard of for this long are forgotten.
@@ -59,9 +56,10 @@
   };
   checks_.on_request = [this](io::http_connection& from,
                               const io::http_request& request) {
-    const auto status = !platform::is_ready_check(request.head) ? status_not_found
-                        : is_ready()                            ? status_ok
-                                                                : status_unavailable;
+    const auto status = !platform::is_ready_check(request.head)
+                            ? io::http_status::not_found
+                        : is_ready() ? io::http_status::ok
+                                     : io::http_status::unavailable;
     from.respond(status, {}, "");
   };
   connect(&load_timer_, &QTimer::timeout, this, [this] {
@@ -129,8 +127,8 @@
 void gateway::handle_request(io::http_connection& from, io::http_request request) {
   if (settings_.memory_bytes > 0 &&
       callers_.held_bytes() > settings_.memory_bytes / memory_share) {
-    from.respond(status_unavailable, {platform::make_retry_field(duration(500))},
-                 "out of memory\n");
+    from.respond(io::http_status::unavailable,
+                 {platform::make_retry_field(duration(500))}, "out of memory\n");
     io::log_event(io::log_level::warning, "request_refused", {{"reason", "memory"}});
     return;
   }
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/relay.h"
 
 #include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/http_status.h"
 #include "marigoldstep/io/logging.h"
 #include "platform/messages.h"
 
@@ -10,16 +11,6 @@
 
 namespace {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_redirect = 300;
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_unauthorized = 401;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_server_error = 500;
-constexpr unsigned status_bad_gateway = 502;
-constexpr unsigned status_unavailable = 503;
-constexpr unsigned status_timeout = 504;
-
 // Lets the backend server's own answer at the deadline come first.
 constexpr auto deadline_slack = duration(100);
 // Answers up to this size are read whole first, so that a broken one can still be
@@ -96,21 +87,21 @@
   const auto* host = io::find_field(request_.head, "host");
   route_ = find_route(*table_, host == nullptr ? "" : *host, request_.head.target);
   if (route_ == nullptr) {
-    answer(status_not_found, "no such route", std::nullopt);
+    answer(io::http_status::not_found, "no such route", std::nullopt);
     return false;
   }
   priority_ = route_->priority;
   if (!route_->is_public && !table_->config.workspaces.empty()) {
     const auto* workspace = find_workspace(*table_, call_.key);
     if (workspace == nullptr) {
-      answer(status_unauthorized, "unknown key", std::nullopt);
+      answer(io::http_status::unauthorized, "unknown key", std::nullopt);
       return false;
     }
     workspace_ = workspace->name;
     priority_ = workspace->priority >= 0 ? workspace->priority : *priority_;
   }
   if (call_.request_id.empty()) {
-    answer(status_bad_request, "a request id is required", std::nullopt);
+    answer(io::http_status::bad_request, "a request id is required", std::nullopt);
     return false;
   }
   service_ = pick_service(*route_, stable_hash(call_.request_id));
@@ -189,8 +180,9 @@
 
 bool relay::is_good_answer() const {
   const auto& it = *attempt_;
-  return it.head.status >= status_ok && it.head.status < status_redirect &&
-         it.facts.is_signed && io::find_field(it.head, "Content-Encoding") == nullptr;
+  return it.head.status >= io::http_status::ok &&
+         it.head.status < io::http_status::redirect && it.facts.is_signed &&
+         io::find_field(it.head, "Content-Encoding") == nullptr;
 }
 
 void relay::handle_head(const io::http_head& head) {
@@ -271,14 +263,15 @@
   if (it.facts.not_run) {
     return attempt_end::not_run;
   }
-  const bool is_success = it.head.status >= status_ok && it.head.status < status_redirect;
+  const bool is_success =
+      it.head.status >= io::http_status::ok && it.head.status < io::http_status::redirect;
   return is_success ? attempt_end::broken : attempt_end::failed;
 }
 
 void relay::handle_done() {
   if (!is_good_answer()) {
     const auto end = end_of_answer();
-    const bool is_server_error = attempt_->head.status >= status_server_error;
+    const bool is_server_error = attempt_->head.status >= io::http_status::server_error;
     if (end == attempt_end::failed && !is_server_error) {
       // The request is at fault, not the server.
       note_answer(owner_.dispatch, attempt_->server.id, false, io::now());
@@ -332,7 +325,8 @@
   const bool answered = last.has_head && end != attempt_end::broken;
   if (end == attempt_end::not_connected || end == attempt_end::broken) {
     note_broken(owner_.dispatch, last.server.id, now);
-  } else if (end == attempt_end::failed && last.head.status >= status_server_error) {
+  } else if (end == attempt_end::failed &&
+             last.head.status >= io::http_status::server_error) {
     note_answer(owner_.dispatch, last.server.id, true, now);
   }
   owner_.numbers.attempt_ended(std::string(name(end))).Increment();
@@ -369,7 +363,7 @@
   } else if (step == relay_step::answer_not_run) {
     answer_not_run(name(end), refused_retry);
   } else {
-    answer(status_bad_gateway, "the request may have run", std::nullopt);
+    answer(io::http_status::bad_gateway, "the request may have run", std::nullopt);
   }
 }
 
@@ -411,7 +405,7 @@
   } else if (answering_) {
     cut("deadline passed");
   } else if (state_.may_have_run) {
-    answer(status_timeout, "deadline passed", std::nullopt);
+    answer(io::http_status::gateway_timeout, "deadline passed", std::nullopt);
   } else {
     answer_not_run("deadline passed", refused_retry);
   }
@@ -426,15 +420,15 @@
     }
     caller_->respond(status, fields, std::string(text) + "\n");
   }
-  const bool refused = status < status_server_error;
-  finish(status == status_unavailable ? "not_run"
-         : refused                    ? "rejected"
-                                      : "unknown",
+  const bool refused = status < io::http_status::server_error;
+  finish(status == io::http_status::unavailable ? "not_run"
+         : refused                              ? "rejected"
+                                                : "unknown",
          text);
 }
 
 void relay::answer_not_run(std::string_view text, duration retry) {
-  answer(status_unavailable, text, retry);
+  answer(io::http_status::unavailable, text, retry);
 }
 
 // The caller has a part of the answer; a visible cut is all that is left.
