Number changes of servers, let routers pass them on, and tell silence in place of reports

Every control process sent the whole directory to each gateway that connected, every change to all of them as well as what the others had told, and the ids of all servers that reported, four times a second; the links were full from the start. Change: control numbers the changes of the servers that report to it (change_feed); a subscriber gets what it lacks, one message at a time, and acknowledges its place. Messages for many go to about the root of their number, which pass them on (spread, frame_forwarder); a lost one is sent again. Acknowledgements still come from each gateway itself, so confirmations of drains and versions stand on the same proof as before. Gateways hear that a server has fallen silent, not that it reports. Above 40 gateways only one control process repeats to a gateway what the others told. The leader asks for loads only when they can be told every two seconds; counts older than three seconds don't count any more, which they did for ever when the leader was lost. Texts for many take the same way. relay_policy.h had a struct of the same name as attempt.h; it is now request_progress.

--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "marigoldstep/change_feed.h"
 #include "marigoldstep/dispatch.h"
+#include "marigoldstep/io/frame_forwarder.h"
 #include "marigoldstep/io/framed_connection.h"
 #include "marigoldstep/routing.h"
 #include "marigoldstep/server_directory.h"
@@ -11,8 +13,10 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace marigoldstep::io {
@@ -20,7 +24,7 @@
 struct link_settings {
   std::string node_id;
   bool is_router = true;
-  std::string own_host;           // never connected to
+  std::string own_host;           // never connected to; other routers pass on to it
   std::uint16_t port = 0;         // of the links, the same on every control VM
   std::vector<std::string> seeds; // hosts
 };
@@ -38,10 +42,13 @@
   std::function<void(const wire::FleetLoadT&)> on_fleet_load;
   // The hosts of the group's members changed.
   std::function<void(const std::set<std::string>&)> on_members;
+  // Servers that another control process heard of without a change, by hash.
+  std::function<void(const std::vector<std::uint32_t>&)> on_heard;
   // The version in use here.
   std::function<std::uint64_t()> routing_version;
 
-  void start();
+  // Connects. A router also listens for what other routers pass on.
+  std::error_code start();
   void set_seeds(std::vector<std::string> seeds);
   // Tells the leader what this router has in flight; dropped without a leader.
   void send_load(wire::RouterLoadT load);
@@ -52,16 +59,27 @@
   void acknowledge_version();
 
   [[nodiscard]] std::size_t open_links() const;
-  // Whether some control process has told all servers that it knows.
+  // Whether all control processes that were connected at some time had told their
+  // servers.
   [[nodiscard]] bool has_servers() const { return has_servers_; }
+  // Whether a connected control process hears the server's reports.
+  [[nodiscard]] bool is_vouched(std::uint32_t server) const;
 
 private:
+  // One feed of a control process, over all connections to it.
+  struct feed_view {
+    feed_position at;
+    std::unordered_set<std::uint32_t> heard; // servers that it isn't missing
+  };
+  struct origin_view {
+    feed_view reported;
+    feed_view repeated;
+  };
   struct link {
     framed_connection* connection = nullptr;
     bool is_open = false;
     bool leads = false;
     std::uint64_t version = 0;
-    std::uint64_t update_number = 0;
     time_point heard_at{};
     time_point retry_at{};
     time_point opened_at{};
@@ -72,16 +90,22 @@
   void connect_to(const std::string& host, link& it);
   void drop(const std::string& host, std::string_view why);
   void handle_frame(const std::string& host, byte_view buf);
+  void handle_forwarded(byte_view buf);
+  void handle_update(const wire::ServerUpdateT& update);
+  [[nodiscard]] bool have_all_told() const;
+  template <typename Message> void pass_on(Message& message);
   void handle_status(const std::string& host, const wire::GroupStatusT& status);
   void handle_routing(const wire::RoutingTextT& text);
   link* find_source(time_point now);
   void fetch_newer();
-  void send_ack(link& it);
+  void send_ack(const std::string& host);
   void end_confirmations(time_point now);
 
   link_settings settings_;
   std::set<std::string> members_;
   std::map<std::string, link> links_;
+  std::map<std::string, origin_view> origins_; // by host
+  std::optional<frame_forwarder> forwarder_;   // of a router
   QTimer timer_;
   time_point ack_at_{};
   time_point fetch_until_{};
@@ -103,6 +127,9 @@
 to_wire(const std::map<std::uint32_t, load_count>& loads);
 std::map<std::uint32_t, load_count> from_wire(const wire::ServerLoadsT& loads);
 
+std::unique_ptr<wire::FeedPositionT> to_wire(const feed_position& at);
+feed_position from_wire(const std::unique_ptr<wire::FeedPositionT>& at);
+
 announced_server from_wire(const wire::AnnouncedServerT& entry);
 wire::AnnouncedServerT to_wire(const directory_entry& entry, time_point now);
 
--- a/include/marigoldstep/relay_policy.h
+++ b/include/marigoldstep/relay_policy.h
@@ -52,7 +52,7 @@
 std::string_view name(relay_step step);
 
 // The attempts of one request so far.
-struct relay_state {
+struct request_progress {
   route_kind kind = route_kind::once;
   std::uint32_t max_attempts = 1;
   std::uint32_t sent = 0;          // attempts whose request was sent to a server
@@ -65,7 +65,7 @@
 // Counts the attempt's end and decides. budget_left says whether the fleet's
 // budget allows another one; it is asked for only when it matters.
 template <typename Budget>
-relay_step decide(relay_state& state, attempt_end end, time_point now,
+relay_step decide(request_progress& state, attempt_end end, time_point now,
                   Budget budget_left);
 
 namespace detail {
@@ -77,13 +77,13 @@
 // With less time left another attempt can't bring an answer.
 inline constexpr duration min_time_left{20};
 
-bool has_attempts_left(const relay_state& state, time_point now);
-void count_end(relay_state& state, attempt_end end);
-relay_step give_up(const relay_state& state, attempt_end end);
+bool has_attempts_left(const request_progress& state, time_point now);
+void count_end(request_progress& state, attempt_end end);
+relay_step give_up(const request_progress& state, attempt_end end);
 } // namespace detail
 
 template <typename Budget>
-relay_step decide(relay_state& state, attempt_end end, time_point now,
+relay_step decide(request_progress& state, attempt_end end, time_point now,
                   Budget budget_left) {
   detail::count_end(state, end);
   const bool safe = !state.may_have_run || is_repeatable(state.kind);
--- a/include/marigoldstep/server_directory.h
+++ b/include/marigoldstep/server_directory.h
@@ -58,6 +58,11 @@
 // Notes that the server reported without a change.
 void observe_heard(server_directory& directory, const std::string& id, time_point now);
 
+// Notes that nobody has heard of the server for so long, though an earlier
+// observation said otherwise.
+void observe_silent(server_directory& directory, const std::string& id, duration silent,
+                    time_point now);
+
 // Drops entries that nobody has heard of for keep. Returns their ids.
 std::vector<std::string> forget_silent(server_directory& directory, duration keep,
                                        time_point now);
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -91,15 +91,34 @@
   return out;
 }
 
+std::unique_ptr<wire::FeedPositionT> to_wire(const feed_position& at) {
+  auto out = std::make_unique<wire::FeedPositionT>();
+  out->epoch = at.epoch;
+  out->number = at.number;
+  return out;
+}
+
+feed_position from_wire(const std::unique_ptr<wire::FeedPositionT>& at) {
+  return at ? feed_position{at->epoch, at->number} : feed_position();
+}
+
 control_links::control_links(link_settings settings, QObject* parent)
     : QObject(parent), settings_(std::move(settings)) {
   connect(&timer_, &QTimer::timeout, this, [this] { tick(); });
 }
 
-void control_links::start() {
+std::error_code control_links::start() {
+  if (settings_.is_router) {
+    forwarder_.emplace(settings_.port, nullptr);
+    forwarder_->on_frame = [this](byte_view buf) { handle_forwarded(buf); };
+    if (const auto ec = forwarder_->listen(settings_.own_host)) {
+      return ec;
+    }
+  }
   update_targets();
   tick();
   timer_.start(tick_interval);
+  return {};
 }
 
 void control_links::set_seeds(std::vector<std::string> seeds) {
@@ -122,6 +141,7 @@
   for (const auto& host : gone) {
     drop(host, "no member any more");
     links_.erase(host);
+    origins_.erase(host);
   }
   for (const auto& host : targets) {
     links_.try_emplace(host);
@@ -143,6 +163,9 @@
     hello.node_id = settings_.node_id;
     hello.router = settings_.is_router;
     hello.routing_version = routing_version ? routing_version() : 0;
+    hello.host = settings_.own_host;
+    hello.reported = to_wire(origins_[host].reported.at);
+    hello.repeated = to_wire(origins_[host].repeated.at);
     opened.connection->send(wire::encode_link(std::move(hello)));
     log_event(log_level::info, "control_link_opened", {{"host", host}});
   };
@@ -185,7 +208,7 @@
     } else if (it.is_open ? now - it.heard_at > silence_limit : now > it.retry_at) {
       silent.push_back(host);
     } else if (it.is_open && ack_now) {
-      send_ack(it);
+      send_ack(host);
     }
   }
   for (const auto& host : silent) {
@@ -195,24 +218,26 @@
   fetch_newer();
 }
 
-void control_links::send_ack(link& it) {
+void control_links::send_ack(const std::string& host) {
+  const auto& known = origins_[host];
   wire::UpdateAckT ack;
-  ack.number = it.update_number;
+  ack.reported = to_wire(known.reported.at);
+  ack.repeated = to_wire(known.repeated.at);
   ack.routing_version = routing_version ? routing_version() : 0;
-  it.connection->send(wire::encode_link(ack));
+  links_.at(host).connection->send(wire::encode_link(std::move(ack)));
 }
 
 void control_links::acknowledge_version() {
   for (auto& [host, it] : links_) {
     if (it.is_open) {
-      send_ack(it);
+      send_ack(host);
     }
   }
 }
 
 void control_links::handle_frame(const std::string& host, byte_view buf) {
   std::error_code ec;
-  const auto frame = wire::decode_link(buf, ec);
+  auto frame = wire::decode_link(buf, ec);
   if (!frame) {
     log_event(log_level::warning, "control_frame_dropped",
               {{"host", host}, {"error", ec.message()}});
@@ -223,17 +248,15 @@
   it.heard_at = io::now();
   if (const auto* status = frame->body.AsGroupStatus()) {
     handle_status(host, *status);
-  } else if (const auto* update = frame->body.AsServerUpdate()) {
-    it.update_number = update->number;
-    has_servers_ = has_servers_ || update->full;
-    if (on_servers) {
-      on_servers(*update);
+  } else if (auto* update = frame->body.AsServerUpdate()) {
+    pass_on(*update);
+    handle_update(*update);
+  } else if (const auto* heard = frame->body.AsServersHeard()) {
+    if (on_heard) {
+      on_heard(heard->servers);
     }
-    // Changes are acknowledged at once: somebody may wait for them.
-    if (!update->servers.empty()) {
-      send_ack(links_.at(host));
-    }
-  } else if (const auto* text = frame->body.AsRoutingText()) {
+  } else if (auto* text = frame->body.AsRoutingText()) {
+    pass_on(*text);
     handle_routing(*text);
   } else if (const auto* reply = frame->body.AsVersionConfirmed()) {
     const auto waiting = confirmations_.find(reply->token);
@@ -249,6 +272,80 @@
   }
 }
 
+void control_links::handle_forwarded(byte_view buf) {
+  std::error_code ec;
+  const auto frame = wire::decode_link(buf, ec);
+  if (!frame) {
+    log_event(log_level::warning, "forwarded_frame_dropped", {{"error", ec.message()}});
+  } else if (const auto* update = frame->body.AsServerUpdate()) {
+    handle_update(*update);
+  } else if (const auto* text = frame->body.AsRoutingText()) {
+    handle_routing(*text);
+  }
+}
+
+template <typename Message> void control_links::pass_on(Message& message) {
+  if (message.forward.empty() || !forwarder_) {
+    return;
+  }
+  const auto hosts = std::move(message.forward);
+  message.forward.clear();
+  forwarder_->send(hosts, wire::encode_link(message));
+}
+
+// Changes of an origin may come over its own connection or from another router.
+void control_links::handle_update(const wire::ServerUpdateT& update) {
+  const auto link = links_.find(update.origin);
+  if (link == links_.end()) {
+    return;
+  }
+  auto& known = origins_[update.origin];
+  auto& view = update.repeated ? known.repeated : known.reported;
+  const bool is_new_epoch = view.at.epoch != update.epoch;
+  if (!advance(view.at, {update.epoch, update.after, update.number})) {
+    log_event(log_level::debug, "server_update_skipped",
+              {{"origin", update.origin},
+               {"after", std::to_string(update.after)},
+               {"known", std::to_string(view.at.number)}});
+    return;
+  }
+  if (is_new_epoch) {
+    view.heard.clear();
+  }
+  for (const auto& it : update.servers) {
+    if (it->silent) {
+      view.heard.erase(server_hash(it->id));
+    } else {
+      view.heard.insert(server_hash(it->id));
+    }
+  }
+  has_servers_ = has_servers_ || have_all_told();
+  if (on_servers) {
+    on_servers(update);
+  }
+  // The sender may hold a confirmation until everybody knows of a change.
+  if (link->second.is_open) {
+    send_ack(update.origin);
+  }
+}
+
+bool control_links::have_all_told() const {
+  return std::all_of(links_.begin(), links_.end(), [&](const auto& it) {
+    const auto known = origins_.find(it.first);
+    return !it.second.is_open ||
+           (known != origins_.end() && known->second.reported.at.epoch != 0);
+  });
+}
+
+bool control_links::is_vouched(std::uint32_t server) const {
+  return std::any_of(links_.begin(), links_.end(), [&](const auto& it) {
+    const auto known = origins_.find(it.first);
+    return it.second.is_open && known != origins_.end() &&
+           (known->second.reported.heard.contains(server) ||
+            known->second.repeated.heard.contains(server));
+  });
+}
+
 void control_links::handle_status(const std::string& host,
                                   const wire::GroupStatusT& status) {
   auto& it = links_.at(host);
@@ -319,7 +416,9 @@
 void control_links::handle_routing(const wire::RoutingTextT& text) {
   fetch_until_ = {};
   const auto version = routing_version ? routing_version() : 0;
-  if (text.version <= version || text.version < confirmed_version_ || !on_routing) {
+  // What another router passed on may come before a leader was confirmed.
+  if (text.version <= version || confirmed_version_ == 0 ||
+      text.version < confirmed_version_ || !on_routing) {
     return;
   }
   on_routing(text.version, unpack_text(text.packed_text));
--- a/src/relay_policy.cpp
+++ b/src/relay_policy.cpp
@@ -36,7 +36,7 @@
 
 namespace detail {
 
-void count_end(relay_state& state, attempt_end end) {
+void count_end(request_progress& state, attempt_end end) {
   if (end == attempt_end::not_connected) {
     ++state.lost_connects;
   } else if (end == attempt_end::wrong_server) {
@@ -48,13 +48,13 @@
       state.may_have_run || end == attempt_end::failed || end == attempt_end::broken;
 }
 
-bool has_attempts_left(const relay_state& state, time_point now) {
+bool has_attempts_left(const request_progress& state, time_point now) {
   return state.deadline - now >= min_time_left &&
          state.lost_connects < max_lost_connects &&
          state.wrong_servers < max_wrong_servers && state.sent < state.max_attempts;
 }
 
-relay_step give_up(const relay_state& state, attempt_end end) {
+relay_step give_up(const request_progress& state, attempt_end end) {
   if (end == attempt_end::failed) {
     return relay_step::pass_on;
   }
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -105,6 +105,14 @@
   }
 }
 
+void observe_silent(server_directory& directory, const std::string& id, duration silent,
+                    time_point now) {
+  const auto it = directory.entries.find(id);
+  if (it != directory.entries.end()) {
+    it->second.heard_at = std::min(it->second.heard_at, now - silent);
+  }
+}
+
 std::vector<std::string> forget_silent(server_directory& directory, duration keep,
                                        time_point now) {
   std::vector<std::string> out;
--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -98,8 +98,10 @@
 
   void send_servers(io::framed_connection& to, bool full) {
     wire::ServerUpdateT update;
+    update.origin = "127.0.0.1";
+    update.epoch = 1;
+    update.after = full ? 0 : number_;
     update.number = ++number_;
-    update.full = full;
     for (const auto& it : servers) {
       update.servers.push_back(std::make_unique<wire::AnnouncedServerT>(
           io::to_wire({it, io::now()}, io::now())));
--- a/tests/programs/platform_control_test.cpp
+++ b/tests/programs/platform_control_test.cpp
@@ -41,7 +41,8 @@
     group = std::make_unique<control::replica>(settings, nullptr);
     links = std::make_unique<control::link_service>(
         *group,
-        io::link_settings{"c", false, "127.0.0.1", link_address.port, {"127.0.0.1"}}, 0,
+        io::link_settings{"c", false, "127.0.0.1", link_address.port, {"127.0.0.1"}},
+        control::link_limits{},
         nullptr);
     api = std::make_unique<control::api>(*group, *links, nullptr);
     group->on_changed = [this] { links->handle_state_changed(); };
@@ -51,7 +52,7 @@
     REQUIRE_FALSE(ec);
     REQUIRE_FALSE(links->listen(link_address));
     REQUIRE_FALSE(api->listen(api_address));
-    links->start();
+    REQUIRE_FALSE(links->start());
   }
 
   // Ends the process without a stop and starts another on the same files.
@@ -94,7 +95,8 @@
 struct link_client {
   std::unique_ptr<io::framed_connection> connection;
   std::vector<announced_server> servers;
-  std::uint64_t number = 0;
+  feed_position reported;
+  feed_position repeated;
   std::uint64_t version = 0; // as the control process says
   bool confirmed = false;
 
@@ -107,7 +109,7 @@
     hello.node_id = "g";
     hello.router = true;
     connection->send(wire::encode_link(std::move(hello)));
-    REQUIRE(wait_until([&] { return number > 0; }));
+    REQUIRE(wait_until([&] { return reported.epoch > 0; }));
   }
 
   void handle(byte_view buf) {
@@ -118,7 +120,8 @@
       version = status->routing_version;
       confirmed = confirmed || status->confirmed;
     } else if (const auto* update = frame->body.AsServerUpdate()) {
-      number = update->number;
+      auto& at = update->repeated ? repeated : reported;
+      REQUIRE(advance(at, {update->epoch, update->after, update->number}));
       for (const auto& it : update->servers) {
         servers.push_back(io::from_wire(*it));
       }
@@ -127,7 +130,8 @@
 
   void acknowledge(std::uint64_t applied) {
     wire::UpdateAckT ack;
-    ack.number = number;
+    ack.reported = io::to_wire(reported);
+    ack.repeated = io::to_wire(repeated);
     ack.routing_version = applied;
     connection->send(wire::encode_link(std::move(ack)));
   }
@@ -159,7 +163,8 @@
     }
     it.group = std::make_unique<control::replica>(settings, nullptr);
     it.links = std::make_unique<control::link_service>(
-        *it.group, io::link_settings{host(i), false, host(i), link_port, {host(seed)}}, 0,
+        *it.group, io::link_settings{host(i), false, host(i), link_port, {host(seed)}},
+        control::link_limits{},
         nullptr);
     auto* group = it.group.get();
     it.links->on_members = [group](const std::set<std::string>& hosts) {
@@ -170,7 +175,7 @@
     it.group->start({host(i), link_port}, ec, detail);
     REQUIRE_FALSE(ec);
     REQUIRE_FALSE(it.links->listen({host(i), link_port}));
-    it.links->start();
+    REQUIRE_FALSE(it.links->start());
   }
 
   void kill(int i) {
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -12,15 +12,15 @@
 
 const time_point start{duration(100'000)};
 
-relay_state make_state(route_kind kind, std::uint32_t attempts) {
-  relay_state out;
+request_progress make_state(route_kind kind, std::uint32_t attempts) {
+  request_progress out;
   out.kind = kind;
   out.max_attempts = attempts;
   out.deadline = start + duration(1000);
   return out;
 }
 
-relay_step after(relay_state& state, attempt_end end, bool budget = true) {
+relay_step after(request_progress& state, attempt_end end, bool budget = true) {
   return decide(state, end, start, [budget] { return budget; });
 }
 
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -2,8 +2,11 @@
 
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/logging.h"
+#include "marigoldstep/spread.h"
 
 #include <algorithm>
+#include <numeric>
+#include <unordered_set>
 
 namespace marigoldstep::control {
 
@@ -13,11 +16,30 @@
 constexpr auto status_interval = duration(400);
 constexpr auto heard_interval = duration(250);
 constexpr auto load_interval = duration(200);
-// Part of the link for texts, and how much of it may go out at once.
-constexpr double text_share = 0.4;
-constexpr double text_burst_ms = 200;
+// Part of the link for texts, and as much for changes of servers; and how much of
+// it may go out at once.
+constexpr double link_share = 0.4;
+constexpr double burst_ms = 200;
+// Messages that take longer than this on the link are passed on by receivers.
+constexpr double direct_ms = 30;
+// A link without a limit is one of 100 Mbit/s here.
+constexpr double unlimited_bytes_per_ms = 12'500;
+// Acknowledgements that take longer are lost: twice the silence that a busy link
+// of a router shows.
+constexpr auto resend_after = duration(600);
+// Time that a message takes over the link, times this, passes before it is resent.
+constexpr double resend_factor = 4;
+// Up to here each router hears of each change from every control process, so that
+// the loss of one delays nothing. Beyond it from two of them.
+constexpr std::size_t redundant_routers = 40;
 // A tenth of a link of 3 Mbit/s.
 constexpr std::size_t load_bytes_per_ms = 40;
+// Loads told less often than this aren't worth their bytes.
+constexpr auto longest_load_interval = duration(2000);
+constexpr auto count_interval = duration(1000);
+// One server's share in a message of loads, and the rest of the message.
+constexpr std::size_t load_entry_bytes = 8;
+constexpr std::size_t load_frame_bytes = 64;
 // Three heartbeats of the other side are missing.
 constexpr auto silence_limit = duration(1500);
 // A server waits a second for its confirmation, an operator several.
@@ -36,11 +58,18 @@
 } // namespace
 
 link_service::link_service(replica& group, io::link_settings settings,
-                           double link_bytes_per_ms, QObject* parent)
-    : QObject(parent), group_(group), listener_(this), peers_(std::move(settings), this),
-      link_bytes_per_ms_(link_bytes_per_ms) {
+                           const link_limits& limits, QObject* parent)
+    : QObject(parent), group_(group), listener_(this), peers_(settings, this),
+      own_host_(settings.own_host), limits_(limits) {
+  if (limits_.link_bytes_per_ms <= 0) {
+    limits_.link_bytes_per_ms = unlimited_bytes_per_ms;
+  }
+  reported_.epoch = repeated_.epoch = std::max<std::uint64_t>(1, io::random_engine()());
   listener_.on_connection = [this](io::framed_connection* it) { accept(it); };
   peers_.on_servers = [this](const wire::ServerUpdateT& it) { handle_peer_update(it); };
+  peers_.on_heard = [this](const std::vector<std::uint32_t>& it) {
+    handle_peer_heard(it);
+  };
   peers_.on_members = [this](const std::set<std::string>& hosts) {
     if (on_members) {
       on_members(hosts);
@@ -53,9 +82,9 @@
   return listener_.listen(QString::fromStdString(address.host), address.port);
 }
 
-void link_service::start() {
-  peers_.start();
+std::error_code link_service::start() {
   timer_.start(tick_interval);
+  return peers_.start();
 }
 
 void link_service::stop() {
@@ -113,11 +142,12 @@
   } else if (frame->body.AsFetchRouting() != nullptr) {
     std::erase(texts_due_, connection);
     texts_due_.push_back(connection);
-    send_due_texts(io::now());
+    send_due_texts();
   } else if (const auto* ask = frame->body.AsConfirmVersion()) {
     answer_version(connection, ask->token);
   } else if (const auto* ack = frame->body.AsUpdateAck()) {
-    from.acked_number = ack->number;
+    from.reported.acked = io::from_wire(ack->reported);
+    from.repeated.acked = io::from_wire(ack->repeated);
     from.version = ack->routing_version;
     check_waiting();
   } else if (const auto* load = frame->body.AsRouterLoad()) {
@@ -129,21 +159,17 @@
                                     const wire::SubscribeT& hello) {
   auto& it = subscribers_.at(connection);
   it.node_id = hello.node_id;
+  it.host = hello.host;
   it.is_router = hello.router;
   it.version = hello.routing_version;
+  it.reported.acked = io::from_wire(hello.reported);
+  it.repeated.acked = io::from_wire(hello.repeated);
   io::log_event(io::log_level::info, "subscriber_joined",
                 {{"node", it.node_id},
                  {"router", it.is_router ? "true" : "false"},
-                 {"version", std::to_string(it.version)}});
+                 {"version", std::to_string(it.version)},
+                 {"knows", std::to_string(known_number(reported_, it.reported.acked))}});
   send_status(connection);
-  wire::ServerUpdateT update;
-  update.full = true;
-  const auto now = io::now();
-  for (const auto& [id, entry] : directory_.entries) {
-    update.servers.push_back(
-        std::make_unique<wire::AnnouncedServerT>(io::to_wire(entry, now)));
-  }
-  send_update(connection, it, std::move(update));
   confirm_subscribers();
 }
 
@@ -154,46 +180,80 @@
   }
 }
 
-void link_service::send_update(io::framed_connection* connection, subscriber& to,
-                               wire::ServerUpdateT update) {
-  update.number = ++to.sent_number;
-  connection->send(wire::encode_link(std::move(update)));
-}
-
 void link_service::send_status(io::framed_connection* connection) {
+  auto& to = subscribers_.at(connection);
   wire::GroupStatusT status;
   for (const auto& it : members(*group_.node())) {
     status.control_hosts.push_back(it.host);
   }
+  if (status.control_hosts == to.told_hosts) {
+    status.control_hosts.clear();
+  } else {
+    to.told_hosts = status.control_hosts;
+  }
   status.leads = group_.is_leader();
   status.has_leader = group_.is_ready();
   status.routing_version = group_.state().routing_version;
-  status.confirmed = subscribers_.at(connection).confirmed;
+  status.confirmed = to.confirmed;
   connection->send(wire::encode_link(std::move(status)));
 }
 
-void link_service::send_routing(io::framed_connection* connection) {
-  const auto& state = group_.state();
-  wire::RoutingTextT text;
-  text.version = state.routing_version;
-  text.packed_text = state.routing_packed_text;
-  connection->send(wire::encode_link(std::move(text)));
+template <typename Message>
+std::size_t link_service::spread(Message message,
+                                 std::vector<io::framed_connection*> receivers) {
+  // Others pass it on the next time, so that a lost one holds up nobody for long.
+  std::shuffle(receivers.begin(), receivers.end(), io::random_engine());
+  const auto passing =
+      std::partition(receivers.begin(), receivers.end(), [&](auto* connection) {
+        const auto& it = subscribers_.at(connection);
+        return it.is_router && !it.host.empty();
+      });
+  const auto buf = wire::encode_link(message);
+  std::size_t sent = 0;
+  for (auto it = passing; it != receivers.end(); ++it) {
+    (*it)->send(buf);
+    sent += buf.size();
+  }
+  receivers.erase(passing, receivers.end());
+  const auto direct = static_cast<std::size_t>(limits_.link_bytes_per_ms * direct_ms);
+  for (const auto& part : plan_spread(receivers.size(), buf.size(), direct)) {
+    auto* to = receivers[part.receiver];
+    if (part.forward.empty()) {
+      to->send(buf);
+      sent += buf.size();
+      continue;
+    }
+    message.forward.clear();
+    for (const auto i : part.forward) {
+      message.forward.push_back(subscribers_.at(receivers[i]).host);
+    }
+    const auto with_hosts = wire::encode_link(message);
+    to->send(with_hosts);
+    sent += with_hosts.size();
+  }
+  return sent;
 }
 
-// Texts of many routes to many gateways at once would fill a thin link, and the
-// group's heartbeats would wait behind them.
-void link_service::send_due_texts(time_point now) {
-  const double rate = link_bytes_per_ms_ * text_share;
+void link_service::refill_budgets(time_point now) {
+  const double rate = limits_.link_bytes_per_ms * link_share;
   const auto elapsed = static_cast<double>((now - budget_at_).count());
   budget_at_ = now;
-  text_budget_ = std::min(rate * text_burst_ms, text_budget_ + rate * elapsed);
-  const auto size = static_cast<double>(group_.state().routing_packed_text.size());
-  while (!texts_due_.empty() && (rate <= 0 || text_budget_ > 0)) {
-    auto* connection = texts_due_.front();
-    texts_due_.erase(texts_due_.begin());
-    send_routing(connection);
-    text_budget_ -= size;
+  text_budget_ = std::min(rate * burst_ms, text_budget_ + rate * elapsed);
+  change_budget_ = std::min(rate * burst_ms, change_budget_ + rate * elapsed);
+}
+
+// Texts of many routes to many gateways at once would fill a thin link, and the
+// group's heartbeats would wait behind them.
+void link_service::send_due_texts() {
+  if (texts_due_.empty() || text_budget_ <= 0) {
+    return;
   }
+  const auto& state = group_.state();
+  wire::RoutingTextT text;
+  text.version = state.routing_version;
+  text.packed_text = state.routing_packed_text;
+  text_budget_ -= static_cast<double>(spread(std::move(text), std::move(texts_due_)));
+  texts_due_.clear();
 }
 
 void link_service::answer_version(io::framed_connection* connection,
@@ -251,10 +311,10 @@
 
 void link_service::handle_report(const announced_server& server, settled_callback done) {
   const auto change = observe(directory_, server, duration(0), io::now());
-  if (change == directory_change::heard) {
+  if (change == directory_change::heard && contains(reported_, server.id)) {
     heard_.insert(server.id);
-  } else if (change == directory_change::changed) {
-    changed_.insert(server.id);
+  } else if (change != directory_change::stale) {
+    note_change(reported_, server.id);
     io::log_event(io::log_level::info, "server_report",
                   {{"server", server.id},
                    {"service", server.service},
@@ -262,19 +322,25 @@
                    {"state", std::string(name(server.state))},
                    {"started", std::to_string(server.started)},
                    {"sequence", std::to_string(server.sequence)}});
-    push_changes();
   }
   const bool known_leaving =
       change == directory_change::stale && server.state != announced_state::ready;
+  if (known_leaving && !contains(reported_, server.id) &&
+      directory_.entries.contains(server.id)) {
+    // Another control process told of it; who waits here waits for this feed.
+    note_change(reported_, server.id);
+  }
   if (!matters(change, server) && !known_leaving) {
     done(true);
     return;
   }
+  push_changes(feed::reported);
   waiting it;
   it.until = io::now() + report_wait;
   it.done = std::move(done);
+  it.number = reported_.number;
   for (const auto& [connection, to] : subscribers_) {
-    it.updates[connection] = to.sent_number;
+    it.receivers.insert(connection);
   }
   waiting_.push_back(std::move(it));
   check_waiting();
@@ -290,9 +356,10 @@
 }
 
 bool link_service::is_settled(const waiting& it) const {
-  for (const auto& [connection, number] : it.updates) {
+  for (auto* connection : it.receivers) {
     const auto to = subscribers_.find(connection);
-    if (to != subscribers_.end() && to->second.acked_number < number) {
+    if (to != subscribers_.end() &&
+        known_number(reported_, to->second.reported.acked) < it.number) {
       return false;
     }
   }
@@ -335,36 +402,150 @@
   }
 }
 
-// Sends what changed to everybody; what another control process told goes to
-// gateways only, since that process tells the others itself.
-void link_service::push_changes() {
+link_service::feed_progress& link_service::progress(subscriber& it, feed which) const {
+  return which == feed::reported ? it.reported : it.repeated;
+}
+
+change_feed& link_service::changes(feed which) {
+  return which == feed::reported ? reported_ : repeated_;
+}
+
+// What another control process told goes to gateways only, since that process tells
+// the others itself; with many gateways each gets it from one control process.
+bool link_service::gets(const subscriber& it, feed which) const {
+  if (it.node_id.empty() || which == feed::reported) {
+    return !it.node_id.empty();
+  }
+  if (!it.is_router || subscribers_.size() <= redundant_routers) {
+    return it.is_router;
+  }
+  return it.is_primary;
+}
+
+// Each router has one control process that repeats to it what the others tell.
+void link_service::choose_primaries() {
+  const auto& hosts = members(*group_.node());
+  for (auto& [connection, it] : subscribers_) {
+    const auto score = [&id = it.node_id](const std::string& host) {
+      return stable_hash(host + id);
+    };
+    it.is_primary = std::all_of(hosts.begin(), hosts.end(), [&](const auto& member) {
+      return score(member.host) <= score(own_host_);
+    });
+  }
+}
+
+// Sends each subscriber what it lacks, one message at a time: the next one follows
+// the acknowledgement, so that nobody is sent more than it takes.
+void link_service::push_changes(feed which) {
   const auto now = io::now();
-  const auto fill = [&](wire::ServerUpdateT& update, const std::set<std::string>& ids) {
-    for (const auto& id : ids) {
-      const auto it = directory_.entries.find(id);
-      if (it != directory_.entries.end()) {
-        update.servers.push_back(
-            std::make_unique<wire::AnnouncedServerT>(io::to_wire(it->second, now)));
-      }
-    }
-  };
+  const auto& list = changes(which);
+  std::vector<io::framed_connection*> fresh;
+  std::vector<io::framed_connection*> behind;
   for (auto& [connection, it] : subscribers_) {
-    if (it.node_id.empty()) {
+    if (!gets(it, which)) {
       continue;
     }
-    wire::ServerUpdateT update;
-    fill(update, changed_);
-    if (it.is_router) {
-      fill(update, changed_peer_);
+    auto& at = progress(it, which);
+    const auto known = known_number(list, at.acked);
+    const bool lacks_epoch = at.acked.epoch != list.epoch;
+    if (known == list.number && !lacks_epoch) {
+      continue;
     }
-    update.heard.assign(heard_.begin(), heard_.end());
-    if (!update.servers.empty() || !update.heard.empty()) {
-      send_update(connection, it, std::move(update));
+    const bool in_flight = at.told && (lacks_epoch || known < at.sent);
+    if (!in_flight || now >= at.resend_at) {
+      (known == 0 ? fresh : behind).push_back(connection);
     }
   }
-  changed_.clear();
-  changed_peer_.clear();
+  send_changes(which, std::move(fresh));
+  send_changes(which, std::move(behind));
+}
+
+void link_service::send_changes(feed which,
+                                std::vector<io::framed_connection*> receivers) {
+  if (receivers.empty()) {
+    return;
+  }
+  const auto now = io::now();
+  const auto& list = changes(which);
+  wire::ServerUpdateT update;
+  update.origin = own_host_;
+  update.repeated = which == feed::repeated;
+  update.epoch = list.epoch;
+  update.number = list.number;
+  update.after = list.number;
+  for (auto* it : receivers) {
+    const auto& at = progress(subscribers_.at(it), which);
+    update.after = std::min(update.after, known_number(list, at.acked));
+  }
+  for (const auto& id : ids_after(list, update.after)) {
+    const auto it = directory_.entries.find(id);
+    if (it != directory_.entries.end()) {
+      auto server = std::make_unique<wire::AnnouncedServerT>(io::to_wire(it->second, now));
+      server->silent = missing_.contains(id);
+      update.servers.push_back(std::move(server));
+    }
+  }
+  const auto sent = static_cast<double>(spread(update, receivers));
+  change_budget_ -= sent;
+  const auto on_link = sent / limits_.link_bytes_per_ms;
+  const auto resend_at =
+      now + resend_after + duration(static_cast<duration::rep>(resend_factor * on_link));
+  for (auto* it : receivers) {
+    auto& at = progress(subscribers_.at(it), which);
+    at.told = true;
+    at.sent = list.number;
+    at.resend_at = resend_at;
+  }
+}
+
+// Tells the other control processes which servers reported here.
+void link_service::send_heard() {
+  wire::ServersHeardT message;
+  for (const auto& id : heard_) {
+    message.servers.push_back(io::server_hash(id));
+  }
   heard_.clear();
+  const auto buf = wire::encode_link(std::move(message));
+  for (const auto& [connection, it] : subscribers_) {
+    if (!it.node_id.empty() && !it.is_router) {
+      connection->send(buf);
+    }
+  }
+}
+
+// Gateways learn when a server falls silent and when it is heard again; that it
+// still reports goes without a message.
+void link_service::note_silence() {
+  const auto now = io::now();
+  for (const auto& [id, entry] : directory_.entries) {
+    const bool missing = now - entry.heard_at > limits_.silence;
+    if (missing == missing_.contains(id) ||
+        entry.server.state == announced_state::gone) {
+      continue;
+    }
+    if (missing) {
+      missing_.insert(id);
+    } else {
+      missing_.erase(id);
+    }
+    io::log_event(io::log_level::info, missing ? "server_silent" : "server_heard_again",
+                  {{"server", id},
+                   {"silent_ms", std::to_string((now - entry.heard_at).count())}});
+    for (auto* list : {&reported_, &repeated_}) {
+      if (contains(*list, id)) {
+        note_change(*list, id);
+      }
+    }
+  }
+}
+
+void link_service::forget_servers() {
+  for (const auto& id : forget_silent(directory_, keep_silent, io::now())) {
+    forget(reported_, id);
+    forget(repeated_, id);
+    missing_.erase(id);
+  }
 }
 
 void link_service::handle_peer_update(const wire::ServerUpdateT& update) {
@@ -372,15 +553,21 @@
   for (const auto& it : update.servers) {
     const auto server = io::from_wire(*it);
     if (observe(directory_, server, duration(it->silent_ms), now) ==
-        directory_change::changed) {
-      changed_peer_.insert(server.id);
+            directory_change::changed ||
+        !contains(repeated_, server.id)) {
+      note_change(repeated_, server.id);
     }
   }
-  for (const auto& id : update.heard) {
-    observe_heard(directory_, id, now);
-  }
-  if (!changed_peer_.empty()) {
-    push_changes();
+  push_changes(feed::repeated);
+}
+
+void link_service::handle_peer_heard(const std::vector<std::uint32_t>& servers) {
+  const auto now = io::now();
+  const std::unordered_set<std::uint32_t> heard(servers.begin(), servers.end());
+  for (auto& [id, entry] : directory_.entries) {
+    if (heard.contains(io::server_hash(id))) {
+      entry.heard_at = now;
+    }
   }
 }
 
@@ -400,13 +587,23 @@
       sum[server].tokens += load.tokens;
     }
   }
+  // Whether loads are worth their bytes is decided by the largest message that may
+  // come, since no loads are known while they aren't told.
+  const auto time_for = [&](std::size_t entries) {
+    const auto size = load_frame_bytes + load_entry_bytes * entries;
+    return duration(static_cast<duration::rep>(receivers * size / load_bytes_per_ms));
+  };
+  const bool wanted = time_for(directory_.entries.size()) <= longest_load_interval;
+  const auto interval =
+      wanted ? std::max(load_interval, time_for(sum.size())) : count_interval;
+  load_at_ = now + interval;
   wire::FleetLoadT load;
   load.routers = static_cast<std::uint32_t>(routers_.size());
-  load.loads = io::to_wire(sum);
+  if (wanted) {
+    load.loads = io::to_wire(sum);
+    load.interval_ms = static_cast<std::uint32_t>(interval.count());
+  }
   const auto buf = wire::encode_link(std::move(load));
-  const auto needed = std::chrono::milliseconds(
-      static_cast<std::int64_t>(receivers * buf.size() / load_bytes_per_ms));
-  load_at_ = now + std::max<duration>(load_interval, needed);
   for (auto& [connection, it] : subscribers_) {
     if (it.is_router) {
       connection->send(buf);
@@ -428,18 +625,25 @@
   }
   check_waiting();
   confirm_subscribers();
-  send_due_texts(now);
-  if (now >= heard_at_ && !heard_.empty()) {
+  refill_budgets(now);
+  send_due_texts();
+  if (now >= heard_at_) {
     heard_at_ = now + heard_interval;
-    push_changes();
+    send_heard();
+    note_silence();
+    forget_servers();
+  }
+  if (change_budget_ > 0) {
+    push_changes(feed::reported);
+    push_changes(feed::repeated);
   }
   if (now >= load_at_) {
     load_at_ = now + load_interval;
     send_fleet_load(); // may put off the next one
-    forget_silent(directory_, keep_silent, now);
   }
   if (now >= status_at_) {
     status_at_ = now + status_interval;
+    choose_primaries();
     for (auto& [connection, it] : subscribers_) {
       if (!it.node_id.empty()) {
         send_status(connection);
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/replica.h"
+#include "marigoldstep/change_feed.h"
 #include "marigoldstep/dispatch.h"
 #include "marigoldstep/io/control_links.h"
 #include "marigoldstep/io/framed_connection.h"
@@ -15,16 +16,20 @@
 
 namespace marigoldstep::control {
 
+struct link_limits {
+  double link_bytes_per_ms = 0; // what this VM's network link carries; 0: no limit
+  duration silence{4000};       // a server that reports less often is missing
+};
+
 // Keeps gateways and the other control processes informed: of the routing
 // configuration, the announced backend servers and the load of the fleet.
 class link_service : public QObject {
 public:
-  // link_bytes_per_ms is what this VM's network link carries; 0 for no limit.
-  link_service(replica& group, io::link_settings settings, double link_bytes_per_ms,
+  link_service(replica& group, io::link_settings settings, const link_limits& limits,
                QObject* parent);
 
   std::error_code listen(const io::endpoint& address);
-  void start();
+  std::error_code start();
   void stop();
   void set_seeds(std::vector<std::string> seeds);
 
@@ -49,20 +54,33 @@
   [[nodiscard]] std::size_t subscribers() const { return subscribers_.size(); }
 
 private:
+  // Servers that report here, and servers that other control processes told of.
+  enum class feed { reported, repeated };
+  // How far one subscriber is in a feed.
+  struct feed_progress {
+    feed_position acked;
+    bool told = false;          // something was sent on this connection
+    std::uint64_t sent = 0;     // number of the newest change sent
+    time_point resend_at{};     // when what was sent counts as lost
+  };
   struct subscriber {
     std::string node_id; // empty until it subscribed
+    std::string host;    // where other routers reach it
     bool is_router = false;
+    bool is_primary = false; // this process repeats to it what the others tell
     bool confirmed = false;
     bool confirming = false;
-    std::uint64_t version = 0; // acknowledged
-    std::uint64_t sent_number = 0;
-    std::uint64_t acked_number = 0;
+    std::uint64_t version = 0;          // acknowledged
+    std::vector<std::string> told_hosts; // members of the group
+    feed_progress reported;
+    feed_progress repeated;
     time_point heard_at{};
     std::map<std::uint32_t, load_count> load; // by server hash
   };
   // Somebody who waits for acknowledgements.
   struct waiting {
-    std::map<io::framed_connection*, std::uint64_t> updates; // number to acknowledge
+    std::set<io::framed_connection*> receivers; // that must know
+    std::uint64_t number = 0;                   // this change of the reported servers
     std::uint64_t version = 0;
     time_point until{};
     settled_callback done;
@@ -72,14 +90,25 @@
   void handle_frame(io::framed_connection* connection, byte_view buf);
   void handle_subscribe(io::framed_connection* connection, const wire::SubscribeT& hello);
   void handle_load(io::framed_connection* connection, const wire::RouterLoadT& load);
-  void send_routing(io::framed_connection* connection);
-  void send_due_texts(time_point now);
+  void refill_budgets(time_point now);
+  void send_due_texts();
   void answer_version(io::framed_connection* connection, std::uint64_t token);
   void send_status(io::framed_connection* connection);
-  void send_update(io::framed_connection* connection, subscriber& to,
-                   wire::ServerUpdateT update);
-  void push_changes();
+  [[nodiscard]] feed_progress& progress(subscriber& it, feed which) const;
+  [[nodiscard]] bool gets(const subscriber& it, feed which) const;
+  [[nodiscard]] change_feed& changes(feed which);
+  void choose_primaries();
+  void push_changes(feed which);
+  void send_changes(feed which, std::vector<io::framed_connection*> receivers);
+  void send_heard();
+  void note_silence();
+  void forget_servers();
   void handle_peer_update(const wire::ServerUpdateT& update);
+  void handle_peer_heard(const std::vector<std::uint32_t>& servers);
+  // Sends a message to subscribers, the first of them passing it on if that spares
+  // this process's link. Returns the bytes sent.
+  template <typename Message>
+  std::size_t spread(Message message, std::vector<io::framed_connection*> receivers);
   void confirm_subscribers();
   void send_fleet_load();
   void check_waiting();
@@ -91,15 +120,18 @@
   io::framed_listener listener_;
   io::control_links peers_;
   QTimer timer_;
+  std::string own_host_;
+  link_limits limits_;
   server_directory directory_;
   std::map<io::framed_connection*, subscriber> subscribers_;
-  std::set<std::string> changed_;      // ids to send to everybody
-  std::set<std::string> changed_peer_; // learned from another control process
-  std::set<std::string> heard_;        // reported here without a change
+  change_feed reported_;
+  change_feed repeated_;
+  std::set<std::string> missing_; // ids that subscribers know as silent
+  std::set<std::string> heard_;   // reported here without a change
   std::vector<waiting> waiting_;
   std::vector<io::framed_connection*> texts_due_; // subscribers that asked for a text
-  double link_bytes_per_ms_;
   double text_budget_ = 0; // bytes that may be sent now
+  double change_budget_ = 0;
   time_point budget_at_{};
   std::map<std::string, time_point> routers_; // by node id, when last heard
   std::uint64_t seen_version_ = 0;
--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -29,7 +29,7 @@
       : links(group,
               {settings.node_id, false, settings.links.host, settings.links.port,
                io::hosts_of(settings.peers)},
-              settings.link_bytes_per_ms, nullptr),
+              {settings.link_bytes_per_ms, settings.report_silence}, nullptr),
         api(group, links, nullptr) {
     group.on_changed = [this] { links.handle_state_changed(); };
     links.on_members = [&group](const std::set<std::string>& hosts) {
@@ -42,10 +42,7 @@
     if (!ec) {
       ec = api.listen(settings.api);
     }
-    if (!ec) {
-      links.start();
-    }
-    return ec;
+    return ec ? ec : links.start();
   }
 
   control::link_service links;
--- a/tools/control/settings.cpp
+++ b/tools/control/settings.cpp
@@ -73,6 +73,11 @@
   constexpr double most_mbps = 1e6;
   constexpr double bytes_per_ms = 125; // of one Mbit/s
   out.link_bytes_per_ms = bytes_per_ms * read_number(map, "link_mbps", 0, 0, most_mbps);
+  // Three reports may be missing, and one may be late.
+  constexpr int reports_missed = 4;
+  out.report_silence =
+      reports_missed * read_duration_ms(map, "report_interval_ms", duration(1000),
+                                        duration(10), duration(600'000));
   // A process that isn't among the seeds joins their group, and so does one that
   // lost its disk.
   const bool is_seed = std::erase(out.peers, out.advertise_peer) > 0;
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -13,8 +13,14 @@
 
 namespace {
 
-// Counts of in-flight requests reach the other routers within two intervals.
-constexpr auto load_interval = std::chrono::milliseconds(200);
+// Until the leader names an interval. Counts of in-flight requests reach the other
+// routers within two intervals.
+constexpr auto first_load_interval = duration(200);
+// Counts of the other routers that are older say little about the load of now.
+constexpr auto load_lifetime = duration(3000);
+constexpr auto tick_interval = std::chrono::milliseconds(200);
+// Reports come once a second or less often.
+constexpr auto heard_interval = duration(500);
 // Servers that nobody heard of for this long are forgotten.
 constexpr auto keep_silent = duration(60'000);
 // The balancer notices within two checks of a second each.
@@ -62,11 +68,7 @@
                                      : io::http_status::unavailable;
     from.respond(status, {}, "");
   };
-  connect(&load_timer_, &QTimer::timeout, this, [this] {
-    send_load();
-    forget_servers();
-    note_ready();
-  });
+  connect(&tick_timer_, &QTimer::timeout, this, [this] { tick(); });
   connect(&stop_timer_, &QTimer::timeout, this, [this] { end_stop(); });
 }
 
@@ -86,12 +88,48 @@
     ec = checks_.listen(settings_.listen_ready.host, settings_.listen_ready.port);
   }
   if (!ec) {
-    links_.start();
-    load_timer_.start(load_interval);
+    ec = links_.start();
+  }
+  if (!ec) {
+    load_interval_ = first_load_interval;
+    tick_timer_.start(tick_interval);
   }
   return ec;
 }
 
+void gateway::tick() {
+  const auto now = io::now();
+  if (load_interval_ > duration(0) && now >= load_at_) {
+    // Ticks come a little early or late.
+    load_at_ = now + load_interval_ - tick_interval / 2;
+    send_load();
+  }
+  if (now >= heard_at_) {
+    heard_at_ = now + heard_interval;
+    note_heard();
+  }
+  if (loads_told_ && now - loads_told_at_ > load_lifetime) {
+    loads_told_ = false;
+    for (auto& [id, record] : dispatch.records) {
+      record.others = {};
+    }
+    io::log_event(io::log_level::warning, "fleet_load_lost",
+                  {{"age_ms", std::to_string((now - loads_told_at_).count())}});
+  }
+  forget_servers();
+  note_ready();
+}
+
+// Control processes tell which servers they miss, and no word otherwise.
+void gateway::note_heard() {
+  const auto now = io::now();
+  for (auto& [id, entry] : directory.entries) {
+    if (links_.is_vouched(io::server_hash(id))) {
+      entry.heard_at = now;
+    }
+  }
+}
+
 void gateway::apply(const gateway_settings& settings) {
   settings_.seeds = settings.seeds;
   links_.set_seeds(io::hosts_of(settings.seeds));
@@ -163,6 +201,9 @@
   const auto now = io::now();
   for (const auto& it : update.servers) {
     const auto server = io::from_wire(*it);
+    if (it->silent && !links_.is_vouched(io::server_hash(it->id))) {
+      observe_silent(directory, it->id, duration(it->silent_ms), now);
+    }
     if (observe(directory, server, duration(it->silent_ms), now) !=
         directory_change::changed) {
       continue;
@@ -178,9 +219,6 @@
       pool.drop({known.host, known.port});
     }
   }
-  for (const auto& id : update.heard) {
-    observe_heard(directory, id, now);
-  }
   numbers.servers.Set(static_cast<double>(directory.entries.size()));
   note_ready();
 }
@@ -204,8 +242,13 @@
     most = std::max(most, n);
   }
   set_routers(retries, most);
-  const auto loads =
-      load.loads ? io::from_wire(*load.loads) : std::map<std::uint32_t, load_count>();
+  load_interval_ = duration(load.interval_ms);
+  if (!load.loads) {
+    return;
+  }
+  loads_told_ = true;
+  loads_told_at_ = now;
+  const auto loads = io::from_wire(*load.loads);
   for (const auto& [id, entry] : directory.entries) {
     const auto hash = io::server_hash(id);
     const auto it = loads.find(hash);
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -52,7 +52,9 @@
   void handle_routing(std::uint64_t version, const std::string& text);
   void handle_servers(const wire::ServerUpdateT& update);
   void handle_fleet_load(const wire::FleetLoadT& load);
+  void tick();
   void send_load();
+  void note_heard();
   void forget_servers();
   void note_ready();
   void end_stop();
@@ -62,9 +64,14 @@
   io::control_links links_;
   io::http_listener callers_;
   io::http_listener checks_;
-  QTimer load_timer_;
+  QTimer tick_timer_;
   QTimer stop_timer_;
   std::map<std::uint32_t, load_count> told_; // by server hash: as told to the leader
+  duration load_interval_{}; // the leader names it; 0: loads aren't wanted
+  time_point load_at_{};
+  time_point heard_at_{};
+  time_point loads_told_at_{};
+  bool loads_told_ = false;
   std::vector<std::pair<time_point, std::uint32_t>> router_counts_;
   std::function<void()> stopped_;
   time_point stop_at_{};
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -72,7 +72,7 @@
   std::string service_;
   std::string workspace_;
   std::optional<int> priority_;
-  relay_state state_;
+  request_progress state_;
   std::vector<std::string> tried_;
   std::optional<attempt> attempt_;
   event_splitter events_;
