Index addresses of servers, and acknowledge only what changed

Cause: each report was compared with the address of every known server, a quarter of a control process's processor share at 1,000 servers; each heartbeat of a gateway repeated both its places. Change: the directory keeps the holder of each address; acknowledgements leave out known places.

--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -80,6 +80,8 @@
     bool is_open = false;
     bool leads = false;
     std::uint64_t version = 0;
+    feed_position told_reported; // as last acknowledged
+    feed_position told_repeated;
     time_point heard_at{};
     time_point retry_at{};
     time_point opened_at{};
--- a/include/marigoldstep/server_directory.h
+++ b/include/marigoldstep/server_directory.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 // Backend servers that announce themselves. Control processes collect the
@@ -40,6 +41,9 @@
 // report doesn't bring them back.
 struct server_directory {
   std::map<std::string, directory_entry> entries;
+  // Ids of the entries that haven't left, by address. Every report is checked
+  // against the address's other holder, hundreds of times a second.
+  std::map<std::pair<std::string, std::uint16_t>, std::string> holders;
 };
 
 // What an observation changed.
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -220,11 +220,18 @@
 
 void control_links::send_ack(const std::string& host) {
   const auto& known = origins_[host];
+  auto& to = links_.at(host);
   wire::UpdateAckT ack;
-  ack.reported = to_wire(known.reported.at);
-  ack.repeated = to_wire(known.repeated.at);
+  if (to.told_reported != known.reported.at) {
+    to.told_reported = known.reported.at;
+    ack.reported = to_wire(known.reported.at);
+  }
+  if (to.told_repeated != known.repeated.at) {
+    to.told_repeated = known.repeated.at;
+    ack.repeated = to_wire(known.repeated.at);
+  }
   ack.routing_version = routing_version ? routing_version() : 0;
-  links_.at(host).connection->send(wire::encode_link(std::move(ack)));
+  to.connection->send(wire::encode_link(std::move(ack)));
 }
 
 void control_links::acknowledge_version() {
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -27,20 +27,25 @@
          left.slots != right.slots || left.zone != right.zone;
 }
 
-// Two servers can't be at one address. The one that started later is there now;
-// without a start time the one that is heard now is.
-bool loses_address(const announced_server& known, const announced_server& server) {
-  return known.id != server.id && same_place(known, server) &&
-         known.state != announced_state::gone && known.started <= server.started;
+std::pair<std::string, std::uint16_t> place_of(const announced_server& server) {
+  return {server.host, server.port};
 }
 
-bool address_is_taken(const server_directory& directory, const announced_server& server) {
-  return std::any_of(
-      directory.entries.begin(), directory.entries.end(), [&](const auto& it) {
-        const auto& known = it.second.server;
-        return known.id != server.id && same_place(known, server) &&
-               known.state != announced_state::gone && known.started > server.started;
-      });
+// The other server at this address, if there is one that hasn't left.
+const announced_server* find_holder(const server_directory& directory,
+                                    const announced_server& server) {
+  const auto it = directory.holders.find(place_of(server));
+  return it == directory.holders.end() || it->second == server.id
+             ? nullptr
+             : &directory.entries.at(it->second).server;
+}
+
+// Ends the entry's claim to its address.
+void release_place(server_directory& directory, const announced_server& server) {
+  const auto it = directory.holders.find(place_of(server));
+  if (it != directory.holders.end() && it->second == server.id) {
+    directory.holders.erase(it);
+  }
 }
 
 // A departure names no place; the one already known stays.
@@ -85,14 +90,25 @@
     }
     return directory_change::stale;
   }
-  if (report.state != announced_state::gone && address_is_taken(directory, report)) {
-    return directory_change::stale;
+  // Two servers can't be at one address. The one that started later is there now;
+  // without a start time the one that is heard now is.
+  const auto* holder = find_holder(directory, report);
+  if (holder != nullptr && holder->started > report.started) {
+    if (report.state != announced_state::gone) {
+      return directory_change::stale;
+    }
+  } else if (holder != nullptr) {
+    const auto replaced = holder->id;
+    directory.holders.erase(place_of(report));
+    directory.entries.erase(replaced);
   }
-  std::erase_if(directory.entries,
-                [&](const auto& it) { return loses_address(it.second.server, report); });
   auto& entry = directory.entries[report.id];
   const auto before = entry.server;
+  release_place(directory, before);
   entry.server = known ? merged(before, report) : report;
+  if (entry.server.state != announced_state::gone) {
+    directory.holders[place_of(entry.server)] = entry.server.id;
+  }
   entry.heard_at = std::max(entry.heard_at, heard_at);
   return !known || differs(before, entry.server) ? directory_change::changed
                                                  : directory_change::heard;
@@ -122,6 +138,7 @@
       continue;
     }
     out.push_back(it->first);
+    release_place(directory, it->second.server);
     it = directory.entries.erase(it);
   }
   return out;
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -146,8 +146,12 @@
   } else if (const auto* ask = frame->body.AsConfirmVersion()) {
     answer_version(connection, ask->token);
   } else if (const auto* ack = frame->body.AsUpdateAck()) {
-    from.reported.acked = io::from_wire(ack->reported);
-    from.repeated.acked = io::from_wire(ack->repeated);
+    if (ack->reported) {
+      from.reported.acked = io::from_wire(ack->reported);
+    }
+    if (ack->repeated) {
+      from.repeated.acked = io::from_wire(ack->repeated);
+    }
     from.version = ack->routing_version;
     check_waiting();
   } else if (const auto* load = frame->body.AsRouterLoad()) {
@@ -546,6 +550,9 @@
     forget(repeated_, id);
     missing_.erase(id);
   }
+  // Another server at the same address may have taken an entry's place.
+  std::erase_if(missing_,
+                [&](const auto& id) { return !directory_.entries.contains(id); });
 }
 
 void link_service::handle_peer_update(const wire::ServerUpdateT& update) {
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -107,6 +107,7 @@
   if (now >= heard_at_) {
     heard_at_ = now + heard_interval;
     note_heard();
+    forget_servers();
   }
   if (loads_told_ && now - loads_told_at_ > load_lifetime) {
     loads_told_ = false;
@@ -116,7 +117,6 @@
     io::log_event(io::log_level::warning, "fleet_load_lost",
                   {{"age_ms", std::to_string((now - loads_told_at_).count())}});
   }
-  forget_servers();
   note_ready();
 }
 
@@ -228,6 +228,10 @@
     dispatch.records.erase(id);
     io::log_event(io::log_level::info, "server_forgotten", {{"server", id}});
   }
+  // Another server at the same address may have taken an entry's place.
+  std::erase_if(dispatch.records, [&](const auto& it) {
+    return it.second.own.requests == 0 && !directory.entries.contains(it.first);
+  });
 }
 
 void gateway::handle_fleet_load(const wire::FleetLoadT& load) {
