Tell a subscriber the members again once there is a leader

Cause: a control process left out the group's members from a status when it had told them before, also when it had told them without following a leader, which receivers ignore. A router that connected before the election never learned of a leader that isn't among its seeds, and waited for a confirmed configuration for ever. Change: members count as told only if told with a leader.

--- a/tests/programs/fleet_links_test.cpp
+++ b/tests/programs/fleet_links_test.cpp
@@ -34,7 +34,8 @@
 // A router's end of the links and the point where servers report.
 struct router {
   server_directory directory;
-  std::vector<std::string> silent; // ids, as told
+  std::vector<std::string> silent;  // ids, as told
+  std::set<std::string> members;    // hosts, as told
   io::control_links links;
   gateway::report_point reports;
 
@@ -49,6 +50,7 @@
         }
       }
     };
+    links.on_members = [this](const auto& hosts) { members = hosts; };
     links.takes_reports = [] { return true; };
     links.on_unknown = [this](const auto& servers) { reports.forget(servers); };
     REQUIRE_FALSE(links.start());
@@ -72,6 +74,7 @@
     test_application();
     port = gateway_fixture::free_address().port;
     start_control(limits);
+    REQUIRE(wait_until([&] { return group->is_leader(); }));
     for (int i = 1; i <= routers_wanted; ++i) {
       routers.push_back(std::make_unique<router>("127.67.1." + std::to_string(i), port));
     }
@@ -96,7 +99,6 @@
     REQUIRE_FALSE(ec);
     REQUIRE_FALSE(links->listen({control_host, port}));
     REQUIRE_FALSE(links->start());
-    REQUIRE(wait_until([&] { return group->is_leader(); }));
   }
 
   [[nodiscard]] bool all_know(const std::string& id, announced_state state) const {
@@ -185,6 +187,18 @@
   REQUIRE(wait_until([&] { return it.all_know("t", announced_state::ready); }));
 }
 
+TEST_CASE("a router that connects before there is a leader learns the members") {
+  fleet it(0, {});
+  it.links.reset();
+  it.group.reset();
+  it.start_control({});
+  router early("127.67.1.1", it.port);
+  REQUIRE(wait_until([&] { return early.links.has_servers(); }));
+  REQUIRE_FALSE(it.group->is_ready());
+  REQUIRE(wait_until([&] { return it.group->is_ready(); }));
+  CHECK(wait_until([&] { return !early.members.empty(); }));
+}
+
 TEST_CASE("servers are sent to routers once their reports fill the link") {
   fleet it(3, thin_link());
   REQUIRE(wait_until([&] { return it.links->subscribers() == 3; }));
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -204,16 +204,19 @@
 void link_service::send_status(io::framed_connection* connection) {
   auto& to = subscribers_.at(connection);
   wire::GroupStatusT status;
-  for (const auto& it : members(*group_.node())) {
-    status.control_hosts.push_back(it.host);
+  status.has_leader = group_.is_ready();
+  // Only a process that follows a leader knows who the members are.
+  std::vector<std::string> hosts;
+  if (status.has_leader) {
+    for (const auto& it : members(*group_.node())) {
+      hosts.push_back(it.host);
+    }
   }
-  if (status.control_hosts == to.told_hosts) {
-    status.control_hosts.clear();
-  } else {
-    to.told_hosts = status.control_hosts;
+  if (hosts != to.told_hosts) {
+    to.told_hosts = hosts;
+    status.control_hosts = std::move(hosts);
   }
   status.leads = group_.is_leader();
-  status.has_leader = group_.is_ready();
   status.routing_version = group_.state().routing_version;
   status.confirmed = to.confirmed;
   status.routers = static_cast<std::uint32_t>(routers_.size());
