Decide in one pass over an index, and keep within a server's connections

A service's max_connections was read but not used; at hundreds of gateways their idle connections alone exceed it, and the server resets what is beyond. Change: an index by service, rebuilt when the directory changes; one pass for health and load, one for the highest score.

--- a/benchmark/main.cpp
+++ b/benchmark/main.cpp
@@ -1,4 +1,5 @@
 #include "capacity_bench.h"
+#include "dispatch_bench.h"
 #include "placement_bench.h"
 #include "raft_bench.h"
 
@@ -23,7 +24,7 @@
   poptOption table[] = {
       {"seed", 0, POPT_ARG_LONGLONG, &seed, 0, "Seed of the model", "N"},
       {"json", 0, POPT_ARG_NONE, &json, 0, "One JSON object a line", nullptr},
-      {"only", 0, POPT_ARG_STRING, &only, 0, "Part to run: placement, raft or capacity",
+      {"only", 0, POPT_ARG_STRING, &only, 0, "Part to run: placement, dispatch, raft or capacity",
        "PART"},
       {"size", 0, POPT_ARG_STRING, &size, 0, "archive, volta or large", "SIZE"},
       {"output", 0, POPT_ARG_STRING, &output, 0,
@@ -42,7 +43,8 @@
   options.json = json != 0;
   options.size = size == nullptr ? "" : size;
   const std::string_view part = only == nullptr ? "" : only;
-  if (!part.empty() && part != "placement" && part != "raft" && part != "capacity") {
+  if (!part.empty() && part != "placement" && part != "dispatch" && part != "raft" &&
+      part != "capacity") {
     std::fprintf(stderr, "--only: unknown part\n");
     return exit_usage;
   }
@@ -50,6 +52,9 @@
   if (part.empty() || part == "placement") {
     targets_met = marigoldstep::bench::run_placement_bench(options);
   }
+  if (part.empty() || part == "dispatch") {
+    targets_met = marigoldstep::bench::run_dispatch_bench(options) && targets_met;
+  }
   if (part.empty() || part == "raft") {
     targets_met = marigoldstep::bench::run_raft_bench(options) && targets_met;
   }
--- a/include/marigoldstep/dispatch.h
+++ b/include/marigoldstep/dispatch.h
@@ -51,9 +51,26 @@
   time_point sent_at{};
 };
 
+namespace detail {
+// A server of one service with what is known of it, found once a change.
+struct indexed_server {
+  const directory_entry* entry = nullptr;
+  const server_record* record = nullptr;
+  std::uint64_t id_hash = 0;
+};
+
+// Lookups by name for thousands of servers would take most of a decision.
+struct dispatch_index {
+  std::uint64_t generation = 0; // of the directory
+  const server_directory* directory = nullptr;
+  std::map<std::string, std::vector<indexed_server>> services;
+};
+} // namespace detail
+
 struct dispatch_state {
   std::map<std::string, server_record> records;         // by server id
   std::unordered_map<std::uint64_t, part_place> places; // by the part's id
+  detail::dispatch_index index;
 };
 
 struct dispatch_limits {
@@ -69,6 +86,7 @@
   std::string service;
   std::string zone; // of this router
   batch_limits batch;
+  std::uint32_t max_connections = 0; // of one server, from all routers; 0: not limited
   std::vector<prompt_part> prompt; // empty for plain services
   std::vector<std::string> tried;  // servers that had this request already
 };
@@ -94,10 +112,16 @@
 // part, by rendezvous hashing with bounded load (Mirrokni, Thorup and
 // Zadimoghaddam, 2018), so that parts already read are found again; the others
 // go to the server with the most room, near ones first.
-dispatch_choice choose(const server_directory& directory, const dispatch_state& state,
+dispatch_choice choose(const server_directory& directory, dispatch_state& state,
                        const dispatch_request& request, const dispatch_limits& limits,
                        time_point now, std::mt19937_64& random);
 
+// Idle connections that one of so many routers may keep to a server that takes
+// max_connections from all of them. Where that is less than one for each, a fixed
+// part of the routers keeps one; router and server decide which.
+std::size_t idle_connections(std::uint32_t max_connections, std::uint32_t routers,
+                             const std::string& router, const std::string& server);
+
 void note_sent(dispatch_state& state, const std::string& id, std::uint64_t tokens);
 // Remembers where a prompt's shared parts are from now on.
 void note_prompt_sent(dispatch_state& state, const std::vector<prompt_part>& prompt,
--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -111,8 +111,9 @@
   // An idle connection that its server keeps open for a second longer, or a new one.
   backend_connection* acquire(const endpoint& target);
   // Gives a connection back after a whole answer. The server keeps it open for
-  // idle_timeout.
-  void release(backend_connection* connection, duration idle_timeout);
+  // idle_timeout; at most max_idle are kept to one server.
+  void release(backend_connection* connection, duration idle_timeout,
+               std::size_t max_idle);
   void discard(backend_connection* connection);
   // Closes idle connections to servers that left.
   void drop(const endpoint& target);
--- a/include/marigoldstep/server_directory.h
+++ b/include/marigoldstep/server_directory.h
@@ -44,6 +44,9 @@
   // Ids of the entries that haven't left, by address. Every report is checked
   // against the address's other holder, hundreds of times a second.
   std::map<std::pair<std::string, std::uint16_t>, std::string> holders;
+  // Rises when an entry comes, goes or changes, so that what was worked out of the
+  // entries can be kept until then.
+  std::uint64_t generation = 0;
 };
 
 // What an observation changed.
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <numeric>
 
 namespace marigoldstep {
@@ -29,13 +30,20 @@
 constexpr double zone_penalty = 0.5;
 // Parts used less recently have probably yielded to others.
 constexpr auto kept_for = duration(60'000);
+// Connections that a server resets were opened in vain, and it may accept fewer
+// while its queue is long.
+constexpr double connection_share = 0.9;
+// The other half is for requests in flight.
+constexpr double idle_share = 0.5;
 // Bounds the memory for places; a deployment has thousands of parts in use.
 constexpr std::size_t max_places = 20'000;
 
 struct candidate {
-  const announced_server* server = nullptr;
-  const server_record* record = nullptr;
+  const detail::indexed_server* at = nullptr;
   std::uint32_t load = 0;
+
+  [[nodiscard]] const announced_server& server() const { return at->entry->server; }
+  [[nodiscard]] const server_record& record() const { return *at->record; }
 };
 
 const server_record& record_of(const dispatch_state& state, const std::string& id) {
@@ -48,47 +56,71 @@
   return std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
 }
 
-double total_failure_share(const std::vector<candidate>& list) {
-  return std::accumulate(list.begin(), list.end(), 0.0, [](double sum, const auto& it) {
-    return sum + it.record->failure_share;
-  });
+bool fails_often(const server_record& record) {
+  return record.results >= min_results && record.failure_share > outlier_share;
 }
 
-// total and n include the server itself.
-bool is_outlier(const server_record& record, double total, std::size_t n) {
-  if (n < 2 || record.results < min_results || record.failure_share <= outlier_share) {
-    return false;
+const std::vector<detail::indexed_server>& servers_of(const server_directory& directory,
+                                                      dispatch_state& state,
+                                                      const std::string& service) {
+  auto& index = state.index;
+  if (index.directory != &directory || index.generation != directory.generation) {
+    index = {directory.generation, &directory, {}};
+    for (const auto& [id, entry] : directory.entries) {
+      if (entry.server.state == announced_state::ready) {
+        index.services[entry.server.service].push_back(
+            {&entry, &state.records[id], stable_hash(id)});
+      }
+    }
   }
-  const double peers = (total - record.failure_share) / static_cast<double>(n - 1);
-  return record.failure_share > outlier_factor * peers;
+  return index.services[service];
 }
 
-std::vector<candidate> find_servers(const server_directory& directory,
-                                    const dispatch_state& state,
-                                    const dispatch_request& request, time_point now) {
+// Leaves out servers that fail far more often than their peers. total and n are of
+// all servers that were looked at.
+void drop_outliers(std::vector<candidate>& list, double total, std::size_t n) {
+  std::erase_if(list, [&](const auto& it) {
+    const double own = it.record().failure_share;
+    return fails_often(it.record()) &&
+           own > outlier_factor * (total - own) / static_cast<double>(n - 1);
+  });
+}
+
+// Servers that aren't silent, ejected or outliers. One pass over what lies scattered
+// in memory, which is most of a decision's time.
+std::vector<candidate> find_healthy(const std::vector<detail::indexed_server>& all,
+                                    const dispatch_request& request,
+                                    const dispatch_limits& limits, time_point now) {
   std::vector<candidate> out;
-  for (const auto& [id, it] : directory.entries) {
-    if (it.server.service == request.service &&
-        it.server.state == announced_state::ready && !was_tried(request, id)) {
-      const auto& record = record_of(state, id);
-      out.push_back({&it.server, &record, known_load(record, now)});
+  out.reserve(all.size());
+  double failures = 0;
+  std::size_t n = 0;
+  bool some_fail = false;
+  for (const auto& it : all) {
+    if (!request.tried.empty() && was_tried(request, it.entry->server.id)) {
+      continue;
+    }
+    const auto& record = *it.record;
+    ++n;
+    failures += record.failure_share;
+    some_fail = some_fail || fails_often(record);
+    if (is_usable(*it.entry, limits.silence, now) && record.ejected_until <= now) {
+      out.push_back({&it, known_load(record, now)});
     }
   }
+  if (some_fail && n > 1) {
+    drop_outliers(out, failures, n);
+  }
   return out;
 }
 
-// Leaves out servers that are silent, ejected or outliers, unless that leaves
-// none.
-std::vector<candidate> healthy(const std::vector<candidate>& all,
-                               const server_directory& directory,
-                               const dispatch_limits& limits, time_point now) {
+// All that weren't tried, for when none is healthy.
+std::vector<candidate> find_any(const std::vector<detail::indexed_server>& all,
+                                const dispatch_request& request, time_point now) {
   std::vector<candidate> out;
-  const auto total = total_failure_share(all);
   for (const auto& it : all) {
-    const auto& entry = directory.entries.at(it.server->id);
-    if (is_usable(entry, limits.silence, now) && it.record->ejected_until <= now &&
-        !is_outlier(*it.record, total, all.size())) {
-      out.push_back(it);
+    if (!was_tried(request, it.entry->server.id)) {
+      out.push_back({&it, known_load(*it.record, now)});
     }
   }
   return out;
@@ -118,12 +150,12 @@
 }
 
 // Where the shared parts probably are, if not at the chosen server: where this
-// router sent them last, or else at their home. candidates are in home order.
+// router sent them last, or else at their home.
 const announced_server* find_copy(const server_directory& directory,
                                   const dispatch_state& state,
                                   const dispatch_request& request,
                                   const dispatch_limits& limits,
-                                  const std::vector<candidate>& candidates,
+                                  const announced_server& home,
                                   const announced_server& chosen, time_point now) {
   const auto place = state.places.find(home_key(request.prompt));
   if (place != state.places.end() && now - place->second.sent_at <= kept_for) {
@@ -131,15 +163,18 @@
                ? nullptr
                : find_holder(directory, state, place->second.server, limits, now);
   }
-  const auto* home = candidates.front().server;
-  return home->id == chosen.id ? nullptr : home;
+  return home.id == chosen.id ? nullptr : &home;
 }
 
-std::uint64_t capacity(const candidate& it, const dispatch_request& request,
+std::uint64_t capacity(std::uint32_t slots, const dispatch_request& request,
                        const dispatch_limits& limits) {
-  const auto slots = request.batch.slots != 0 ? request.batch.slots : it.server->slots;
-  return static_cast<std::uint64_t>(
+  const auto room = static_cast<std::uint64_t>(
       std::ceil(static_cast<double>(std::max(1U, slots)) * (1 + limits.queue_share)));
+  if (request.max_connections == 0) {
+    return room;
+  }
+  const auto open = static_cast<std::uint64_t>(connection_share * request.max_connections);
+  return std::clamp<std::uint64_t>(open, 1, room);
 }
 
 double mean_load(const std::vector<candidate>& list) {
@@ -150,21 +185,39 @@
   return list.empty() ? 0 : sum / static_cast<double>(list.size());
 }
 
-const candidate* choose_home(std::vector<candidate>& list,
-                             const dispatch_request& request, double bound,
-                             dispatch_reason& reason) {
+// Mixes two hashes; the finalizer of splitmix64 (Steele, Lea and Flood, 2014).
+std::uint64_t mix(std::uint64_t left, std::uint64_t right) {
+  std::uint64_t x = left + 0x9e3779b97f4a7c15ULL * (right + 1);
+  x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27U)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31U);
+}
+
+// The server with the highest score is the home; with the bound, the one with the
+// highest score among those that may take one more.
+struct home_choice {
+  const candidate* home = nullptr;
+  const candidate* chosen = nullptr;
+};
+
+home_choice choose_home(const std::vector<candidate>& list,
+                        const dispatch_request& request, double bound) {
   const auto key = home_key(request.prompt);
-  const auto score = [&](const candidate& it) { return stable_hash(it.server->id, key); };
-  std::sort(list.begin(), list.end(), [&](const auto& left, const auto& right) {
-    return score(left) > score(right);
-  });
+  home_choice out;
+  std::uint64_t home_best = 0;
+  std::uint64_t chosen_best = 0;
   for (const auto& it : list) {
-    if (it.load + 1 <= bound) {
-      reason = &it == &list.front() ? dispatch_reason::home : dispatch_reason::bounded;
-      return &it;
+    const auto score = mix(it.at->id_hash, key);
+    if (out.home == nullptr || score > home_best) {
+      out.home = &it;
+      home_best = score;
+    }
+    if (it.load + 1 <= bound && (out.chosen == nullptr || score > chosen_best)) {
+      out.chosen = &it;
+      chosen_best = score;
     }
   }
-  return nullptr;
+  return out;
 }
 
 const candidate* choose_least(const std::vector<candidate>& list,
@@ -173,8 +226,8 @@
   double best_cost = 0;
   std::uniform_real_distribution<double> tie(0, 1.0 / 64);
   for (const auto& it : list) {
-    const double slots = std::max(1U, it.server->slots);
-    const double far = it.server->zone == request.zone ? 0 : zone_penalty;
+    const double slots = std::max(1U, it.server().slots);
+    const double far = it.server().zone == request.zone ? 0 : zone_penalty;
     const double cost = (it.load + far) / slots + tie(random);
     if (best == nullptr || cost < best_cost) {
       best = &it;
@@ -222,51 +275,68 @@
   return fresh ? std::max(counted, record.reported_requests) : counted;
 }
 
-dispatch_choice choose(const server_directory& directory, const dispatch_state& state,
+dispatch_choice choose(const server_directory& directory, dispatch_state& state,
                        const dispatch_request& request, const dispatch_limits& limits,
                        time_point now, std::mt19937_64& random) {
   dispatch_choice out;
-  const auto all = find_servers(directory, state, request, now);
-  auto list = healthy(all, directory, limits, now);
+  const auto& all = servers_of(directory, state, request.service);
+  auto list = find_healthy(all, request, limits, now);
   const bool last_resort = list.empty();
   if (last_resort) {
-    list = all;
+    list = find_any(all, request, now);
   }
   out.candidates = list.size();
   out.mean_load = mean_load(list);
-  std::vector<candidate> with_room;
-  for (const auto& it : list) {
-    if (it.load < capacity(it, request, limits)) {
-      with_room.push_back(it);
-    }
-  }
-  if (with_room.empty()) {
-    out.reason = list.empty() ? dispatch_reason::none : dispatch_reason::all_full;
+  const bool some = !list.empty();
+  const auto batch_room = capacity(request.batch.slots, request, limits);
+  std::erase_if(list, [&](const auto& it) {
+    return it.load >= (request.batch.slots != 0
+                           ? batch_room
+                           : capacity(it.server().slots, request, limits));
+  });
+  if (list.empty()) {
+    out.reason = some ? dispatch_reason::all_full : dispatch_reason::none;
     return out;
   }
-  const candidate* chosen = nullptr;
+  home_choice home;
   if (!request.prompt.empty()) {
     // The mean counts this request as well.
-    const double with_this = out.mean_load + 1.0 / static_cast<double>(list.size());
+    const double with_this = out.mean_load + 1.0 / static_cast<double>(out.candidates);
     const double bound = limits.bound * with_this + load_slack;
-    chosen = choose_home(with_room, request, bound, out.reason);
+    home = choose_home(list, request, bound);
   }
-  if (chosen == nullptr) {
-    chosen = choose_least(with_room, request, random);
+  const auto* chosen = home.chosen;
+  if (chosen != nullptr) {
+    out.reason =
+        chosen == home.home ? dispatch_reason::home : dispatch_reason::bounded;
+  } else {
+    chosen = choose_least(list, request, random);
     out.reason = dispatch_reason::least_loaded;
   }
   if (last_resort) {
     out.reason = dispatch_reason::last_resort;
   }
-  out.server = chosen->server;
+  out.server = &chosen->server();
   out.load = chosen->load;
-  if (!request.prompt.empty()) {
-    out.copy_from =
-        find_copy(directory, state, request, limits, with_room, *out.server, now);
+  if (home.home != nullptr) {
+    out.copy_from = find_copy(directory, state, request, limits, home.home->server(),
+                              *out.server, now);
   }
   return out;
 }
 
+std::size_t idle_connections(std::uint32_t max_connections, std::uint32_t routers,
+                             const std::string& router, const std::string& server) {
+  if (max_connections == 0 || routers == 0) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  const double share = idle_share * max_connections / routers;
+  const auto whole = static_cast<std::size_t>(share);
+  constexpr double hash_range = 0x1.0p64;
+  const double draw = static_cast<double>(stable_hash(router + " " + server)) / hash_range;
+  return draw < share - static_cast<double>(whole) ? whole + 1 : whole;
+}
+
 void note_sent(dispatch_state& state, const std::string& id, std::uint64_t tokens) {
   auto& own = state.records[id].own;
   ++own.requests;
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -297,8 +297,10 @@
   return new backend_connection(target, connect_timeout, this);
 }
 
-void backend_pool::release(backend_connection* connection, duration idle_timeout) {
-  if (!connection->is_reusable() || idle_timeout <= idle_margin) {
+void backend_pool::release(backend_connection* connection, duration idle_timeout,
+                           std::size_t max_idle) {
+  if (!connection->is_reusable() || idle_timeout <= idle_margin ||
+      idle_[connection->target()].size() >= max_idle) {
     discard(connection);
     return;
   }
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -101,6 +101,7 @@
     directory.holders.erase(place_of(report));
     directory.entries.erase(replaced);
   }
+  ++directory.generation;
   auto& entry = directory.entries[report.id];
   const auto before = entry.server;
   release_place(directory, before);
@@ -138,6 +139,7 @@
     }
     out.push_back(it->first);
     release_place(directory, it->second.server);
+    ++directory.generation;
     it = directory.entries.erase(it);
   }
   return out;
--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -121,9 +121,30 @@
   watch(*first, result);
   first->send("GET / HTTP/1.1\r\n\r\n", false);
   REQUIRE(wait_until([&] { return result.ended(); }));
-  pool.release(first, duration(5000));
+  pool.release(first, duration(5000), 1);
   run_event_loop(std::chrono::milliseconds(150));
   auto* second = pool.acquire(server.address());
   CHECK((pool.connects() == 1) == extra.empty());
   pool.discard(second);
 }
+
+TEST_CASE("no more connections stay idle than the server's part allows") {
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  scripted_server server(
+      {{write_text(answer), pause_script(500)}, {write_text(answer), pause_script(500)}});
+  backend_pool pool(nullptr);
+  exchange_result results[2];
+  backend_connection* connections[2];
+  for (int i = 0; i < 2; ++i) {
+    connections[i] = pool.acquire(server.address());
+    watch(*connections[i], results[i]);
+    connections[i]->send("GET / HTTP/1.1\r\n\r\n", false);
+  }
+  REQUIRE(wait_until([&] { return results[0].ended() && results[1].ended(); }));
+  pool.release(connections[0], duration(5000), 1);
+  pool.release(connections[1], duration(5000), 1);
+  CHECK(pool.acquire(server.address()) == connections[0]);
+  CHECK(pool.connects() == 2);
+  pool.acquire(server.address());
+  CHECK(pool.connects() == 3);
+}
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -236,3 +236,40 @@
   it.state.records["s1"].ejected_until = now + duration(1000);
   CHECK(choose(it, plain_request(), now).server != nullptr);
 }
+
+TEST_CASE("a server gets fewer requests than it takes connections") {
+  auto it = make_fleet(1, 64);
+  auto request = prompt_request(42);
+  request.max_connections = 10;
+  for (int i = 0; i < 9; ++i) {
+    const auto choice = choose(it, request);
+    REQUIRE(choice.server != nullptr);
+    note_sent(it.state, choice.server->id, 0);
+  }
+  CHECK(choose(it, request).reason == dispatch_reason::all_full);
+}
+
+TEST_CASE("all routers together keep at most half of a server's connections idle") {
+  const auto routers = GENERATE(1U, 23U, 95U, 300U);
+  std::size_t sum = 0;
+  for (std::uint32_t i = 0; i < routers; ++i) {
+    sum += idle_connections(200, routers, "router-" + std::to_string(i), "server");
+  }
+  // Which routers keep one more is drawn, with a spread of a few.
+  CHECK(sum <= 125);
+  CHECK(sum >= 75);
+  CHECK(idle_connections(0, routers, "r", "s") > 1000);
+}
+
+TEST_CASE("a decision follows the directory as it changes") {
+  auto it = make_fleet(2, 6);
+  REQUIRE(choose(it, plain_request()).server != nullptr);
+  add_server(it, "new", 600);
+  for (int i = 0; i < 3; ++i) {
+    const auto choice = choose(it, plain_request());
+    note_sent(it.state, choice.server->id, 0);
+  }
+  CHECK(it.state.records["new"].own.requests > 0);
+  forget_silent(it.directory, duration(1000), start + duration(5000));
+  CHECK(choose(it, plain_request()).server == nullptr);
+}
--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -62,6 +62,15 @@
     }
   }
 
+  // Requests in flight at the first server, all routers together.
+  void tell_load(std::uint32_t requests) {
+    for (auto* it : connections_) {
+      wire::FleetLoadT load;
+      load.loads = io::to_wire({{io::server_hash(servers[0].id), {requests, 0}}});
+      it->send(wire::encode_link(std::move(load)));
+    }
+  }
+
   void tell_servers() {
     for (auto* it : connections_) {
       send_servers(*it, false);
--- a/tests/programs/gateway_test.cpp
+++ b/tests/programs/gateway_test.cpp
@@ -274,6 +274,18 @@
   CHECK(it.servers[0]->requests.empty());
 }
 
+TEST_CASE("loads of other routers count only while they are told") {
+  gateway_fixture it(
+      {{{write_text(answer_text("zero"))}}, {{write_text(answer_text("one"))}}});
+  it.control.tell_load(7);
+  const auto& record = it.subject->dispatch.records["s0"];
+  REQUIRE(wait_until([&] { return record.others.requests == 7; }));
+  CHECK(ask(it, request_text("GET", "/safe/", "r1"), "one").ends_with("one"));
+  // The leader is lost: what it told last must not hold for ever.
+  REQUIRE(wait_until([&] { return record.others.requests == 0; }));
+  CHECK(ask(it, request_text("GET", "/safe/", "r2"), "zero").ends_with("zero"));
+}
+
 TEST_CASE("slow and oversized callers get clear answers") {
   gateway_fixture it(silent_server());
   SECTION("slow header") {
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -174,6 +174,13 @@
                               io::random_engine());
 }
 
+std::size_t gateway::idle_connections(const std::string& service,
+                                      const std::string& server) const {
+  const auto* it = table_ ? find_service(*table_, service) : nullptr;
+  return marigoldstep::idle_connections(it == nullptr ? 0 : it->max_connections,
+                                        retries.routers, settings_.node_id, server);
+}
+
 void gateway::handle_request(io::http_connection& from, io::http_request request) {
   if (settings_.memory_bytes > 0 &&
       callers_.held_bytes() > settings_.memory_bytes / memory_share) {
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -42,6 +42,9 @@
   [[nodiscard]] bool may_begin(duration timeout) const;
 
   dispatch_choice choose(const dispatch_request& request);
+  // Idle connections that may be kept to a server of the service.
+  [[nodiscard]] std::size_t idle_connections(const std::string& service,
+                                             const std::string& server) const;
   server_directory directory;
   dispatch_state dispatch;
   retry_share retries;
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -116,6 +116,7 @@
   wanted.tried = tried_;
   if (const auto* service = find_service(*table_, service_)) {
     wanted.batch = service->batch;
+    wanted.max_connections = service->max_connections;
   }
   const auto choice = owner_.choose(wanted);
   if (choice.server == nullptr) {
@@ -374,7 +375,8 @@
   note_finished(owner_.dispatch, attempt_->server.id, attempt_->tokens);
   if (reusable) {
     owner_.pool.release(attempt_->connection,
-                        attempt_->facts.idle_timeout.value_or(default_idle_timeout));
+                        attempt_->facts.idle_timeout.value_or(default_idle_timeout),
+                        owner_.idle_connections(service_, attempt_->server.id));
   } else {
     owner_.pool.discard(attempt_->connection);
   }
