Log without waiting, and go on after a full disk; let the soak fill disks and tear logs

Cause: the soak's new fault (a file size limit put on a control process from outside) ended the process's log for good: a stream writes nothing after its first failure. And a reader of the pipe that stops reading stopped the process with it, against the promise that logging never blocks. Change: a sink of our own writes to the descriptor when it has room, counts what it can't write, and the next line says how many lines are missing.

--- a/include/marigoldstep/io/logging.h
+++ b/include/marigoldstep/io/logging.h
@@ -16,7 +16,8 @@
 
 // Sets up Boost.Log: one line a record on standard error, on standard output, or
 // appended to path when it is not empty. Lines below level are dropped, and so is
-// what exceeds max_lines_per_second; a line says how many were.
+// what exceeds max_lines_per_second, what a full disk refuses, and what a reader of
+// a pipe doesn't take at once; a line says how many were.
 void start_logging(std::string_view program, std::string_view node_id, log_level level,
                    const std::string& path = {});
 
--- a/src/io/logging.cpp
+++ b/src/io/logging.cpp
@@ -5,16 +5,21 @@
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/support/date_time.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <boost/log/utility/setup/file.hpp>
+#include <boost/make_shared.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <cctype>
 #include <chrono>
-#include <iostream>
+#include <cstdio>
+#include <fcntl.h>
 #include <mutex>
 #include <ostream>
+#include <poll.h>
+#include <unistd.h>
 
 namespace marigoldstep::io {
 
@@ -60,6 +65,48 @@
   unsigned dropped = 0;
 };
 
+// Lines that could not be written.
+std::atomic<unsigned> lost_lines = 0;
+
+// Writes lines to a descriptor without waiting for whoever reads it. A stream would
+// write nothing any more after its first failure, such as a full disk.
+class line_sink : public log::sinks::basic_formatted_sink_backend<
+                      char, log::sinks::synchronized_feeding> {
+public:
+  explicit line_sink(int fd) : fd_(fd) {}
+
+  void consume(const log::record_view& /*record*/, const std::string& text) {
+    const auto line = text + "\n";
+    pollfd ready{fd_, POLLOUT, 0};
+    const bool has_room = ::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
+    if (!has_room || ::write(fd_, line.data(), line.size()) !=
+                         static_cast<ssize_t>(line.size())) {
+      ++lost_lines;
+    }
+  }
+
+private:
+  int fd_;
+};
+
+constexpr mode_t log_file_mode = 0644;
+
+int open_log(const std::string& path) {
+  if (path.empty()) {
+    return STDERR_FILENO;
+  }
+  if (path == log_to_stdout) {
+    return STDOUT_FILENO;
+  }
+  const int fd =
+      ::open(path.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, log_file_mode);
+  if (fd < 0) {
+    std::perror(path.c_str());
+    return STDERR_FILENO;
+  }
+  return fd;
+}
+
 // Warnings and errors have a reserve of the same size: they explain the rest.
 bool may_write(log_level level) {
   static std::mutex mutex;
@@ -67,9 +114,10 @@
   const std::lock_guard lock(mutex);
   const auto now = std::chrono::steady_clock::now();
   if (now - count.began >= std::chrono::seconds(1)) {
-    if (count.dropped > 0) {
+    const auto missing = count.dropped + lost_lines.exchange(0);
+    if (missing > 0) {
       BOOST_LOG_SEV(default_logger(), log_level::warning)
-          << "event=log_lines_dropped count=" << count.dropped;
+          << "event=log_lines_dropped count=" << missing;
     }
     count = {now, 0, 0};
   }
@@ -132,15 +180,10 @@
                                    << " program=" << std::string(program)
                                    << " node=" << format_log_value(node_id) << " "
                                    << expr::smessage;
-  if (path.empty() || path == log_to_stdout) {
-    log::add_console_log(path.empty() ? std::clog : std::cout,
-                         log::keywords::format = format,
-                         log::keywords::auto_flush = true);
-    return;
-  }
-  log::add_file_log(log::keywords::file_name = path,
-                    log::keywords::open_mode = std::ios_base::app,
-                    log::keywords::format = format, log::keywords::auto_flush = true);
+  const auto sink = boost::make_shared<log::sinks::synchronous_sink<line_sink>>(
+      boost::make_shared<line_sink>(open_log(path)));
+  sink->set_formatter(format);
+  log::core::get()->add_sink(sink);
 }
 
 void log_event(log_level level, std::string_view event,
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -20,6 +21,9 @@
 APPLY_S = 2.0
 CALM_S = 3.0
 STOP_TIME_S = 4
+# A message of 300 bytes to three gateways is passed on, and reports of four servers fill
+# their part of the link.
+THIN_LINK_MBPS = 0.2
 
 
 class Process:
@@ -37,7 +41,9 @@
         path.write_text("\n".join(f"{key}: {json.dumps(value)}" for key, value in self.settings.items()))
         log = open(self.fleet.folder / f"{self.name}.log", "ab")
         self.child = subprocess.Popen([f"{self.fleet.bin}/mstep-{self.kind}", "--config", str(path)],
-                                      stdout=log, stderr=subprocess.STDOUT)
+                                      stdout=log, stderr=subprocess.STDOUT,
+                                      # A write beyond a file size limit fails in place of killing.
+                                      restore_signals=False)
         log.close()
         self.started_at = self.disturbed_at = time.monotonic()
 
@@ -65,7 +71,8 @@
         self.refused = set()
         self.most_runs = {}  # by request id
         self.problems = []
-        self.counts = {"asked": 0, "answered": 0, "refused": 0, "failed": 0, "faults": 0, "versions": 0}
+        self.counts = {"asked": 0, "answered": 0, "refused": 0, "failed": 0, "faults": 0, "versions": 0,
+                       "handed_over": 0}
         self.acked = []  # (time, version)
         self.version = 0
         self.stopping = False
@@ -96,10 +103,13 @@
         self.api_port, front = ports + 8, ports + 9
         seeds = [f"{host}:{self.api_port}" for host in self.control_hosts]
         common = {"ports": [str(ports), str(ports + 7)], "seeds": seeds}
+        # On every other seed the links of control are thin: routers pass changes on and
+        # take reports of servers.
+        thin = {"link_mbps": THIN_LINK_MBPS} if self.seed % 2 else {}
         self.control = [Process(self, "control", host, {
             **common, "node_id": f"c{i}", "host": host, "api": f"{host}:{self.api_port}",
             "data_dir": str(self.folder / f"data{i}"), "first_start": True, "log_file": "-",
-            "tolerated_losses": 1}) for i, host in enumerate(self.control_hosts)]
+            "tolerated_losses": 1, "report_interval_ms": 500, **thin}) for i, host in enumerate(self.control_hosts)]
         self.gateways = [Process(self, "gateway", f"127.78.0.{i + 1}", {
             **common, "node_id": f"g{i}", "zone": "z", "host": f"127.78.0.{i + 1}",
             "listen": f"127.78.0.{i + 1}:{front}", "listen_ready": f"127.78.0.{i + 1}:{front + 1}",
@@ -256,7 +266,7 @@
     # Faults, in series that overlap.
     async def inject(self):
         faults = [self.kill, self.pause, self.stop_gateway, self.kill_control, self.wipe_control,
-                  self.kill_all_control, self.harm_server, self.harm_server, self.proxy_fault,
+                  self.kill_all_control, self.fill_disk, self.tear_log, self.harm_server, self.harm_server, self.proxy_fault,
                   self.proxy_fault, self.crash_server, self.drain_server]
         tasks = []
         until = time.monotonic() + self.seconds
@@ -347,6 +357,36 @@
         await asyncio.sleep(CALM_S)
         self.busy_control.discard("all")
 
+    async def fill_disk(self):
+        """Writes beyond a file's present size fail for some seconds."""
+        process = self.random.choice(self.control)
+        if not self.take_control(process):
+            return
+        process.disturbed_at = time.monotonic()
+        child = process.child
+        limits = (0, resource.RLIM_INFINITY)
+        if child.poll() is None:
+            resource.prlimit(child.pid, resource.RLIMIT_FSIZE, limits)
+            await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        if child.poll() is None:
+            resource.prlimit(child.pid, resource.RLIMIT_FSIZE,
+                             (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+        await self.give_control(process)
+
+    async def tear_log(self):
+        """A loss of power leaves a part of a record that was never synced."""
+        process = self.random.choice(self.control)
+        if not self.take_control(process):
+            return
+        process.signal(signal.SIGKILL)
+        await process.ended(5)
+        files = sorted(pathlib.Path(process.settings["data_dir"]).glob("segment-*"))
+        if files:
+            with open(files[-1], "ab") as log:
+                log.write(self.random.randbytes(self.random.randrange(1, 200)))
+        process.start()
+        await self.give_control(process)
+
     async def harm_server(self):
         server = self.random.choice(self.servers)
         server.misbehaves = 0.4
--- a/tests/soak/soak_servers.py
+++ b/tests/soak/soak_servers.py
@@ -74,6 +74,7 @@
         self.state = "ready"
         self.misbehaves = 0.0  # share of requests
         self.alive = True
+        self.next_report = None  # (host, port) that the last confirmation named
 
     async def start(self):
         self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -92,13 +93,29 @@
             "service": self.service, "address": self.address, "zone": "z", "version": "v1",
             "slots": SLOTS, "state": self.state, "warmup_left_ms": 0, "seq": self.sequence,
             "born": self.started})
-        for host in self.random.sample(self.fleet.control_hosts, len(self.fleet.control_hosts)):
-            status, _ = await self.fleet.call(
-                host, "POST", f"/v1/Replicas.Heartbeat/{self.name}", body, limit_s=1)
+        hosts = self.random.sample(self.fleet.control_hosts, len(self.fleet.control_hosts))
+        addresses = [(host, self.fleet.api_port) for host in hosts]
+        if self.next_report:
+            addresses.insert(0, self.next_report)
+        for host, port in addresses:
+            status, text = await self.fleet.call(
+                host, "POST", f"/v1/Replicas.Heartbeat/{self.name}", body, limit_s=1, port=port)
             if status == 200:
+                self.note_confirmation(text, (host, port))
                 return True
+            self.next_report = None
         return False
 
+    def note_confirmation(self, text, address):
+        """The named address stays valid until a report fails there."""
+        named = json.loads(text).get("heartbeat_addr")
+        if named:
+            host, port = named.rsplit(":", 1)
+            self.next_report = (host, int(port))
+            self.fleet.counts["handed_over"] += 1
+        elif address != self.next_report:
+            self.next_report = None
+
     async def serve(self, reader, writer):
         try:
             while True:
