Harm the links to control in the soak, through an address that control doesn't listen on

Cause: the soak's proxies stood before servers only, so links between our own processes were never delayed, silent, reset or cut one way. Change: listen_host, for a control process whose own address is another than the one that the others know; everything that leads to a control process in the soak goes through proxies that are harmed, some or all at once. What was disturbed counts as calm only after the harm has ended.

--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -12,7 +12,7 @@
 import tempfile
 import time
 
-from soak_servers import Server, new_run_counts, read_message
+from soak_servers import Proxy, Server, new_run_counts, read_message
 
 CONTROL, GATEWAYS, SERVERS = 3, 3, 6
 KEY = "soak-key"
@@ -21,6 +21,7 @@
 APPLY_S = 2.0
 CALM_S = 3.0
 STOP_TIME_S = 4
+LINKS_PORT = 2  # offset from the first port
 # A message of 300 bytes to three gateways is passed on, and reports of four servers fill
 # their part of the link.
 THIN_LINK_MBPS = 0.2
@@ -107,7 +108,8 @@
         # take reports of servers.
         thin = {"link_mbps": THIN_LINK_MBPS} if self.seed % 2 else {}
         self.control = [Process(self, "control", host, {
-            **common, "node_id": f"c{i}", "host": host, "api": f"{host}:{self.api_port}",
+            **common, "node_id": f"c{i}", "host": host, "listen_host": f"127.79.0.{i + 1}",
+            "api": f"127.79.0.{i + 1}:{self.api_port}",
             "data_dir": str(self.folder / f"data{i}"), "first_start": True, "log_file": "-",
             "tolerated_losses": 1, "report_interval_ms": 500, **thin}) for i, host in enumerate(self.control_hosts)]
         self.gateways = [Process(self, "gateway", f"127.78.0.{i + 1}", {
@@ -117,6 +119,16 @@
             "retry_budget": {"ratio": 0.2, "extra": 60, "window_s": 10}}) for i in range(GATEWAYS)]
         self.front = front
 
+    async def start_proxies(self):
+        """Everything that leads to a control process goes through proxies."""
+        first = int(self.control[0].settings["ports"][0])
+        self.proxies = []
+        for i, host in enumerate(self.control_hosts):
+            ports = [first, first + LINKS_PORT, self.api_port]  # members, links, calls
+            self.proxies.append([Proxy(port, f"127.79.0.{i + 1}") for port in ports])
+            for it in self.proxies[-1]:
+                await it.start(host, it.port)
+
     async def call(self, host, method, target, body="", limit_s=2.0, port=None, more=""):
         """Returns (status, body); status 0 without a whole answer. Follows one redirect."""
         try:
@@ -266,8 +278,8 @@
     # Faults, in series that overlap.
     async def inject(self):
         faults = [self.kill, self.pause, self.stop_gateway, self.kill_control, self.wipe_control,
-                  self.kill_all_control, self.fill_disk, self.tear_log, self.harm_server, self.harm_server, self.proxy_fault,
-                  self.proxy_fault, self.crash_server, self.drain_server]
+                  self.kill_all_control, self.fill_disk, self.tear_log, self.harm_server, self.harm_server, self.harm_server_link,
+                  self.harm_server_link, self.harm_control_links, self.harm_control_links, self.crash_server, self.drain_server]
         tasks = []
         until = time.monotonic() + self.seconds
         while time.monotonic() < until:
@@ -371,6 +383,7 @@
         if child.poll() is None:
             resource.prlimit(child.pid, resource.RLIMIT_FSIZE,
                              (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+            process.disturbed_at = time.monotonic()
         await self.give_control(process)
 
     async def tear_log(self):
@@ -393,19 +406,20 @@
         await asyncio.sleep(self.random.uniform(0.5, 3.0))
         server.misbehaves = 0.0
 
-    async def proxy_fault(self):
-        proxy = self.random.choice(self.servers).proxy
-        kind = self.random.choice(["reset", "silent", "one_way_up", "one_way_down", "delay"])
-        if kind == "reset":
-            proxy.reset()
-        elif kind == "delay":
-            proxy.delay_s = 0.05
-            await asyncio.sleep(2)
-            proxy.delay_s = 0.0
-        else:
-            proxy.mode = kind
-            await asyncio.sleep(self.random.uniform(0.3, 2.5))
-            proxy.mode = "pass"
+    async def harm_server_link(self):
+        await self.random.choice(self.servers).proxy.harm(self.random)
+
+    async def harm_control_links(self):
+        """Harms some of what leads to one control process, or all of it."""
+        index = self.random.randrange(CONTROL)
+        if not self.take_control(self.control[index]):
+            return
+        proxies = self.proxies[index]
+        harmed = self.random.sample(proxies, self.random.randint(1, len(proxies)))
+        self.control[index].disturbed_at = time.monotonic()
+        await asyncio.gather(*[it.harm(self.random) for it in harmed])
+        self.control[index].disturbed_at = time.monotonic()
+        await self.give_control(self.control[index])
 
     async def crash_server(self):
         index = self.random.randrange(SERVERS)
@@ -461,6 +475,7 @@
     async def play(self):
         asyncio.get_running_loop().set_exception_handler(self.note_exception)
         self.make_processes()
+        await self.start_proxies()
         for it in self.control + self.gateways:
             it.start()
         self.servers = [await self.new_server(i) for i in range(SERVERS)]
--- a/tests/soak/soak_servers.py
+++ b/tests/soak/soak_servers.py
@@ -25,19 +25,19 @@
 class Proxy:
     """Forwards TCP connections to a port and harms them on demand."""
 
-    def __init__(self, port):
-        self.port = port
+    def __init__(self, port, target="127.0.0.1"):
+        self.target, self.port = target, port
         self.mode = "pass"
         self.delay_s = 0.0
         self.writers = set()
 
-    async def start(self, host):
-        self.server = await asyncio.start_server(self.accept, host, 0)
+    async def start(self, host, port=0):
+        self.server = await asyncio.start_server(self.accept, host, port)
         return self.server.sockets[0].getsockname()[1]
 
     async def accept(self, reader, writer):
         try:
-            up_reader, up_writer = await asyncio.open_connection("127.0.0.1", self.port)
+            up_reader, up_writer = await asyncio.open_connection(self.target, self.port)
         except OSError:
             writer.transport.abort()
             return
@@ -62,6 +62,20 @@
         for it in list(self.writers):
             it.transport.abort()
 
+    async def harm(self, chance):
+        """Resets, silences, cuts one way or delays all connections for a while."""
+        kind = chance.choice(["reset", "silent", "one_way_up", "one_way_down", "delay"])
+        if kind == "reset":
+            self.reset()
+        elif kind == "delay":
+            self.delay_s = 0.05
+            await asyncio.sleep(2)
+            self.delay_s = 0.0
+        else:
+            self.mode = kind
+            await asyncio.sleep(chance.uniform(0.3, 2.5))
+            self.mode = "pass"
+
 
 class Server:
     """One backend server: counts runs by request id and misbehaves now and then."""
--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -27,7 +27,7 @@
 struct direct_parts {
   direct_parts(control::replica& group, const control::control_settings& settings)
       : links(group,
-              {settings.node_id, false, settings.links.host, settings.links.port,
+              {settings.node_id, false, settings.advertise_peer.host, settings.links.port,
                settings.zone, io::hosts_of(settings.peers)},
               {settings.link_bytes_per_ms, settings.report_silence}, nullptr),
         api(group, links, nullptr) {
--- a/tools/control/settings.cpp
+++ b/tools/control/settings.cpp
@@ -59,13 +59,18 @@
   constexpr std::size_t bytes_per_mb = 1U << 20U;
   const auto host = read_string(map, "host");
   const auto first = io::read_first_port(map);
-  const auto at = [&](io::fleet_port which) {
-    return io::endpoint{host, io::port_of(first, which)};
+  // Behind an address translation the process listens on another address than the
+  // one that the others know.
+  const auto listen_host = read_string(map, "listen_host", host);
+  const auto at = [&](const std::string& on, io::fleet_port which) {
+    return io::endpoint{on, io::port_of(first, which)};
   };
-  out.listen = out.advertise = at(io::fleet_port::nodes);
-  out.listen_peer = out.advertise_peer = at(io::fleet_port::members);
-  out.links = at(io::fleet_port::links);
-  out.admin = at(io::fleet_port::metrics);
+  out.listen = at(listen_host, io::fleet_port::nodes);
+  out.advertise = at(host, io::fleet_port::nodes);
+  out.listen_peer = at(listen_host, io::fleet_port::members);
+  out.advertise_peer = at(host, io::fleet_port::members);
+  out.links = at(listen_host, io::fleet_port::links);
+  out.admin = at(listen_host, io::fleet_port::metrics);
   out.api = io::read_endpoint(map, "api");
   for (const auto& it : io::read_endpoints(map, "seeds")) {
     out.peers.push_back({it.host, out.listen_peer.port});
