--- a/benchmark/dispatch_bench.cpp
+++ b/benchmark/dispatch_bench.cpp
@@ -94,7 +94,9 @@
     } else {
       std::printf("dispatch, %4d servers: %8.2f us a decision, %8.0f kB%s\n", servers,
                   it.microseconds, it.kilobytes,
-                  !counts ? "" : good ? "  target 5 us met" : "  target 5 us MISSED");
+                  !counts ? ""
+                  : good  ? "  target 5 us met"
+                          : "  target 5 us MISSED");
     }
   }
   return met;
--- a/benchmark/main.cpp
+++ b/benchmark/main.cpp
@@ -24,8 +24,8 @@
   poptOption table[] = {
       {"seed", 0, POPT_ARG_LONGLONG, &seed, 0, "Seed of the model", "N"},
       {"json", 0, POPT_ARG_NONE, &json, 0, "One JSON object a line", nullptr},
-      {"only", 0, POPT_ARG_STRING, &only, 0, "Part to run: placement, dispatch, raft or capacity",
-       "PART"},
+      {"only", 0, POPT_ARG_STRING, &only, 0,
+       "Part to run: placement, dispatch, raft or capacity", "PART"},
       {"size", 0, POPT_ARG_STRING, &size, 0, "archive, volta or large", "SIZE"},
       {"output", 0, POPT_ARG_STRING, &output, 0,
        "File for the figures of the capacity part", "FILE"},
--- a/include/marigoldstep/dispatch.h
+++ b/include/marigoldstep/dispatch.h
@@ -87,8 +87,8 @@
   std::string zone; // of this router
   batch_limits batch;
   std::uint32_t max_connections = 0; // of one server, from all routers; 0: not limited
-  std::vector<prompt_part> prompt; // empty for plain services
-  std::vector<std::string> tried;  // servers that had this request already
+  std::vector<prompt_part> prompt;   // empty for plain services
+  std::vector<std::string> tried;    // servers that had this request already
 };
 
 enum class dispatch_reason { home, bounded, least_loaded, last_resort, all_full, none };
--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -24,8 +24,8 @@
 struct link_settings {
   std::string node_id;
   bool is_router = true;
-  std::string own_host;           // never connected to; other routers pass on to it
-  std::uint16_t port = 0;         // of the links, the same on every control VM
+  std::string own_host;   // never connected to; other routers pass on to it
+  std::uint16_t port = 0; // of the links, the same on every control VM
   std::string zone;
   std::vector<std::string> seeds; // hosts
 };
--- a/include/marigoldstep/io/frame_forwarder.h
+++ b/include/marigoldstep/io/frame_forwarder.h
@@ -42,7 +42,7 @@
   std::uint16_t port_;
   framed_listener listener_;
   QTimer timer_;
-  std::map<std::string, outlet> outlets_;          // by host
+  std::map<std::string, outlet> outlets_;           // by host
   std::map<framed_connection*, time_point> inlets_; // when last heard
 };
 
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -151,12 +151,10 @@
 
 // Where the shared parts probably are, if not at the chosen server: where this
 // router sent them last, or else at their home.
-const announced_server* find_copy(const server_directory& directory,
-                                  const dispatch_state& state,
-                                  const dispatch_request& request,
-                                  const dispatch_limits& limits,
-                                  const announced_server& home,
-                                  const announced_server& chosen, time_point now) {
+const announced_server*
+find_copy(const server_directory& directory, const dispatch_state& state,
+          const dispatch_request& request, const dispatch_limits& limits,
+          const announced_server& home, const announced_server& chosen, time_point now) {
   const auto place = state.places.find(home_key(request.prompt));
   if (place != state.places.end() && now - place->second.sent_at <= kept_for) {
     return place->second.server == chosen.id
@@ -173,7 +171,8 @@
   if (request.max_connections == 0) {
     return room;
   }
-  const auto open = static_cast<std::uint64_t>(connection_share * request.max_connections);
+  const auto open =
+      static_cast<std::uint64_t>(connection_share * request.max_connections);
   return std::clamp<std::uint64_t>(open, 1, room);
 }
 
@@ -307,8 +306,7 @@
   }
   const auto* chosen = home.chosen;
   if (chosen != nullptr) {
-    out.reason =
-        chosen == home.home ? dispatch_reason::home : dispatch_reason::bounded;
+    out.reason = chosen == home.home ? dispatch_reason::home : dispatch_reason::bounded;
   } else {
     chosen = choose_least(list, request, random);
     out.reason = dispatch_reason::least_loaded;
@@ -333,7 +331,8 @@
   const double share = idle_share * max_connections / routers;
   const auto whole = static_cast<std::size_t>(share);
   constexpr double hash_range = 0x1.0p64;
-  const double draw = static_cast<double>(stable_hash(router + " " + server)) / hash_range;
+  const double draw =
+      static_cast<double>(stable_hash(router + " " + server)) / hash_range;
   return draw < share - static_cast<double>(whole) ? whole + 1 : whole;
 }
 
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -49,7 +49,7 @@
 }
 
 bytes encode_spread(const wire::ServerUpdateT& message) {
-  const auto frame = wire::encode_link(message);
+  auto frame = wire::encode_link(message);
   if (frame.size() < pack_from_bytes) {
     return frame;
   }
@@ -543,8 +543,8 @@
   const auto now = io::now();
   wire::ReportServerT message;
   message.token = next_token_++;
-  message.server =
-      std::make_unique<wire::AnnouncedServerT>(to_wire(directory_entry{server, now}, now));
+  message.server = std::make_unique<wire::AnnouncedServerT>(
+      to_wire(directory_entry{server, now}, now));
   reports_[message.token] = {now + report_timeout, std::move(done)};
   to->connection->send(wire::encode_link(std::move(message)));
 }
--- a/src/io/logging.cpp
+++ b/src/io/logging.cpp
@@ -3,10 +3,10 @@
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/make_shared.hpp>
 
@@ -70,8 +70,9 @@
 
 // Writes lines to a descriptor without waiting for whoever reads it. A stream would
 // write nothing any more after its first failure, such as a full disk.
-class line_sink : public log::sinks::basic_formatted_sink_backend<
-                      char, log::sinks::synchronized_feeding> {
+class line_sink
+    : public log::sinks::basic_formatted_sink_backend<char,
+                                                      log::sinks::synchronized_feeding> {
 public:
   explicit line_sink(int fd) : fd_(fd) {}
 
@@ -79,8 +80,8 @@
     const auto line = text + "\n";
     pollfd ready{fd_, POLLOUT, 0};
     const bool has_room = ::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
-    if (!has_room || ::write(fd_, line.data(), line.size()) !=
-                         static_cast<ssize_t>(line.size())) {
+    if (!has_room ||
+        ::write(fd_, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
       ++lost_lines;
     }
   }
--- a/tests/programs/fleet_links_test.cpp
+++ b/tests/programs/fleet_links_test.cpp
@@ -34,8 +34,8 @@
 // A router's end of the links and the point where servers report.
 struct router {
   server_directory directory;
-  std::vector<std::string> silent;  // ids, as told
-  std::set<std::string> members;    // hosts, as told
+  std::vector<std::string> silent; // ids, as told
+  std::set<std::string> members;   // hosts, as told
   io::control_links links;
   gateway::report_point reports;
 
--- a/tests/programs/platform_control_test.cpp
+++ b/tests/programs/platform_control_test.cpp
@@ -42,8 +42,7 @@
     links = std::make_unique<control::link_service>(
         *group,
         io::link_settings{"c", false, "127.0.0.1", link_address.port, "z", {"127.0.0.1"}},
-        control::link_limits{},
-        nullptr);
+        control::link_limits{}, nullptr);
     api = std::make_unique<control::api>(*group, *links, nullptr);
     group->on_changed = [this] { links->handle_state_changed(); };
     std::error_code ec;
@@ -163,9 +162,9 @@
     }
     it.group = std::make_unique<control::replica>(settings, nullptr);
     it.links = std::make_unique<control::link_service>(
-        *it.group, io::link_settings{host(i), false, host(i), link_port, "z", {host(seed)}},
-        control::link_limits{},
-        nullptr);
+        *it.group,
+        io::link_settings{host(i), false, host(i), link_port, "z", {host(seed)}},
+        control::link_limits{}, nullptr);
     auto* group = it.group.get();
     it.links->on_members = [group](const std::set<std::string>& hosts) {
       group->set_member_hosts(hosts);
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -271,8 +271,8 @@
   const double rate = limits_.link_bytes_per_ms;
   const auto elapsed = static_cast<double>((now - budget_at_).count());
   budget_at_ = now;
-  text_budget_ = std::min(text_share * rate * burst_ms,
-                          text_budget_ + text_share * rate * elapsed);
+  text_budget_ =
+      std::min(text_share * rate * burst_ms, text_budget_ + text_share * rate * elapsed);
   change_budget_ = std::min(change_share * rate * burst_ms,
                             change_budget_ + change_share * rate * elapsed);
 }
@@ -517,7 +517,8 @@
   for (const auto& id : ids_after(list, update.after)) {
     const auto it = directory_.entries.find(id);
     if (it != directory_.entries.end()) {
-      auto server = std::make_unique<wire::AnnouncedServerT>(io::to_wire(it->second, now));
+      auto server =
+          std::make_unique<wire::AnnouncedServerT>(io::to_wire(it->second, now));
       server->silent = missing_.contains(id);
       update.servers.push_back(std::move(server));
     }
@@ -556,8 +557,7 @@
   const auto now = io::now();
   for (const auto& [id, entry] : directory_.entries) {
     const bool missing = now - entry.heard_at > limits_.silence;
-    if (missing == missing_.contains(id) ||
-        entry.server.state == announced_state::gone) {
+    if (missing == missing_.contains(id) || entry.server.state == announced_state::gone) {
       continue;
     }
     if (missing) {
@@ -565,9 +565,9 @@
     } else {
       missing_.erase(id);
     }
-    io::log_event(io::log_level::info, missing ? "server_silent" : "server_heard_again",
-                  {{"server", id},
-                   {"silent_ms", std::to_string((now - entry.heard_at).count())}});
+    io::log_event(
+        io::log_level::info, missing ? "server_silent" : "server_heard_again",
+        {{"server", id}, {"silent_ms", std::to_string((now - entry.heard_at).count())}});
     for (auto* list : {&reported_, &repeated_}) {
       if (contains(*list, id)) {
         note_change(*list, id);
@@ -692,7 +692,8 @@
 void link_service::choose_load_interval(std::size_t entries) {
   const auto time_for = [&](std::size_t n) {
     const auto size = load_frame_bytes + load_entry_bytes * n;
-    return duration(static_cast<duration::rep>(routers_.size() * size / load_bytes_per_ms));
+    return duration(
+        static_cast<duration::rep>(routers_.size() * size / load_bytes_per_ms));
   };
   const bool wanted = time_for(directory_.entries.size()) <= longest_load_interval;
   load_interval_ =
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -65,9 +65,9 @@
   // How far one subscriber is in a feed.
   struct feed_progress {
     feed_position acked;
-    bool told = false;          // something was sent on this connection
-    std::uint64_t sent = 0;     // number of the newest change sent
-    time_point resend_at{};     // when what was sent counts as lost
+    bool told = false;      // something was sent on this connection
+    std::uint64_t sent = 0; // number of the newest change sent
+    time_point resend_at{}; // when what was sent counts as lost
   };
   struct subscriber {
     std::string node_id; // empty until it subscribed
@@ -78,12 +78,12 @@
     bool is_primary = false; // this process repeats to it what the others tell
     bool confirmed = false;
     bool confirming = false;
-    std::uint64_t version = 0;          // acknowledged
+    std::uint64_t version = 0;           // acknowledged
     std::vector<std::string> told_hosts; // members of the group
     feed_progress reported;
     feed_progress repeated;
     time_point heard_at{};
-    time_point status_at{}; // when the next status is due
+    time_point status_at{};                   // when the next status is due
     std::map<std::uint32_t, load_count> load; // by server hash
   };
   // Somebody who waits for acknowledgements.
@@ -149,7 +149,7 @@
   std::deque<time_point> direct_reports_;              // over HTTP, within a second
   std::vector<waiting> waiting_;
   std::vector<io::framed_connection*> texts_due_; // subscribers that asked for a text
-  double text_budget_ = 0; // bytes that may be sent now
+  double text_budget_ = 0;                        // bytes that may be sent now
   double change_budget_ = 0;
   time_point budget_at_{};
   std::map<std::string, time_point> routers_; // by node id, when last heard
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -42,8 +42,8 @@
                  QObject* parent)
     : QObject(parent), pool(this), numbers(registry), settings_(std::move(settings)),
       links_({settings_.node_id, true, settings_.host,
-              io::port_of(settings_.first_port, io::fleet_port::links),
-              settings_.zone, io::hosts_of(settings_.seeds)},
+              io::port_of(settings_.first_port, io::fleet_port::links), settings_.zone,
+              io::hosts_of(settings_.seeds)},
              this),
       callers_(this), checks_(this), reports_(links_, this) {
   retries.limits = settings_.retries;
