Draw servers of plain services in proportion to their room

Change: each router draws a server in proportion to the room that it seems to have. dispatch_load_test plays the load on a model of the service and compares with full knowledge. What is late now is work that queues because loads are told only five times a second.

--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -28,6 +28,9 @@
 constexpr double load_slack = 2;
 // Load that a server of another availability zone must be lighter by, in slots.
 constexpr double zone_penalty = 0.5;
+// Load in slots a slot at which a server gets next to nothing, and its share then.
+constexpr double full_load = 1.2;
+constexpr double least_room = 0.05;
 // Parts used less recently have probably yielded to others.
 constexpr auto kept_for = duration(60'000);
 // Connections that a server resets were opened in vain, and it may accept fewer
@@ -219,21 +222,25 @@
   return out;
 }
 
+double cost_of(const candidate& it, const dispatch_request& request) {
+  const double slots = std::max(1U, it.server().slots);
+  const double far = it.server().zone == request.zone ? 0 : zone_penalty;
+  return (it.load + far) / slots;
+}
+
 const candidate* choose_least(const std::vector<candidate>& list,
                               const dispatch_request& request, std::mt19937_64& random) {
-  const candidate* best = nullptr;
-  double best_cost = 0;
-  std::uniform_real_distribution<double> tie(0, 1.0 / 64);
+  double sum = 0;
+  std::vector<double> upto;
+  upto.reserve(list.size());
   for (const auto& it : list) {
     const double slots = std::max(1U, it.server().slots);
-    const double far = it.server().zone == request.zone ? 0 : zone_penalty;
-    const double cost = (it.load + far) / slots + tie(random);
-    if (best == nullptr || cost < best_cost) {
-      best = &it;
-      best_cost = cost;
-    }
+    sum += std::max(least_room, (full_load - cost_of(it, request)) * slots);
+    upto.push_back(sum);
   }
-  return best;
+  const double ticket = std::uniform_real_distribution<double>(0, sum)(random);
+  const auto at = std::upper_bound(upto.begin(), upto.end(), ticket) - upto.begin();
+  return &list[std::min(static_cast<std::size_t>(at), list.size() - 1)];
 }
 
 void eject(server_record& record, time_point now) {
