Don't let a feed that is no longer followed vouch for servers

Cause: found by reading. A control process that stops being a router's primary (members changed) stopped telling it that servers fall silent, and what it had told before vouched for them for ever; the same after its restart, until the feed of the new start came. Change: who began to follow a feed goes on; a feed of an earlier start doesn't count. Empty lists of heard servers aren't sent. The change of the primary needs more than 40 routers and is not tested.

--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -85,6 +85,7 @@
     feed_position at;
     std::unordered_set<std::uint32_t> heard; // servers that it isn't missing
   };
+  // Both have the epoch of the control process's start.
   struct origin_view {
     feed_view reported;
     feed_view repeated;
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -291,9 +291,13 @@
 bool control_links::is_vouched(std::uint32_t server) const {
   return std::any_of(links_.begin(), links_.end(), [&](const auto& it) {
     const auto known = origins_.find(it.first);
-    return it.second.is_open && known != origins_.end() &&
-           (known->second.reported.heard.contains(server) ||
-            known->second.repeated.heard.contains(server));
+    if (!it.second.is_open || known == origins_.end()) {
+      return false;
+    }
+    // A feed of an earlier start says nothing any more.
+    const auto& [reported, repeated] = known->second;
+    return reported.heard.contains(server) ||
+           (repeated.at.epoch == reported.at.epoch && repeated.heard.contains(server));
   });
 }
 
--- a/tests/programs/fleet_links_test.cpp
+++ b/tests/programs/fleet_links_test.cpp
@@ -173,6 +173,20 @@
   REQUIRE(wait_until([&] { return it.routers[0]->links.is_vouched(hash); }));
 }
 
+TEST_CASE("a control process that starts anew vouches for nobody yet") {
+  fleet it(1, {});
+  it.links->handle_report(make_server("s", 1), [](bool) {});
+  const auto hash = io::server_hash("s");
+  REQUIRE(wait_until([&] { return it.routers[0]->links.is_vouched(hash); }));
+  it.links.reset();
+  it.group.reset();
+  it.start_control({});
+  REQUIRE(wait_until([&] { return it.routers[0]->links.open_links() == 1; }));
+  REQUIRE(wait_until([&] { return !it.routers[0]->links.is_vouched(hash); }));
+  it.links->handle_report(make_server("s", 2), [](bool) {});
+  REQUIRE(wait_until([&] { return it.routers[0]->links.is_vouched(hash); }));
+}
+
 TEST_CASE("a router that connects again learns what it missed") {
   fleet it(1, {});
   it.links->handle_report(make_server("s", 1), [](bool) {});
--- a/tools/control/link_servers.cpp
+++ b/tools/control/link_servers.cpp
@@ -88,7 +88,8 @@
   if (!it.is_router || subscribers_.size() <= redundant_routers) {
     return it.is_router;
   }
-  return it.is_primary;
+  // Who began to follow the feed goes on, or it would miss that servers fall silent.
+  return it.is_primary || it.repeated.acked.epoch == repeated_.epoch;
 }
 
 // Each router has one control process that repeats to it what the others tell.
@@ -171,6 +172,9 @@
 
 // Tells the other control processes which servers reported here.
 void link_service::send_heard() {
+  if (heard_.empty()) {
+    return;
+  }
   wire::ServersHeardT message;
   for (const auto& id : heard_) {
     message.servers.push_back(io::server_hash(id));
