Obey servers that say they are leaving or want no requests for a while

No code read Server-Leaving, and Retry-After of a server's 503 was ignored, so a server that closed itself got requests until its report had passed through control.

Change: platform/ parses both headers into response_metadata; unusable values are ignored with a reason that is logged, more than 10 minutes is limited. server_notice.h keeps them by incarnation; dispatch leaves out closed servers, also as a last resort, and sends one request at a time to a server whose back-off has just ended while others are open. The check is repeated when a connection has been opened. When all servers are closed the caller is refused at once with the time until the first reopens. The retry budget is asked only if a server can be tried; until now a request whose servers had all failed got a 502 of our own instead of the server's error.

Bound while requests are in flight: those sent before the refusal arrives reach the server within one round trip; a request that waits for a connection is checked again, so none is sent once the refusal was read.

Weighed: telling other routers through the change feed. Both rules bind the router that got the response, and each server also reports that it drains; a second way would cost bytes and gain a second at most.

--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -34,6 +34,7 @@
 #include "marigoldstep/retry_share.h"
 #include "marigoldstep/routing.h"
 #include "marigoldstep/server_directory.h"
+#include "marigoldstep/server_notice.h"
 #include "marigoldstep/types.h"
 #include "marigoldstep/verdict.h"
 #include "marigoldstep/view_repair.h"
--- a/include/marigoldstep/dispatch.h
+++ b/include/marigoldstep/dispatch.h
@@ -2,9 +2,11 @@
 
 #include "marigoldstep/routing.h"
 #include "marigoldstep/server_directory.h"
+#include "marigoldstep/server_notice.h"
 #include "marigoldstep/types.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -46,6 +48,7 @@
   double failure_rate = 0; // moving average over responses, 0 to 1
   unsigned responses = 0;  // behind failure_rate, capped
   time_point ejected_until{};
+  server_notice notice;
 };
 
 // The server to which this router last sent a prompt with a given part as its largest
@@ -96,7 +99,15 @@
   std::vector<std::string> tried;    // servers already tried for this request
 };
 
-enum class dispatch_reason { home, bounded, least_loaded, last_resort, all_full, none };
+enum class dispatch_reason {
+  home,
+  bounded,
+  least_loaded,
+  last_resort,
+  all_full,
+  all_closed, // every server is leaving or has asked for no requests for a while
+  none,
+};
 std::string_view name(dispatch_reason value);
 
 struct dispatch_choice {
@@ -108,6 +119,9 @@
   std::uint32_t load = 0;     // of the chosen server, requests
   double mean_load = 0;       // over the candidates, requests
   std::size_t candidates = 0; // servers considered
+  // With all_closed: time until the first server takes requests again; unset if none
+  // said.
+  std::optional<milliseconds> reopens_in;
 };
 
 // Requests in flight at a server, from the counts of all routers or from a recent
@@ -129,6 +143,11 @@
 std::size_t idle_connections(std::uint32_t max_connections, std::uint32_t routers,
                              const std::string& router, const std::string& server);
 
+// Whether a request may be sent to the server now. To be checked again when a connection
+// has been opened, since the server may have responded to other requests meanwhile.
+bool may_send_to(const dispatch_state& state, const announced_server& server,
+                 time_point now);
+
 void record_sent(dispatch_state& state, const std::string& id, std::uint64_t tokens);
 // Stores id as the location of the prompt's largest shared part.
 void record_prompt_sent(dispatch_state& state, const std::vector<prompt_part>& prompt,
--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -17,6 +17,7 @@
 // Why an exchange with a backend server ended without a complete response.
 enum class exchange_failure {
   not_connected, // nothing was sent
+  withheld,      // nothing was sent: may_send() refused once the connection was open
   closed,        // the connection broke after the request was passed to it
   malformed,     // the response is not valid HTTP
 };
@@ -51,6 +52,9 @@
   // until the exchange ended. is_head_request: the response has no body.
   void send(std::string request, bool is_head_request);
 
+  // Asked before a request is written to a connection that was still being opened when
+  // send() was called. Unset: always.
+  std::function<bool()> may_send;
   std::function<void(const http_head&)> on_head;
   std::function<void(std::string)> on_body;
   std::function<void()> on_done;
--- a/include/marigoldstep/relay_policy.h
+++ b/include/marigoldstep/relay_policy.h
@@ -31,11 +31,16 @@
   bool wrong_server = false; // another server has the address and did not run it
   std::optional<std::uint32_t> load;        // running and queued requests
   std::optional<milliseconds> idle_timeout; // of the connection
+  bool leaving = false;                     // the server takes no more requests
+  // The server refused the request and wants none from this router for so long.
+  std::optional<milliseconds> backoff;
+  std::string problem; // why a field's value was ignored or limited; empty if none was
 };
 
 // How an attempt ended without a response that can be forwarded.
 enum class attempt_end {
   not_connected, // nothing was sent
+  withheld,      // nothing was sent: the server closed itself to requests meanwhile
   not_run,       // the server refused it or did not run it
   wrong_server,  // another server has the address
   failed,        // the server ran it and responded with a server error
@@ -99,8 +104,9 @@
   return relay_step::try_again;
 }
 
-// Retry-After for a caller when all servers are busy: the time in which some running
-// requests end, with jitter so that callers do not all retry at once. left is the time
+// Retry-After for a caller when no server takes the request: the time until the first
+// one opens again where the servers said it, otherwise the time in which some running
+// requests end; with jitter so that callers do not all retry at once. left is the time
 // until the deadline; random_value is uniformly distributed.
 milliseconds refusal_delay(const dispatch_choice& choice, milliseconds left,
                            std::uint64_t random_value);
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -65,6 +65,17 @@
   return std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
 }
 
+server_admission admission_at(const detail::indexed_server& it, time_point now) {
+  return admission(it.stats->notice, it.entry->server.started, now);
+}
+
+// Whether the server has yet to show that its back-off has ended, and a request that may
+// show it is in flight. More requests would be refused together if it has not.
+bool is_being_probed(const detail::indexed_server& it, time_point now) {
+  return it.stats->local_load.requests > 0 &&
+         admission_at(it, now) == server_admission::probe;
+}
+
 bool has_high_failure_rate(const server_stats& stats) {
   return stats.responses >= min_responses && stats.failure_rate > max_failure_rate;
 }
@@ -114,7 +125,8 @@
     ++n;
     failures += stats.failure_rate;
     any_failing = any_failing || has_high_failure_rate(stats);
-    if (is_usable(*it.entry, limits.silence_timeout, now) && stats.ejected_until <= now) {
+    if (is_usable(*it.entry, limits.silence_timeout, now) && stats.ejected_until <= now &&
+        !is_closed(admission_at(it, now)) && !is_being_probed(it, now)) {
       const auto load = estimated_load(stats, now);
       out.push_back(
           {&it, now < it.entry->warmup_ends_at ? warmup_load_factor * load : load});
@@ -126,18 +138,40 @@
   return out;
 }
 
-// All servers not tried yet, used when none is healthy.
+// All servers not tried yet that take requests, used when none is healthy.
 std::vector<candidate> find_untried(const std::vector<detail::indexed_server>& all,
                                     const dispatch_request& request, time_point now) {
   std::vector<candidate> out;
   for (const auto& it : all) {
-    if (!was_tried(request, it.entry->server.id)) {
+    if (!was_tried(request, it.entry->server.id) && !is_closed(admission_at(it, now))) {
       out.push_back({&it, estimated_load(*it.stats, now)});
     }
   }
   return out;
 }
 
+// Sets the reason and, if every server has closed itself to requests, the time until the
+// first one opens again.
+void explain_refusal(dispatch_choice& out, const std::vector<detail::indexed_server>& all,
+                     bool any_candidate, time_point now) {
+  out.reason = any_candidate ? dispatch_reason::all_full : dispatch_reason::none;
+  const bool all_closed =
+      !all.empty() && std::all_of(all.begin(), all.end(), [now](const auto& it) {
+        return is_closed(admission_at(it, now));
+      });
+  if (any_candidate || !all_closed) {
+    return;
+  }
+  out.reason = dispatch_reason::all_closed;
+  for (const auto& it : all) {
+    const auto wait = it.stats->notice.backoff_until - now;
+    if (admission_at(it, now) == server_admission::backing_off &&
+        (!out.reopens_in || wait < *out.reopens_in)) {
+      out.reopens_in = wait;
+    }
+  }
+}
+
 std::uint64_t home_key(const std::vector<prompt_part>& prompt) {
   // The last part is specific to one request or chat and is not shared.
   const auto shared = prompt.size() > 1 ? prompt.size() - 1 : prompt.size();
@@ -287,6 +321,8 @@
     return "last_resort";
   case dispatch_reason::all_full:
     return "all_full";
+  case dispatch_reason::all_closed:
+    return "all_closed";
   case dispatch_reason::none:
     return "none";
   }
@@ -320,7 +356,7 @@
                            : capacity(it.server().slots, request, limits));
   });
   if (list.empty()) {
-    out.reason = any_candidate ? dispatch_reason::all_full : dispatch_reason::none;
+    explain_refusal(out, all, any_candidate, now);
     return out;
   }
   home_choice home;
@@ -364,6 +400,11 @@
   return draw < share - static_cast<double>(whole) ? whole + 1 : whole;
 }
 
+bool may_send_to(const dispatch_state& state, const announced_server& server,
+                 time_point now) {
+  return !is_closed(admission(find_stats(state, server.id).notice, server.started, now));
+}
+
 void record_sent(dispatch_state& state, const std::string& id, std::uint64_t tokens) {
   auto& local_load = state.stats[id].local_load;
   ++local_load.requests;
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -56,6 +56,8 @@
   switch (why) {
   case exchange_failure::not_connected:
     return "not_connected";
+  case exchange_failure::withheld:
+    return "withheld";
   case exchange_failure::closed:
     return "closed";
   case exchange_failure::malformed:
@@ -97,6 +99,10 @@
   state_ = state::open;
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   enable_dead_peer_detection(*socket_);
+  if (busy_ && may_send && !may_send()) {
+    fail(exchange_failure::withheld);
+    return;
+  }
   if (busy_) {
     socket_->write(request_.data(), static_cast<qint64>(request_.size()));
     request_.clear();
@@ -265,6 +271,7 @@
 }
 
 void backend_connection::clear_callbacks() {
+  may_send = nullptr;
   on_head = nullptr;
   on_body = nullptr;
   on_done = nullptr;
--- a/src/relay_policy.cpp
+++ b/src/relay_policy.cpp
@@ -8,6 +8,8 @@
   switch (end) {
   case attempt_end::not_connected:
     return "not_connected";
+  case attempt_end::withheld:
+    return "withheld";
   case attempt_end::not_run:
     return "not_run";
   case attempt_end::wrong_server:
@@ -37,7 +39,7 @@
 namespace detail {
 
 void count_end(request_progress& state, attempt_end end) {
-  if (end == attempt_end::not_connected) {
+  if (end == attempt_end::not_connected || end == attempt_end::withheld) {
     ++state.failed_connects;
   } else if (end == attempt_end::wrong_server) {
     ++state.wrong_servers;
@@ -71,6 +73,10 @@
   constexpr auto jitter_range = milliseconds(600);
   const auto jitter = milliseconds(static_cast<milliseconds::rep>(
       random_value % static_cast<std::uint64_t>(jitter_range.count())));
+  if (choice.reopens_in) {
+    // A request before that time would be refused again.
+    return *choice.reopens_in + jitter;
+  }
   const auto base = choice.reason == dispatch_reason::none ? 2 * min_delay : min_delay;
   return std::min(base + jitter, std::max(min_delay, left / 4));
 }
--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -148,3 +148,18 @@
   pool.acquire(server.address());
   CHECK(pool.connects() == 3);
 }
+
+// A server may close itself to requests while a connection to it is being opened.
+TEST_CASE("a request is withheld if it may not be sent once the connection is open") {
+  scripted_server server({{write_text("HTTP/1.1 200 OK\r\n\r\n")}});
+  backend_pool pool(nullptr);
+  exchange_result result;
+  auto* connection = pool.acquire(server.address());
+  record_events(*connection, result);
+  connection->may_send = [] { return false; };
+  connection->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", false);
+  REQUIRE(wait_until([&] { return result.ended(); }));
+  CHECK(result.failure == exchange_failure::withheld);
+  CHECK(server.requests.empty());
+  pool.discard(connection);
+}
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -310,3 +310,83 @@
   remove_silent(it.directory, milliseconds(1000), start + milliseconds(5000));
   CHECK(choose(it, plain_request()).server == nullptr);
 }
+
+namespace {
+
+server_notice& notice_of(fleet& it, const std::string& id) {
+  return it.state.stats[id].notice;
+}
+
+} // namespace
+
+// A server that is leaving still counts as ready in the directory until its report has
+// passed through control.
+TEST_CASE(
+    "a server that said it is leaving gets no requests, not even as a last resort") {
+  auto it = make_fleet(2, 6);
+  record_leaving(notice_of(it, "s0"), 1);
+  for (int i = 0; i < 50; ++i) {
+    CHECK(choose(it, plain_request()).server->id == "s1");
+  }
+  record_leaving(notice_of(it, "s1"), 1);
+  const auto none = choose(it, plain_request());
+  CHECK(none.server == nullptr);
+  CHECK(none.reason == dispatch_reason::all_closed);
+  CHECK_FALSE(none.reopens_in);
+  auto restarted = it.directory.entries.at("s0").server;
+  restarted.started = 2;
+  apply_report(it.directory, restarted, milliseconds(0), start);
+  CHECK(choose(it, plain_request()).server->id == "s0");
+}
+
+TEST_CASE("a prompt is still copied from its home while the home is leaving") {
+  auto it = make_fleet(3, 64);
+  const auto home = choose(it, prompt_request(5)).server->id;
+  record_prompt_sent(it.state, prompt_request(5).prompt, home, start);
+  record_leaving(notice_of(it, home), 1);
+  const auto away = choose(it, prompt_request(5));
+  REQUIRE(away.server != nullptr);
+  CHECK(away.server->id != home);
+  REQUIRE(away.copy_from != nullptr);
+  CHECK(away.copy_from->id == home);
+}
+
+// Requests that return before the first server reopens would only be refused again.
+TEST_CASE("when all servers back off the refusal names the time of the first to reopen") {
+  auto it = make_fleet(3, 6);
+  record_backoff(notice_of(it, "s0"), 1, milliseconds(3000), start);
+  record_backoff(notice_of(it, "s1"), 1, milliseconds(1200), start);
+  record_leaving(notice_of(it, "s2"), 1);
+  const auto now = start + milliseconds(200);
+  const auto refused = choose(it, plain_request(), now);
+  CHECK(refused.server == nullptr);
+  CHECK(refused.reason == dispatch_reason::all_closed);
+  CHECK(refused.reopens_in == milliseconds(1000));
+  CHECK(choose(it, plain_request(), start + milliseconds(1200)).server->id == "s1");
+}
+
+// Many requests at the end of a back-off would be refused together if the server is
+// still full.
+TEST_CASE("after a back-off one request probes the server while others are open") {
+  auto it = make_fleet(2, 6);
+  record_backoff(notice_of(it, "s0"), 1, milliseconds(1000), start);
+  const auto now = start + milliseconds(1000);
+  record_sent(it.state, "s0", 0);
+  for (int i = 0; i < 50; ++i) {
+    CHECK(choose(it, plain_request(), now).server->id == "s1");
+  }
+  record_accepted(notice_of(it, "s0"), 1, now);
+  int chosen = 0;
+  for (int i = 0; i < 50; ++i) {
+    chosen += choose(it, plain_request(), now).server->id == "s0" ? 1 : 0;
+  }
+  CHECK(chosen > 10);
+}
+
+// Refusing callers while the only server may be open again serves nobody.
+TEST_CASE("a server that is being probed is used if no other server is open") {
+  auto it = make_fleet(1, 6);
+  record_backoff(notice_of(it, "s0"), 1, milliseconds(1000), start);
+  record_sent(it.state, "s0", 0);
+  CHECK(choose(it, plain_request(), start + milliseconds(1000)).server != nullptr);
+}
--- a/tests/parser_fuzz_test.cpp
+++ b/tests/parser_fuzz_test.cpp
@@ -1,4 +1,5 @@
 #include "../fuzz/parser_targets.h"
+#include "../fuzz/response_targets.h"
 #include "marigoldstep.h"
 
 #include <catch2/catch.hpp>
@@ -91,5 +92,13 @@
       fuzz::parse_texts(mutated);
     }
   }
+  const auto refusal =
+      to_bytes("HTTP/1.1 503 Service Unavailable\r\nMarigoldstep-Request-Id: r\r\n"
+               "Marigoldstep-Not-Executed: 1\r\nRetry-After: 1.250\r\n"
+               "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n");
+  fuzz::parse_response(refusal);
+  for (int i = 0; i < mutations_per_input; ++i) {
+    fuzz::parse_response(mutate(refusal, random));
+  }
   SUCCEED();
 }
--- a/tests/platform_messages_test.cpp
+++ b/tests/platform_messages_test.cpp
@@ -1,5 +1,8 @@
 #include "platform/messages.h"
 
+#include "marigoldstep/server_notice.h"
+
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace marigoldstep;
@@ -257,3 +260,65 @@
   CHECK(platform::make_retry_after_field(milliseconds(1250)) ==
         io::http_field{"Retry-After", "1.250"});
 }
+
+// A server that says it is leaving, or that it wants no requests for a while, must be
+// understood whatever else its response holds.
+TEST_CASE("a server's notices are parsed from a response head") {
+  auto leaving = make_head({{"Server-Leaving", "1"}});
+  leaving.status = 200;
+  CHECK(platform::parse_response_head(leaving).leaving);
+  leaving.status = 500;
+  CHECK(platform::parse_response_head(leaving).leaving);
+  const auto backoff = [](const std::string& value) {
+    auto head = make_head({{"Retry-After", value}});
+    head.status = 503;
+    return platform::parse_response_head(head);
+  };
+  CHECK(backoff("2").backoff == milliseconds(2000));
+  CHECK(backoff(" 0.25 ").backoff == milliseconds(250));
+  CHECK(backoff("0.0001").backoff == milliseconds(1));
+  CHECK(backoff("2").problem.empty());
+  auto not_refused = make_head({{"Retry-After", "2"}});
+  not_refused.status = 500;
+  CHECK_FALSE(platform::parse_response_head(not_refused).backoff);
+}
+
+// Garbage in these headers must neither exclude a server nor pass without a log line.
+TEST_CASE("unusable values of a server's notices are ignored with a reason") {
+  const auto value = GENERATE(as<std::string>(), "", "-1", "-0.5", "soon", "nan", "inf",
+                              "1e3", "0x5", "1,5", "2 s", "\x01\xff",
+                              "Fri, 04 Dec 2026 05:00:00 GMT", std::string(100, 'x'));
+  CAPTURE(value);
+  auto head = make_head({{"Retry-After", value}, {"Server-Leaving", value}});
+  head.status = 503;
+  const auto metadata = platform::parse_response_head(head);
+  CHECK_FALSE(metadata.backoff);
+  CHECK_FALSE(metadata.leaving);
+  CHECK_FALSE(metadata.problem.empty());
+  CHECK(metadata.problem.size() < 120);
+  CHECK(std::all_of(metadata.problem.begin(), metadata.problem.end(),
+                    [](char c) { return c >= ' ' && c <= '~'; }));
+}
+
+TEST_CASE("a huge back-off is limited with a reason, and zero is none") {
+  for (const std::string value : {"86400", "999999999999999999999999"}) {
+    auto head = make_head({{"Retry-After", value}});
+    head.status = 503;
+    const auto metadata = platform::parse_response_head(head);
+    CHECK(metadata.backoff == max_server_backoff);
+    CHECK_FALSE(metadata.problem.empty());
+  }
+  auto zero = make_head({{"Retry-After", "0"}});
+  zero.status = 503;
+  CHECK_FALSE(platform::parse_response_head(zero).backoff);
+  CHECK(platform::parse_response_head(zero).problem.empty());
+}
+
+// The response of another server at the address must not exclude the one that was meant.
+TEST_CASE("a misdirected response carries no notices") {
+  auto head = make_head({{"Retry-After", "5"}, {"Server-Leaving", "1"}});
+  head.status = 421;
+  const auto metadata = platform::parse_response_head(head);
+  CHECK_FALSE(metadata.leaving);
+  CHECK_FALSE(metadata.backoff);
+}
--- a/tests/programs/gateway_test.cpp
+++ b/tests/programs/gateway_test.cpp
@@ -283,6 +283,57 @@
   CHECK(it.servers[0]->requests.empty());
 }
 
+// The announcement through control takes a second or more, and never arrives at a
+// gateway that is cut off from control.
+TEST_CASE("a server that says it is leaving gets no more requests from the gateway") {
+  const std::string last = "HTTP/1.1 200 OK\r\nMarigoldstep-Request-Id: {id}\r\n"
+                           "Marigoldstep-Response-Seal: seal\r\nServer-Leaving: 1\r\n"
+                           "Content-Length: 4\r\n\r\nlast";
+  gateway_fixture it(
+      {{{write_text(last)}, {write_text(response_text("late"))}},
+       {{write_text(response_text("one"))}, {write_text(response_text("two"))}}});
+  CHECK(send_request(it, request_text("GET", "/safe/", "r1"), "last").ends_with("last"));
+  CHECK(send_request(it, request_text("GET", "/safe/", "r2"), "one").ends_with("one"));
+  CHECK(send_request(it, request_text("GET", "/safe/", "r3"), "two").ends_with("two"));
+  CHECK(it.servers[0]->requests.size() == 1);
+  CHECK(wait_until([&] { return it.servers[0]->disconnects == 1; }));
+}
+
+// A late response to another request proves nothing about the server that was asked.
+TEST_CASE("a notice in a response to another request is ignored") {
+  const std::string foreign = "HTTP/1.1 200 OK\r\nMarigoldstep-Request-Id: other\r\n"
+                              "Marigoldstep-Response-Seal: seal\r\nServer-Leaving: 1\r\n"
+                              "Content-Length: 2\r\n\r\nno";
+  gateway_fixture it({{{write_text(foreign + response_text("zero"))},
+                       {write_text(response_text("again"))}}});
+  CHECK(send_request(it, request_text("GET", "/safe/", "r1"), "zero").ends_with("zero"));
+  CHECK(
+      send_request(it, request_text("GET", "/safe/", "r2"), "again").ends_with("again"));
+}
+
+TEST_CASE("a server that refuses with a time gets no requests until it has passed") {
+  const std::string refusal =
+      "HTTP/1.1 503 Service Unavailable\r\nMarigoldstep-Request-Id: {id}\r\n"
+      "Marigoldstep-Not-Executed: 1\r\nRetry-After: 0.6\r\nContent-Length: 0\r\n\r\n";
+  gateway_fixture it({{{write_text(refusal)}, {write_text(response_text("back"))}}});
+  const auto began = io::now();
+  const auto request = request_text("POST", "/once/", "r1", "", "x");
+  // Both the request that was refused and the next one are answered at once, with the
+  // time that is left.
+  for (int i = 0; i < 2; ++i) {
+    const auto response = send_request(it, request, "\r\n\r\n");
+    CHECK(starts_with_status(response, "503"));
+    const std::string field = "Retry-After: ";
+    const auto at = response.find(field);
+    REQUIRE(at != std::string::npos);
+    CHECK(std::stod(response.substr(at + field.size())) > 0.3);
+  }
+  CHECK(io::now() - began < milliseconds(400));
+  CHECK(it.servers[0]->requests.size() == 1);
+  REQUIRE(wait_until([&] { return io::now() - began > milliseconds(700); }));
+  CHECK(send_request(it, request, "back").ends_with("back"));
+}
+
 TEST_CASE("the load from other routers counts only while control reports it") {
   gateway_fixture it(
       {{{write_text(response_text("zero"))}}, {{write_text(response_text("one"))}}});
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -117,6 +117,22 @@
   CHECK(delays.size() > 20);
 }
 
+// Callers of a service whose servers all back off must not return before one reopens,
+// nor all at that moment.
+TEST_CASE("a refusal names the time when the first server reopens, with jitter") {
+  dispatch_choice closed;
+  closed.reason = dispatch_reason::all_closed;
+  closed.reopens_in = milliseconds(2000);
+  std::set<milliseconds> delays;
+  for (std::uint64_t random_value = 0; random_value < 100; ++random_value) {
+    const auto delay = refusal_delay(closed, milliseconds(3000), random_value * 7919);
+    CHECK(delay >= milliseconds(2000));
+    CHECK(delay <= milliseconds(3000));
+    delays.insert(delay);
+  }
+  CHECK(delays.size() > 20);
+}
+
 TEST_CASE("the retries of all routers stay within the fleet's budget in every window") {
   // The routers receive unequal parts of the requests and do not communicate.
   constexpr std::uint32_t routers = 5;
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -111,7 +111,7 @@
   return true;
 }
 
-void relay::send_attempt() {
+dispatch_request relay::make_dispatch_request() const {
   dispatch_request request;
   request.service = service_;
   request.zone = owner_.settings().zone;
@@ -121,7 +121,23 @@
     request.batch = service->batch;
     request.max_connections = service->max_connections;
   }
-  const auto choice = owner_.choose_backend(request);
+  return request;
+}
+
+bool relay::has_candidate() const {
+  return owner_.choose_backend(make_dispatch_request()).server != nullptr;
+}
+
+// Retry-After after attempts that did not run.
+milliseconds relay::not_run_delay() const {
+  const auto choice = owner_.choose_backend(make_dispatch_request());
+  return choice.reopens_in
+             ? refusal_delay(choice, time_left(), stable_hash(call_.request_id, 1))
+             : refused_retry_delay;
+}
+
+void relay::send_attempt() {
+  const auto choice = owner_.choose_backend(make_dispatch_request());
   if (choice.server == nullptr) {
     if (response_started_) {
       abort_response("no backend server can resume the response");
@@ -170,6 +186,9 @@
     events_.partial.clear();
   }
   it.connection = owner_.pool.acquire({server.host, server.port});
+  it.connection->may_send = [this] {
+    return may_send_to(owner_.dispatch, attempt_->server, io::now());
+  };
   it.connection->on_head = [this](const io::http_head& head) { handle_head(head); };
   it.connection->on_body = [this](std::string piece) { handle_body(std::move(piece)); };
   it.connection->on_done = [this] { handle_done(); };
@@ -207,6 +226,37 @@
     record_reported_load(owner_.dispatch, it.server.id, *metadata.load, io::now());
   }
   it.is_forwarding = is_forwardable_response() && is_stream(route_->kind);
+  record_notice(metadata);
+}
+
+// The notice is valid for the incarnation to which the request was sent.
+void relay::record_notice(const response_metadata& metadata) {
+  const auto& server = attempt_->server;
+  auto& notice = owner_.dispatch.stats[server.id].notice;
+  if (!metadata.problem.empty()) {
+    io::log_event(io::log_level::warning, "response_field_ignored",
+                  {{"request_id", call_.request_id},
+                   {"server", server.id},
+                   {"problem", metadata.problem}});
+  }
+  if (metadata.leaving && record_leaving(notice, server.started)) {
+    owner_.pool.close_idle({server.host, server.port});
+    io::log_event(io::log_level::info, "server_leaving",
+                  {{"request_id", call_.request_id},
+                   {"server", server.id},
+                   {"started", std::to_string(server.started)}});
+  }
+  if (metadata.backoff &&
+      record_backoff(notice, server.started, *metadata.backoff, io::now())) {
+    io::log_event(io::log_level::info, "server_backoff",
+                  {{"request_id", call_.request_id},
+                   {"server", server.id},
+                   {"started", std::to_string(server.started)},
+                   {"ms", to_text(*metadata.backoff)}});
+  }
+  if (!metadata.not_run && !metadata.backoff) {
+    record_accepted(notice, server.started, io::now());
+  }
 }
 
 void relay::handle_body(std::string piece) {
@@ -318,6 +368,8 @@
   const bool refused = attempt_->has_head && attempt_->metadata.not_run;
   if (why == io::exchange_failure::not_connected) {
     end_attempt(attempt_end::not_connected);
+  } else if (why == io::exchange_failure::withheld) {
+    end_attempt(attempt_end::withheld);
   } else if (refused) {
     end_attempt(classify_response());
   } else {
@@ -337,8 +389,10 @@
   }
   owner_.metrics.attempt_ended(std::string(name(end))).Increment();
   release_attempt(answered);
-  const auto step = decide_relay_step(
-      state_, end, now, [&] { return take_shared_retry(owner_.retries, service_, now); });
+  // Nothing is taken from the budget while no server could be tried.
+  const auto step = decide_relay_step(state_, end, now, [&] {
+    return has_candidate() && take_shared_retry(owner_.retries, service_, now);
+  });
   io::log_event(io::log_level::info, "attempt_ended",
                 {{"request_id", call_.request_id},
                  {"server", last.server.id},
@@ -367,7 +421,7 @@
                      last.body);
     finish("failed", last.server.id);
   } else if (step == relay_step::answer_not_run) {
-    respond_not_run(name(end), refused_retry_delay);
+    respond_not_run(name(end), not_run_delay());
   } else {
     respond(io::http_status::bad_gateway, "the request may have run", std::nullopt);
   }
@@ -378,7 +432,7 @@
     return;
   }
   record_finished(owner_.dispatch, attempt_->server.id, attempt_->tokens);
-  if (reusable) {
+  if (reusable && !attempt_->metadata.leaving) {
     owner_.pool.release(attempt_->connection,
                         attempt_->metadata.idle_timeout.value_or(default_idle_timeout),
                         owner_.idle_connections(service_, attempt_->server.id));
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -37,9 +37,11 @@
   };
 
   bool resolve_target();
+  [[nodiscard]] dispatch_request make_dispatch_request() const;
   void send_attempt();
   void send_to(const announced_server& server, const dispatch_choice& choice);
   void handle_head(const io::http_head& head);
+  void record_notice(const response_metadata& metadata);
   void handle_body(std::string piece);
   void handle_done();
   void handle_failure(io::exchange_failure why);
@@ -60,6 +62,9 @@
 
   [[nodiscard]] bool has_caller() const { return !caller_.isNull(); }
   [[nodiscard]] milliseconds time_left() const;
+  // Whether another server could be tried now.
+  [[nodiscard]] bool has_candidate() const;
+  [[nodiscard]] milliseconds not_run_delay() const;
   [[nodiscard]] bool is_forwardable_response() const;
   [[nodiscard]] attempt_end classify_response() const;
 
