Copy the prefixes of a server's new home from where they were before

A request went to the new home of its part without a source to copy from, because this router had rarely sent the part itself and the home was the chosen server. With 68 routers one sees a given part less than once a minute.

Change: for a part that this router has not sent, the source is the server with the highest score that is ahead of the chosen one, also one that drains or has closed itself, or the best of those known before the chosen one joined.

Ruled out: reads of a cold start (a fifth here).

--- a/include/marigoldstep/dispatch.h
+++ b/include/marigoldstep/dispatch.h
@@ -66,12 +66,14 @@
   std::uint64_t id_hash = 0;
 };
 
-// Ready servers by service. With thousands of servers, lookups by name would take
+// Servers by service. With thousands of servers, lookups by name would take
 // most of the time of a decision.
 struct dispatch_index {
   std::uint64_t generation = 0; // of the directory
   const server_directory* directory = nullptr;
   std::map<std::string, std::vector<indexed_server>> services;
+  // Servers that take no new requests but still serve copies of their cached prompts.
+  std::map<std::string, std::vector<indexed_server>> draining;
 };
 } // namespace detail
 
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -44,6 +44,9 @@
 constexpr double usable_connection_fraction = 0.9;
 // Part of max_connections for idle connections; the rest is for requests in flight.
 constexpr double idle_connection_fraction = 0.5;
+// All control processes have sent their servers to a router that has just started within
+// this time, so servers that become known less far apart may have started together.
+constexpr auto join_margin = milliseconds(2000);
 // Limits memory. A deployment has thousands of parts in use.
 constexpr std::size_t max_prefix_locations = 20'000;
 
@@ -85,12 +88,15 @@
                                                       const std::string& service) {
   auto& index = state.index;
   if (index.directory != &directory || index.generation != directory.generation) {
-    index = {directory.generation, &directory, {}};
+    index = {directory.generation, &directory, {}, {}};
     for (const auto& [id, entry] : directory.entries) {
-      if (entry.server.state == announced_state::ready) {
-        index.services[entry.server.service].push_back(
-            {&entry, &state.stats[id], stable_hash(id)});
+      if (entry.server.state == announced_state::gone) {
+        continue;
       }
+      auto& services =
+          entry.server.state == announced_state::ready ? index.services : index.draining;
+      services[entry.server.service].push_back(
+          {&entry, &state.stats[id], stable_hash(id)});
     }
   }
   return index.services[service];
@@ -196,25 +202,6 @@
   return &entry->second.server;
 }
 
-// The server that probably has the shared prefix cached: where this router last sent a
-// prompt with the same largest shared part, or else the home of that part. Null if that
-// is the chosen server or cannot serve a copy.
-const announced_server* find_copy_source(const server_directory& directory,
-                                         const dispatch_state& state,
-                                         const dispatch_request& request,
-                                         const dispatch_limits& limits,
-                                         const announced_server& home,
-                                         const announced_server& chosen, time_point now) {
-  const auto location = state.prefix_locations.find(home_key(request.prompt));
-  if (location != state.prefix_locations.end() &&
-      now - location->second.sent_at <= prefix_location_ttl) {
-    return location->second.server == chosen.id
-               ? nullptr
-               : find_holder(directory, state, location->second.server, limits, now);
-  }
-  return home.id == chosen.id ? nullptr : &home;
-}
-
 std::uint64_t capacity(std::uint32_t slots, const dispatch_request& request,
                        const dispatch_limits& limits) {
   const auto room = static_cast<std::uint64_t>(
@@ -270,6 +257,78 @@
   return out;
 }
 
+// Whether the server can serve a copy of what it has cached.
+bool can_serve_copy(const detail::indexed_server& it, const dispatch_limits& limits,
+                    time_point now) {
+  return now - it.entry->last_seen <= limits.silence_timeout &&
+         it.stats->ejected_until <= now;
+}
+
+// The server with the highest score that may hold the prefix, of those whose score is
+// above min_score or that have been known for longer than the chosen server by a margin.
+class holder_search {
+public:
+  holder_search(std::uint64_t key, const candidate& chosen, const dispatch_limits& limits,
+                time_point now)
+      : key_(key), chosen_(chosen.indexed), limits_(limits), now_(now),
+        min_score_(mix(chosen.indexed->id_hash, key)),
+        older_than_(chosen.indexed->entry->known_since - join_margin) {}
+
+  void consider(const detail::indexed_server& it) {
+    const auto score = mix(it.id_hash, key_);
+    const bool may_hold = score > min_score_ || it.entry->known_since < older_than_;
+    if (may_hold && score > best_score_ && &it != chosen_ &&
+        can_serve_copy(it, limits_, now_)) {
+      best_ = &it;
+      best_score_ = score;
+    }
+  }
+
+  [[nodiscard]] const announced_server* best() const {
+    return best_ == nullptr ? nullptr : &best_->entry->server;
+  }
+
+private:
+  std::uint64_t key_;
+  const detail::indexed_server* chosen_;
+  const dispatch_limits& limits_;
+  time_point now_;
+  std::uint64_t min_score_;
+  time_point older_than_;
+  const detail::indexed_server* best_ = nullptr;
+  std::uint64_t best_score_ = 0;
+};
+
+// The server that probably has the shared prefix cached. This is where this router last
+// sent a prompt with the same largest shared part. For a part that this router has not
+// sent, it is the home if that is another server, the previous home if that drains or
+// has closed itself to requests, or the home before the chosen server joined. Null if it
+// is the chosen server or cannot serve a copy.
+const announced_server* find_copy_source(const server_directory& directory,
+                                         const dispatch_state& state,
+                                         const dispatch_request& request,
+                                         const dispatch_limits& limits,
+                                         const candidate& chosen, time_point now) {
+  const auto key = home_key(request.prompt);
+  const auto location = state.prefix_locations.find(key);
+  if (location != state.prefix_locations.end() &&
+      now - location->second.sent_at <= prefix_location_ttl) {
+    return location->second.server == chosen.server().id
+               ? nullptr
+               : find_holder(directory, state, location->second.server, limits, now);
+  }
+  holder_search search(key, chosen, limits, now);
+  for (const auto* services : {&state.index.services, &state.index.draining}) {
+    const auto list = services->find(request.service);
+    if (list != services->end()) {
+      for (const auto& it : list->second) {
+        search.consider(it);
+      }
+    }
+  }
+  return search.best();
+}
+
 double load_per_slot(const candidate& it, const dispatch_request& request) {
   const double slots = std::max(1U, it.server().slots);
   const double zone_load = it.server().zone == request.zone ? 0 : zone_penalty_requests;
@@ -381,8 +440,7 @@
   out.server = &chosen->server();
   out.load = chosen->load;
   if (home.home != nullptr) {
-    out.copy_from = find_copy_source(directory, state, request, limits,
-                                     home.home->server(), *out.server, now);
+    out.copy_from = find_copy_source(directory, state, request, limits, *chosen, now);
   }
   return out;
 }
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -110,6 +110,9 @@
   if (entry.server.state != announced_state::gone) {
     directory.id_by_address[address_of(entry.server)] = entry.server.id;
   }
+  if (before.started != entry.server.started || !known) {
+    entry.known_since = now;
+  }
   entry.last_seen = std::max(entry.last_seen, last_seen);
   entry.warmup_ends_at = last_seen + report.warmup_left;
   return !known || routing_differs(before, entry.server) ? directory_change::changed
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -390,3 +390,57 @@
   record_sent(it.state, "s0", 0);
   CHECK(choose(it, plain_request(), start + milliseconds(1000)).server != nullptr);
 }
+
+// Prompts whose home changes would otherwise be read again, though the server that had
+// them still runs. This router has not sent the part itself, so it knows no location.
+TEST_CASE("a server that has just joined copies the prefixes of which it is the home") {
+  auto it = make_fleet(5, 64);
+  std::map<std::uint64_t, std::string> homes;
+  for (std::uint64_t part = 1; part <= 300; ++part) {
+    const auto choice = choose(it, prompt_request(part));
+    homes[part] = choice.server->id;
+    CHECK(choice.copy_from == nullptr);
+  }
+  const auto joined_at = start + milliseconds(3000);
+  announced_server server = it.directory.entries.at("s0").server;
+  server.id = "new";
+  server.host = "host-new";
+  apply_report(it.directory, server, milliseconds(0), joined_at);
+  int moved = 0;
+  for (const auto& [part, home] : homes) {
+    const auto choice = choose(it, prompt_request(part), joined_at);
+    if (choice.server->id == "new") {
+      ++moved;
+      REQUIRE(choice.copy_from != nullptr);
+      CHECK(choice.copy_from->id == home);
+    } else {
+      CHECK(choice.copy_from == nullptr);
+    }
+  }
+  CHECK(moved > 20);
+}
+
+TEST_CASE("the prefixes of a draining or closed server are copied to their new homes") {
+  const bool drains = GENERATE(true, false);
+  auto it = make_fleet(5, 64);
+  std::map<std::uint64_t, std::string> homes;
+  for (std::uint64_t part = 1; part <= 300; ++part) {
+    homes[part] = choose(it, prompt_request(part)).server->id;
+  }
+  if (drains) {
+    auto server = it.directory.entries.at("s2").server;
+    server.state = announced_state::draining;
+    ++server.sequence;
+    apply_report(it.directory, server, milliseconds(0), start);
+  } else {
+    record_backoff(notice_of(it, "s2"), 1, milliseconds(500), start);
+  }
+  for (const auto& [part, home] : homes) {
+    const auto choice = choose(it, prompt_request(part));
+    CHECK(choice.server->id != "s2");
+    CHECK((choice.copy_from != nullptr) == (home == "s2"));
+    if (choice.copy_from != nullptr) {
+      CHECK(choice.copy_from->id == "s2");
+    }
+  }
+}
