--- a/benchmark/dispatch_bench.cpp
+++ b/benchmark/dispatch_bench.cpp
@@ -72,7 +72,7 @@
   for (int i = 0; i < decision_count; ++i) {
     const auto request = make_request(random());
     const auto choice = choose_backend(directory, state, request, limits, start, random);
-    record_prompt_sent(state, request.prompt, choice.server->id, start);
+    record_prompt_sent(state, request, choice.server->id, start);
   }
   const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - begin;
   return {elapsed.count() * 1e6 / decision_count, (allocated_bytes() - before) / 1e3};
--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -13,6 +13,7 @@
 #include "marigoldstep/event_splitter.h"
 #include "marigoldstep/fair_queue.h"
 #include "marigoldstep/fan_out.h"
+#include "marigoldstep/fleet_load.h"
 #include "marigoldstep/fleet_state.h"
 #include "marigoldstep/group_repair.h"
 #include "marigoldstep/idempotency_key.h"
--- a/include/marigoldstep/dispatch.h
+++ b/include/marigoldstep/dispatch.h
@@ -28,6 +28,16 @@
   friend bool operator==(const prompt_part&, const prompt_part&) = default;
 };
 
+// A part of the prompts of a service. Services are identified by a hash.
+struct part_key {
+  std::uint32_t service = 0;
+  std::uint64_t part = 0;
+
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted <=>
+  friend auto operator<=>(const part_key&, const part_key&) = default;
+};
+std::uint32_t service_hash(std::string_view service);
+
 // Requests in flight at a server and the tokens of their prompts and responses.
 struct load_count {
   std::uint32_t requests = 0;
@@ -80,6 +90,11 @@
 struct dispatch_state {
   std::map<std::string, server_stats> stats;                           // by server id
   std::unordered_map<std::uint64_t, prefix_location> prefix_locations; // by part id
+  // Parts in demand, with their shares of the requests with prompts, from 0 to 1. All
+  // routers have the same values, so that they give a part the same homes.
+  std::map<part_key, double> popular_parts;
+  // Requests that this router has sent since its last report, by largest shared part.
+  std::map<part_key, std::uint32_t> part_requests;
   detail::dispatch_index index;
 };
 
@@ -103,6 +118,7 @@
 
 enum class dispatch_reason {
   home,
+  popular, // one of the homes of a part in demand
   bounded,
   least_loaded,
   last_resort,
@@ -151,8 +167,9 @@
                  time_point now);
 
 void record_sent(dispatch_state& state, const std::string& id, std::uint64_t tokens);
-// Stores id as the location of the prompt's largest shared part.
-void record_prompt_sent(dispatch_state& state, const std::vector<prompt_part>& prompt,
+// Stores id as the location of the prompt's largest shared part, and counts the request
+// for that part.
+void record_prompt_sent(dispatch_state& state, const dispatch_request& request,
                         const std::string& id, time_point now);
 void record_finished(dispatch_state& state, const std::string& id, std::uint64_t tokens);
 
--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -42,7 +42,7 @@
   // A newer routing configuration as the operator sent it.
   std::function<void(std::uint64_t version, std::string text)> on_routing;
   std::function<void(const wire::ServerUpdateT&)> on_server_update;
-  std::function<void(const wire::ServerLoadsT&)> on_fleet_load;
+  std::function<void(const wire::FleetLoadT&)> on_fleet_load;
   // The number of routers that the leader counts, and the interval at which it wants
   // load reports; 0 for none.
   std::function<void(std::uint32_t routers, milliseconds load_interval)> on_leader_status;
@@ -121,6 +121,7 @@
   template <typename Message> void forward_to_routers(Message& message);
   void handle_status(const std::string& host, const wire::GroupStatusT& status);
   void handle_routing(const wire::RoutingTextT& text);
+  void handle_fleet_load(const wire::FleetLoadT& load);
   link* select_fetch_link(time_point now);
   link* select_report_link();
   void fetch_newer();
@@ -145,6 +146,8 @@
     std::function<void(std::uint64_t)> done;
   };
   std::map<std::uint64_t, confirmation> confirmations_; // by token
+  // Term and number of the latest loads of the fleet.
+  std::pair<std::uint64_t, std::uint64_t> fleet_load_position_;
   struct pending_report {
     time_point deadline{};
     std::function<void(bool)> done;
--- a/include/marigoldstep/server_directory.h
+++ b/include/marigoldstep/server_directory.h
@@ -34,9 +34,9 @@
 
 struct directory_entry {
   announced_server server;
-  time_point known_since{}; // first report of this start
   time_point last_seen{};
   time_point warmup_ends_at{}; // computed from the reported warmup_left
+  time_point known_since{};    // time of the first report of this start
 };
 
 // Entries by server id. The entry of a server that deregistered is kept for a
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <limits>
 #include <numeric>
 
@@ -49,6 +50,8 @@
 constexpr auto join_margin = milliseconds(2000);
 // Limits memory. A deployment has thousands of parts in use.
 constexpr std::size_t max_prefix_locations = 20'000;
+// Limits memory and the size of a report. A router sends tens of requests between two.
+constexpr std::size_t max_part_requests = 256;
 
 struct candidate {
   const detail::indexed_server* indexed = nullptr;
@@ -329,6 +332,56 @@
   return search.best();
 }
 
+// Number of homes of a part: as many as keep the load that its requests add to a mean
+// server within the bound. Their load follows from Little's law, because the part's
+// share of the requests is also its share of the load.
+std::size_t home_count(const dispatch_state& state, const dispatch_request& request,
+                       double mean, std::size_t servers, double load_bound) {
+  if (state.popular_parts.empty()) {
+    return 1;
+  }
+  const auto it =
+      state.popular_parts.find({service_hash(request.service), home_key(request.prompt)});
+  if (it == state.popular_parts.end()) {
+    return 1;
+  }
+  constexpr double min_room_requests = 1;
+  const double load = it->second * mean * static_cast<double>(servers);
+  const double room = std::max(min_room_requests, load_bound - mean);
+  return std::clamp<std::size_t>(static_cast<std::size_t>(std::ceil(load / room)), 1,
+                                 servers);
+}
+
+// One of the n candidates with the highest scores, drawn with weights by their room
+// within the load bound; null if all are above it. Routers that draw overload no home
+// between two reports of its load, unlike routers that all choose the same one.
+const candidate* draw_home(const std::vector<candidate>& list,
+                           const dispatch_request& request, std::size_t n,
+                           double load_bound, std::mt19937_64& random) {
+  const auto key = home_key(request.prompt);
+  std::vector<std::pair<std::uint64_t, const candidate*>> homes;
+  homes.reserve(list.size());
+  for (const auto& it : list) {
+    homes.emplace_back(mix(it.indexed->id_hash, key), &it);
+  }
+  n = std::min(n, homes.size());
+  std::partial_sort(homes.begin(), homes.begin() + static_cast<std::ptrdiff_t>(n),
+                    homes.end(), std::greater<>());
+  double sum = 0;
+  for (std::size_t i = 0; i < n; ++i) {
+    sum += std::max(0.0, load_bound - homes[i].second->load);
+  }
+  double draw = std::uniform_real_distribution<double>(0, 1)(random) * sum;
+  for (std::size_t i = 0; i < n; ++i) {
+    const double room = std::max(0.0, load_bound - homes[i].second->load);
+    if (draw < room) {
+      return homes[i].second;
+    }
+    draw -= room;
+  }
+  return nullptr;
+}
+
 double load_per_slot(const candidate& it, const dispatch_request& request) {
   const double slots = std::max(1U, it.server().slots);
   const double zone_load = it.server().zone == request.zone ? 0 : zone_penalty_requests;
@@ -372,6 +425,8 @@
   switch (value) {
   case dispatch_reason::home:
     return "home";
+  case dispatch_reason::popular:
+    return "popular";
   case dispatch_reason::bounded:
     return "bounded";
   case dispatch_reason::least_loaded:
@@ -388,6 +443,10 @@
   return "none";
 }
 
+std::uint32_t service_hash(std::string_view service) {
+  return static_cast<std::uint32_t>(stable_hash(service));
+}
+
 std::uint32_t estimated_load(const server_stats& stats, time_point now) {
   const auto counted = stats.local_load.requests + stats.peer_load.requests;
   const bool fresh = now - stats.reported_at <= max_report_age;
@@ -419,6 +478,7 @@
     return out;
   }
   home_choice home;
+  const candidate* drawn = nullptr;
   if (!request.prompt.empty()) {
     // The bound applies to the mean load including this request.
     const double mean_with_request =
@@ -426,9 +486,16 @@
     const double load_bound =
         limits.load_bound_ratio * mean_with_request + load_slack_requests;
     home = choose_home(list, request, load_bound);
+    const auto homes =
+        home_count(state, request, out.mean_load, out.candidates, load_bound);
+    if (homes > 1) {
+      drawn = draw_home(list, request, homes, load_bound, random);
+    }
   }
-  const auto* chosen = home.chosen;
-  if (chosen != nullptr) {
+  const auto* chosen = drawn != nullptr ? drawn : home.chosen;
+  if (drawn != nullptr) {
+    out.reason = dispatch_reason::popular;
+  } else if (chosen != nullptr) {
     out.reason = chosen == home.home ? dispatch_reason::home : dispatch_reason::bounded;
   } else {
     chosen = choose_least_loaded(list, request, random);
@@ -469,15 +536,22 @@
   local_load.tokens += tokens;
 }
 
-void record_prompt_sent(dispatch_state& state, const std::vector<prompt_part>& prompt,
+void record_prompt_sent(dispatch_state& state, const dispatch_request& request,
                         const std::string& id, time_point now) {
+  if (request.prompt.empty()) {
+    return;
+  }
+  const auto part = home_key(request.prompt);
+  if (state.part_requests.size() < max_part_requests) {
+    ++state.part_requests[{service_hash(request.service), part}];
+  }
   if (state.prefix_locations.size() >= max_prefix_locations) {
     std::erase_if(state.prefix_locations, [&](const auto& it) {
       return now - it.second.sent_at > prefix_location_ttl;
     });
   }
-  if (!prompt.empty() && state.prefix_locations.size() < max_prefix_locations) {
-    state.prefix_locations[home_key(prompt)] = {id, now};
+  if (state.prefix_locations.size() < max_prefix_locations) {
+    state.prefix_locations[part] = {id, now};
   }
 }
 
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -216,13 +216,25 @@
       confirmations_.erase(waiting);
       done(reply->version);
     }
-  } else if (const auto* load = frame->body.AsFleetLoad()) {
-    if (on_fleet_load && load->loads) {
-      on_fleet_load(*load->loads);
-    }
+  } else if (auto* load = frame->body.AsFleetLoad()) {
+    forward_to_routers(*load);
+    // A leader whose group has lost its storage starts again at a lower term.
+    fleet_load_position_ = {};
+    handle_fleet_load(*load);
   }
 }
 
+// Drops older loads: a router that was suspended may forward some that are long out of
+// date.
+void control_links::handle_fleet_load(const wire::FleetLoadT& load) {
+  const auto position = std::pair(load.term, load.number);
+  if (!on_fleet_load || position < fleet_load_position_) {
+    return;
+  }
+  fleet_load_position_ = position;
+  on_fleet_load(load);
+}
+
 void control_links::handle_forwarded(byte_view buf) {
   std::error_code ec;
   const auto frame = decode_compressed_link(buf, ec);
@@ -232,6 +244,8 @@
     handle_update(*update);
   } else if (const auto* text = frame->body.AsRoutingText()) {
     handle_routing(*text);
+  } else if (const auto* load = frame->body.AsFleetLoad()) {
+    handle_fleet_load(*load);
   }
 }
 
@@ -451,7 +465,7 @@
   wire::ReportServerT message;
   message.token = next_token_++;
   message.server = std::make_unique<wire::AnnouncedServerT>(
-      to_wire(directory_entry{server, now}, now));
+      to_wire(directory_entry{.server = server, .last_seen = now}, now));
   reports_[message.token] = {now + report_timeout, std::move(done)};
   to->connection->send(wire::encode_link(std::move(message)));
 }
--- a/src/io/link_messages.cpp
+++ b/src/io/link_messages.cpp
@@ -3,6 +3,7 @@
 #include "marigoldstep/io/text_compression.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace marigoldstep::io {
@@ -11,6 +12,30 @@
 
 // Compression does not shrink frames below this size.
 constexpr std::size_t compression_threshold_bytes = 600;
+// Fixed-point values on the wire.
+constexpr double rest_scale = 16;
+constexpr double share_scale = std::numeric_limits<std::uint16_t>::max();
+
+std::uint16_t saturate(double value) {
+  constexpr double max_value = std::numeric_limits<std::uint16_t>::max();
+  return static_cast<std::uint16_t>(std::lround(std::clamp(value, 0.0, max_value)));
+}
+
+// Calls visit with each key and value of the parallel lists.
+template <typename Visit>
+void for_each_part(const wire::PartValuesT& values, Visit visit) {
+  const auto n =
+      std::min({values.services.size(), values.parts.size(), values.values.size()});
+  for (std::size_t i = 0; i < n; ++i) {
+    visit(part_key{values.services[i], values.parts[i]}, values.values[i]);
+  }
+}
+
+void add_part(wire::PartValuesT& out, const part_key& key, std::uint16_t value) {
+  out.services.push_back(key.service);
+  out.parts.push_back(key.part);
+  out.values.push_back(value);
+}
 
 } // namespace
 
@@ -33,6 +58,11 @@
   return wire::encode_link(std::move(out));
 }
 
+// Hashes and small numbers hardly shrink.
+bytes encode_fan_out(const wire::FleetLoadT& message) {
+  return wire::encode_link(message);
+}
+
 std::unique_ptr<wire::LinkFrameT> decode_compressed_link(byte_view buf,
                                                          std::error_code& ec) {
   auto frame = wire::decode_link(buf, ec);
@@ -70,6 +100,62 @@
   return out;
 }
 
+wire::FleetLoadT to_wire(const load_digest& digest) {
+  wire::FleetLoadT out;
+  out.loads = to_wire(digest.servers);
+  for (const auto& [service, mean] : digest.rest_requests) {
+    out.rest_services.push_back(service);
+    out.rest_requests.push_back(saturate(mean * rest_scale));
+  }
+  return out;
+}
+
+load_digest from_wire(const wire::FleetLoadT& message) {
+  load_digest out;
+  if (message.loads) {
+    out.servers = from_wire(*message.loads);
+  }
+  const auto n = std::min(message.rest_services.size(), message.rest_requests.size());
+  for (std::size_t i = 0; i < n; ++i) {
+    out.rest_requests[message.rest_services[i]] = message.rest_requests[i] / rest_scale;
+  }
+  return out;
+}
+
+std::unique_ptr<wire::PartValuesT>
+to_wire(const std::map<part_key, std::uint32_t>& requests) {
+  auto out = std::make_unique<wire::PartValuesT>();
+  for (const auto& [key, n] : requests) {
+    add_part(*out, key, saturate(n));
+  }
+  return out;
+}
+
+std::map<part_key, std::uint32_t>
+part_requests_from_wire(const wire::PartValuesT& values) {
+  std::map<part_key, std::uint32_t> out;
+  for_each_part(values,
+                [&](const part_key& key, std::uint16_t value) { out[key] += value; });
+  return out;
+}
+
+std::unique_ptr<wire::PartValuesT>
+to_wire(const std::vector<std::pair<part_key, double>>& shares) {
+  auto out = std::make_unique<wire::PartValuesT>();
+  for (const auto& [key, share] : shares) {
+    add_part(*out, key, saturate(share * share_scale));
+  }
+  return out;
+}
+
+std::map<part_key, double> part_shares_from_wire(const wire::PartValuesT& values) {
+  std::map<part_key, double> out;
+  for_each_part(values, [&](const part_key& key, std::uint16_t value) {
+    out[key] = value / share_scale;
+  });
+  return out;
+}
+
 announced_server from_wire(const wire::AnnouncedServerT& entry) {
   announced_server out;
   out.id = entry.id;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -115,7 +115,7 @@
   REQUIRE(away.copy_from != nullptr);
   CHECK(away.copy_from->id == home.server->id);
   // Now both servers have the parts.
-  record_prompt_sent(it.state, request.prompt, away.server->id, start);
+  record_prompt_sent(it.state, request, away.server->id, start);
   CHECK(choose(it, request).copy_from == nullptr);
   it.state.stats[home.server->id].peer_load = {};
   const auto back = choose(it, request);
@@ -128,7 +128,7 @@
   auto it = make_fleet(9, 64);
   const auto request = prompt_request(42);
   const auto home = choose(it, request).server->id;
-  record_prompt_sent(it.state, request.prompt, home, start);
+  record_prompt_sent(it.state, request, home, start);
   auto leaving = it.directory.entries.at(home).server;
   leaving.state = announced_state::draining;
   ++leaving.sequence;
@@ -342,7 +342,7 @@
 TEST_CASE("a prompt is still copied from its home while the home is leaving") {
   auto it = make_fleet(3, 64);
   const auto home = choose(it, prompt_request(5)).server->id;
-  record_prompt_sent(it.state, prompt_request(5).prompt, home, start);
+  record_prompt_sent(it.state, prompt_request(5), home, start);
   record_leaving(notice_of(it, home), 1);
   const auto away = choose(it, prompt_request(5));
   REQUIRE(away.server != nullptr);
@@ -444,3 +444,42 @@
     }
   }
 }
+
+// Routers learn late of each other's requests, so requests for a part in demand must
+// not all go to one home between two reports.
+TEST_CASE("a part in demand has homes in proportion to its share of the requests") {
+  auto it = make_fleet(20, 64);
+  for (const auto& [id, entry] : it.directory.entries) {
+    it.state.stats[id].peer_load.requests = 8;
+  }
+  const auto homes_of = [&](std::uint64_t part) {
+    std::map<std::string, int> out;
+    for (int i = 0; i < 400; ++i) {
+      ++out[choose(it, prompt_request(part)).server->id];
+    }
+    return out;
+  };
+  CHECK(homes_of(42).size() == 1);
+  const part_key key{service_hash("s"), 42};
+  // A quarter of 160 requests, with room for 4 above the mean at each server.
+  it.state.popular_parts[key] = 0.25;
+  const auto many = homes_of(42);
+  CHECK(many.size() >= 8);
+  CHECK(many.size() <= 12);
+  CHECK(homes_of(43).size() == 1);
+  it.state.popular_parts[key] = 0.02;
+  CHECK(homes_of(42).size() == 1);
+  it.state.popular_parts[{service_hash("other"), 42}] = 1;
+  CHECK(homes_of(42).size() == 1);
+}
+
+TEST_CASE("homes of a part in demand that are at the load bound get no more requests") {
+  auto it = make_fleet(10, 64);
+  it.state.popular_parts[{service_hash("s"), 42}] = 0.9;
+  for (const auto& [id, entry] : it.directory.entries) {
+    it.state.stats[id].peer_load.requests = id == "s3" ? 40 : 8;
+  }
+  for (int i = 0; i < 300; ++i) {
+    CHECK(choose(it, prompt_request(42)).server->id != "s3");
+  }
+}
--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -116,7 +116,7 @@
     update.number = ++number_;
     for (const auto& it : servers) {
       auto entry = std::make_unique<wire::AnnouncedServerT>(
-          io::to_wire({it, io::now()}, io::now()));
+          io::to_wire({.server = it, .last_seen = io::now()}, io::now()));
       if (others_silent && it.id != servers.front().id) {
         entry->silent = true;
         entry->silent_ms = silent_ms;
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -129,7 +129,8 @@
   std::size_t send_fan_out(Message message,
                            std::vector<io::framed_connection*> receivers);
   void confirm_subscribers();
-  void choose_load_interval(std::size_t entries);
+  void choose_load_interval(std::size_t forwarders);
+  [[nodiscard]] load_digest collect_loads() const;
   void send_fleet_load();
   void complete_waiting();
   [[nodiscard]] milliseconds heartbeat_interval() const;
@@ -161,6 +162,8 @@
   std::map<std::string, time_point> routers_; // time of the last frame by node id
   std::uint64_t observed_version_ = 0;
   time_point next_primary_choice_{};
+  std::uint64_t fleet_load_number_ = 0;
+  part_demand part_demand_;
   milliseconds load_interval_{}; // 0: routers don't report loads
   time_point next_liveness_update_{};
   time_point next_removal_{};
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -55,9 +55,7 @@
   links_.on_server_update = [this](const wire::ServerUpdateT& update) {
     apply_server_update(update);
   };
-  links_.on_fleet_load = [this](const wire::ServerLoadsT& loads) {
-    apply_fleet_load(loads);
-  };
+  links_.on_fleet_load = [this](const wire::FleetLoadT& load) { apply_fleet_load(load); };
   links_.on_leader_status = [this](std::uint32_t routers, milliseconds load_interval) {
     load_interval_ = load_interval;
     record_router_count(routers);
@@ -129,6 +127,7 @@
     for (auto& [id, stats] : dispatch.stats) {
       stats.peer_load = {};
     }
+    dispatch.popular_parts.clear();
     io::log_event(io::log_level::warning, "fleet_load_lost",
                   {{"age_ms", std::to_string((now - fleet_load_received_at_).count())}});
   }
@@ -274,19 +273,21 @@
   set_routers(retries, max_routers);
 }
 
-void gateway::apply_fleet_load(const wire::ServerLoadsT& fleet_loads) {
+void gateway::apply_fleet_load(const wire::FleetLoadT& fleet_load) {
   has_fleet_load_ = true;
   fleet_load_received_at_ = io::now();
-  const auto loads = io::from_wire(fleet_loads);
+  const auto digest = io::from_wire(fleet_load);
   for (const auto& [id, entry] : directory.entries) {
     const auto hash = io::server_hash(id);
-    const auto it = loads.find(hash);
-    const auto fleet = it == loads.end() ? load_count() : it->second;
+    const auto fleet = find_load(digest, hash, service_hash(entry.server.service));
     const auto local = reported_loads_[hash];
     dispatch.stats[id].peer_load = {fleet.requests -
                                         std::min(fleet.requests, local.requests),
                                     fleet.tokens - std::min(fleet.tokens, local.tokens)};
   }
+  dispatch.popular_parts = fleet_load.popular
+                               ? io::part_shares_from_wire(*fleet_load.popular)
+                               : std::map<part_key, double>();
 }
 
 void gateway::send_load() {
@@ -296,11 +297,13 @@
       local_loads[io::server_hash(id)] = stats.local_load;
     }
   }
-  if (local_loads.empty() && reported_loads_.empty()) {
+  if (local_loads.empty() && reported_loads_.empty() && dispatch.part_requests.empty()) {
     return;
   }
   wire::RouterLoadT load;
   load.loads = io::to_wire(local_loads);
+  load.requests = io::to_wire(dispatch.part_requests);
+  dispatch.part_requests.clear();
   reported_loads_ = std::move(local_loads);
   links_.send_load(std::move(load));
 }
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -56,7 +56,7 @@
   void apply_routing(std::uint64_t version, const std::string& text);
   void apply_server_update(const wire::ServerUpdateT& update);
   void record_router_count(std::uint32_t routers);
-  void apply_fleet_load(const wire::ServerLoadsT& fleet_loads);
+  void apply_fleet_load(const wire::FleetLoadT& fleet_load);
   void tick();
   void send_load();
   void refresh_last_seen();
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -137,7 +137,8 @@
 }
 
 void relay::send_attempt() {
-  const auto choice = owner_.choose_backend(make_dispatch_request());
+  const auto request = make_dispatch_request();
+  const auto choice = owner_.choose_backend(request);
   if (choice.server == nullptr) {
     if (response_started_) {
       abort_response("no backend server can resume the response");
@@ -152,10 +153,11 @@
     }
     return;
   }
-  send_to(*choice.server, choice);
+  send_to(*choice.server, choice, request);
 }
 
-void relay::send_to(const announced_server& server, const dispatch_choice& choice) {
+void relay::send_to(const announced_server& server, const dispatch_choice& choice,
+                    const dispatch_request& request) {
   attempt it;
   it.server = server;
   it.tokens = std::uint64_t{call_.prompt_tokens} + call_.max_response_tokens;
@@ -175,7 +177,7 @@
   added.time_left = std::max(milliseconds(1), time_left());
   if (route_->has_prompts) {
     added.priority = priority_;
-    record_prompt_sent(owner_.dispatch, call_.prompt, server.id, io::now());
+    record_prompt_sent(owner_.dispatch, request, server.id, io::now());
   }
   if (choice.copy_from != nullptr) {
     added.copy_from =
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -39,7 +39,8 @@
   bool resolve_target();
   [[nodiscard]] dispatch_request make_dispatch_request() const;
   void send_attempt();
-  void send_to(const announced_server& server, const dispatch_choice& choice);
+  void send_to(const announced_server& server, const dispatch_choice& choice,
+               const dispatch_request& request);
   void handle_head(const io::http_head& head);
   void record_notice(const response_metadata& metadata);
   void handle_body(std::string piece);
