Take over more settings on reload and name those that need a restart

Cause: settings files change often on the large archive. A changed retry budget or load factor was ignored without a word until the next restart.

--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -146,7 +146,15 @@
 }
 
 void gateway::apply(const gateway_settings& settings) {
+  for (const auto& it : changed_fixed_settings(settings_, settings)) {
+    io::log_event(io::log_level::warning, "setting_needs_restart", {{"setting", it}});
+  }
   settings_.seeds = settings.seeds;
+  settings_.retries = settings.retries;
+  settings_.dispatch = settings.dispatch;
+  settings_.stop_time = settings.stop_time;
+  settings_.memory_bytes = settings.memory_bytes;
+  retries.limits = settings.retries;
   links_.set_seeds(io::hosts_of(settings.seeds));
 }
 
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -29,7 +29,9 @@
   // Fails readiness checks, keeps serving requests, and calls done when no caller
   // connection is left or stop_time minus its reserve has passed.
   void stop(std::function<void()> done);
-  // Applies the settings that can change at run time, which are the seeds.
+  // Applies the settings that can change at run time and logs the names of the others
+  // that differ. Cuts off no request, and keeps the connections to control processes
+  // that are still seeds or members of the group.
   void apply(const gateway_settings& settings);
 
   [[nodiscard]] const gateway_settings& settings() const { return settings_; }
--- a/tools/gateway/settings.cpp
+++ b/tools/gateway/settings.cpp
@@ -58,4 +58,22 @@
   return out;
 }
 
+std::vector<std::string> changed_fixed_settings(const gateway_settings& before,
+                                                const gateway_settings& after) {
+  std::vector<std::string> out;
+  const auto compare = [&](std::string_view name, bool same) {
+    if (!same) {
+      out.emplace_back(name);
+    }
+  };
+  compare("node_id", before.node_id == after.node_id);
+  compare("zone", before.zone == after.zone);
+  compare("host", before.host == after.host);
+  compare("listen", before.listen == after.listen);
+  compare("listen_ready", before.listen_ready == after.listen_ready);
+  compare("ports", before.first_port == after.first_port);
+  compare("log_level", before.log_level == after.log_level);
+  return out;
+}
+
 } // namespace marigoldstep::gateway
--- a/tools/gateway/settings.h
+++ b/tools/gateway/settings.h
@@ -27,6 +27,10 @@
   io::log_level log_level = io::log_level::info;
 };
 
+// Names of the settings that differ and can only change at a restart.
+std::vector<std::string> changed_fixed_settings(const gateway_settings& before,
+                                                const gateway_settings& after);
+
 // Parses the settings; adds problems to the mapping's report.
 gateway_settings parse_gateway_settings(yaml_mapping& map);
 
