--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <iterator>
 #include <limits>
 #include <numeric>
 
@@ -31,6 +32,9 @@
 constexpr double load_slack_requests = 2;
 // Added to the load of a server in another availability zone, in requests.
 constexpr double zone_penalty_requests = 0.5;
+// Part of its slots up to which a server of the own availability zone is preferred to all
+// others. Loads that are known late hardly fill the rest.
+constexpr double light_load_fraction = 0.34;
 // The load of a server that has just started counts twice. It is slower by a factor
 // that no message reports.
 constexpr std::uint32_t warmup_load_factor = 2;
@@ -333,8 +337,9 @@
 }
 
 // Number of homes of a part: as many as keep the load that its requests add to a mean
-// server within half of its room; the other half is for random variation. Their load follows from Little's law, because the part's
-// share of the requests is also its share of the load.
+// server within half of its room; the other half is for random variation. Their load
+// follows from Little's law, because the part's share of the requests is also its share
+// of the load.
 std::size_t home_count(const dispatch_state& state, const dispatch_request& request,
                        double mean, std::size_t servers, double load_bound) {
   if (state.popular_parts.empty()) {
@@ -388,6 +393,18 @@
   return (it.load + zone_load) / slots;
 }
 
+// The candidates of the own availability zone that are lightly loaded, or else all.
+std::vector<candidate> prefer_own_zone(const std::vector<candidate>& list,
+                                       const dispatch_request& request) {
+  std::vector<candidate> out;
+  std::copy_if(list.begin(), list.end(), std::back_inserter(out), [&](const auto& it) {
+    const double slots = std::max(1U, it.server().slots);
+    return it.server().zone == request.zone && it.load < light_load_fraction * slots;
+  });
+  return out.empty() ? list : out;
+}
+
+// A random candidate, with weights by free slots.
 const candidate* choose_least_loaded(const std::vector<candidate>& list,
                                      const dispatch_request& request,
                                      std::mt19937_64& random) {
@@ -498,6 +515,9 @@
   } else if (chosen != nullptr) {
     out.reason = chosen == home.home ? dispatch_reason::home : dispatch_reason::bounded;
   } else {
+    if (request.prompt.empty()) {
+      list = prefer_own_zone(list, request);
+    }
     chosen = choose_least_loaded(list, request, random);
     out.reason = dispatch_reason::least_loaded;
   }
--- a/tests/tls_test.cpp
+++ b/tests/tls_test.cpp
@@ -57,10 +57,14 @@
 };
 
 // Connects like a process outside the fleet. Returns whether the listener closed the
-// connection.
+// connection. Sends a frame if the handshake succeeds.
 bool is_disconnected(std::uint16_t port, const QSslConfiguration& config) {
   QSslSocket socket;
   socket.setSslConfiguration(config);
+  QObject::connect(&socket, &QSslSocket::encrypted, &socket, [&socket] {
+    const auto frame = make_hello_frame();
+    socket.write(reinterpret_cast<const char*>(frame.data()), qint64(frame.size()));
+  });
   socket.connectToHostEncrypted("127.0.0.1", port);
   return wait_for([&] { return socket.state() == QAbstractSocket::UnconnectedState; });
 }
@@ -93,6 +97,7 @@
     config.setPeerVerifyMode(QSslSocket::VerifyNone);
     CHECK(is_disconnected(server.listener.port(), config));
     CHECK(server.frames == 0);
+    CHECK(server.accepted == 0);
   }
   SECTION("a peer with a certificate of another authority is disconnected") {
     QFile certificate(QString::fromStdString(certificate_file("other/outsider.pem")));
