Hold requests while a gateway starts instead of refusing them

Change: a request that reaches a gateway within 3 s of its start waits until the gateway is ready, for 0.6 s or half of the caller's time at most, and is then refused as before. Later a gateway without a configuration refuses at once, since it probably has no path to control.

--- a/tests/programs/gateway_test.cpp
+++ b/tests/programs/gateway_test.cpp
@@ -95,6 +95,36 @@
   CHECK(starts_with_status(after.received, "200"));
 }
 
+// After a restart of the whole fleet the callers' requests arrive before the
+// configuration does.
+TEST_CASE("a request that arrives while the gateway starts waits for the configuration") {
+  gateway_fixture it({{{write_text(response_text("ok"))}}}, 0);
+  test_caller caller(it.address);
+  caller.send(request_text("POST", "/once/", "r1", "", "x"));
+  CHECK_FALSE(wait_until(
+      [&] {
+        caller.read();
+        return !caller.received.empty();
+      },
+      std::chrono::milliseconds(200)));
+  it.control.version = 3;
+  it.control.broadcast_status();
+  REQUIRE(caller.wait_for("ok"));
+  CHECK(starts_with_status(caller.received, "200"));
+}
+
+// A gateway without a path to control would otherwise hold requests that other gateways
+// could serve.
+TEST_CASE("a gateway that is not ready long after its start refuses requests at once") {
+  gateway_fixture it(unresponsive_server(), 0);
+  const auto started = io::now();
+  REQUIRE(wait_until([&] { return io::now() - started > milliseconds(3100); }));
+  const auto sent = io::now();
+  const auto response = send_request(it, request_text("GET", "/safe/", "r1"), "\r\n\r\n");
+  CHECK(starts_with_status(response, "503"));
+  CHECK(io::now() - sent < milliseconds(200));
+}
+
 TEST_CASE("a non-repeatable request is sent only once, whichever fault occurs") {
   const auto script = GENERATE(
       server_script{reset_connection()}, server_script{close_in_order()},
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -25,6 +25,8 @@
 constexpr auto silent_retention = milliseconds(60'000);
 // The load balancer detects the stop within two readiness checks of a second each.
 constexpr auto idle_close_delay = milliseconds(3000);
+// A process that has no configuration after this has probably no path to control.
+constexpr auto startup_window = milliseconds(3000);
 constexpr auto stop_interval = std::chrono::milliseconds(100);
 // One part in this many of the stop time stays unused, so that the process exits
 // before it is killed.
@@ -91,6 +93,7 @@
 }
 
 std::error_code gateway::start() {
+  started_at_ = io::now();
   auto ec = caller_listener_.listen(settings_.listen.host, settings_.listen.port);
   if (!ec) {
     ec = readiness_listener_.listen(settings_.listen_ready.host,
@@ -170,7 +173,24 @@
          now + timeout + stop_margin < stop_deadline_;
 }
 
+bool gateway::is_starting() const {
+  return !was_ready_ && !stopping_ && io::now() - started_at_ < startup_window;
+}
+
+void gateway::when_started(QObject* context, std::function<void()> ready) {
+  startup_waiters_.emplace_back(context, std::move(ready));
+}
+
 void gateway::update_readiness() {
+  if (is_ready() && !was_ready_) {
+    was_ready_ = true;
+    const auto waiters = std::move(startup_waiters_);
+    for (const auto& [context, ready] : waiters) {
+      if (!context.isNull()) {
+        ready();
+      }
+    }
+  }
   if (is_ready() != logged_ready_) {
     logged_ready_ = is_ready();
     io::log_event(io::log_level::info, logged_ready_ ? "ready" : "not_ready",
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "marigoldstep/routing.h"
 
 #include <QObject>
+#include <QPointer>
 #include <QTimer>
 
 #include <memory>
@@ -39,6 +40,11 @@
     return table_;
   }
   [[nodiscard]] bool is_ready() const;
+  // Whether the process has started so recently that it is probably ready soon.
+  [[nodiscard]] bool is_starting() const;
+  // Calls ready when the gateway is ready for the first time, unless context is deleted
+  // before.
+  void when_started(QObject* context, std::function<void()> ready);
   // Whether to accept a request with this timeout. While the process stops, accepts
   // only requests that arrive early or whose timeout ends before the stop deadline.
   [[nodiscard]] bool may_start_request(milliseconds timeout) const;
@@ -88,6 +94,9 @@
   bool stopping_ = false;
   bool idle_closed_ = false;
   bool logged_ready_ = false;
+  bool was_ready_ = false; // since the start
+  time_point started_at_{};
+  std::vector<std::pair<QPointer<QObject>, std::function<void()>>> startup_waiters_;
 };
 
 } // namespace marigoldstep::gateway
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -24,6 +24,9 @@
 // The jitter spreads the retries of the callers.
 constexpr auto startup_retry_delay = milliseconds(900);
 constexpr std::uint64_t startup_retry_jitter_ms = 300;
+// A gateway that has just started is ready after some hundred milliseconds. A request
+// that waits for that is often served in time; one that is refused seldom is.
+constexpr auto max_startup_wait = milliseconds(600);
 // After a refusal by a backend server: the other servers had no capacity a moment ago
 // either.
 constexpr auto refused_retry_delay = milliseconds(200);
@@ -61,9 +64,30 @@
 
 void relay::start() {
   call_ = platform::parse_request_head(request_.head);
+  if (!owner_.is_starting()) {
+    begin();
+    return;
+  }
+  waits_for_gateway_ = true;
+  deadline_timer_.start(
+      std::min(max_startup_wait, call_.deadline.value_or(max_startup_wait) / 2));
+  owner_.when_started(this, [this] {
+    if (waits_for_gateway_ && !done_) {
+      waits_for_gateway_ = false;
+      table_ = owner_.table();
+      begin();
+    }
+  });
+}
+
+void relay::refuse_without_configuration() {
+  const auto jitter = stable_hash(call_.request_id, 1) % startup_retry_jitter_ms;
+  respond_not_run("no configuration yet", startup_retry_delay + milliseconds(jitter));
+}
+
+void relay::begin() {
   if (!table_) {
-    const auto jitter = stable_hash(call_.request_id, 1) % startup_retry_jitter_ms;
-    respond_not_run("no configuration yet", startup_retry_delay + milliseconds(jitter));
+    refuse_without_configuration();
     return;
   }
   if (!resolve_target()) {
@@ -79,7 +103,7 @@
       std::min(call_.deadline.value_or(route_->timeout), route_->timeout);
   state_.deadline = started_at_ + allowed;
   events_.last_event = call_.last_event;
-  deadline_timer_.start(allowed + deadline_slack);
+  deadline_timer_.start(std::max(milliseconds(0), time_left()) + deadline_slack);
   record_request(owner_.retries, service_, started_at_);
   send_attempt();
 }
@@ -459,6 +483,11 @@
 }
 
 void relay::handle_timeout() {
+  if (waits_for_gateway_) {
+    waits_for_gateway_ = false;
+    refuse_without_configuration();
+    return;
+  }
   const bool sent = attempt_ && attempt_->connection->is_open();
   if (sent) {
     state_.may_have_run = true;
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -21,9 +21,11 @@
   relay(gateway& owner, io::http_connection& caller, io::http_request request);
   ~relay() override;
 
+  // Begins, or waits for the gateway if it has just started and is not ready yet.
   void start();
 
 private:
+  void begin();
   // One request sent to one server.
   struct attempt {
     io::backend_connection* connection = nullptr;
@@ -54,6 +56,7 @@
   void release_attempt(bool reusable);
   void handle_caller_disconnect();
   void handle_timeout();
+  void refuse_without_configuration();
   void handle_drained();
 
   void respond(unsigned status, std::string_view text, std::optional<milliseconds> retry);
@@ -84,6 +87,7 @@
   event_splitter events_;
   QTimer deadline_timer_;
   time_point started_at_{};
+  bool waits_for_gateway_ = false;
   bool response_started_ = false; // the response head was sent to the caller
   bool done_ = false;
 };
