Avoid a server that refused a request for a moment

Change: after a refusal that names no time a server is avoided for 0.1 s, doubling to 0.8 s with each refusal in a row, while others are usable. It is still used when none is, so nothing is refused because of this.

--- a/include/marigoldstep/dispatch.h
+++ b/include/marigoldstep/dispatch.h
@@ -58,6 +58,8 @@
   double failure_rate = 0; // moving average over responses, 0 to 1
   unsigned responses = 0;  // behind failure_rate, capped
   time_point ejected_until{};
+  unsigned consecutive_refusals = 0;
+  time_point avoided_until{}; // after a refusal; ended by an accepted request
   server_notice notice;
 };
 
@@ -181,6 +183,10 @@
 // that doubles with each ejection.
 void record_broken_connection(dispatch_state& state, const std::string& id,
                               time_point now);
+// Records that the server refused a request without running it. Avoids the server for a
+// time that doubles with each refusal in a row, while others are usable: it refuses the
+// next request probably as well, and a caller's attempts are few.
+void record_refusal(dispatch_state& state, const std::string& id, time_point now);
 void record_reported_load(dispatch_state& state, const std::string& id,
                           std::uint32_t requests, time_point now);
 
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -15,6 +15,9 @@
 constexpr auto initial_ejection = milliseconds(500);
 constexpr auto max_ejection = milliseconds(8000);
 constexpr unsigned max_doublings = 4;
+// A full server has free slots again after some responses.
+constexpr auto initial_avoidance = milliseconds(100);
+constexpr unsigned max_avoidance_doublings = 3;
 // Healthy servers also break a single connection now and then.
 constexpr unsigned consecutive_failures_to_eject = 2;
 // Weight of one response in the moving average, which covers about the last 16.
@@ -119,9 +122,9 @@
   });
 }
 
-// Servers with a recent update that are neither ejected nor outliers. A single pass,
-// because the entries are scattered in memory and reading them takes most of the time
-// of a decision.
+// Servers with a recent update that are neither ejected, avoided nor outliers. A single
+// pass, because the entries are scattered in memory and reading them takes most of the
+// time of a decision.
 std::vector<candidate> find_healthy(const std::vector<detail::indexed_server>& all,
                                     const dispatch_request& request,
                                     const dispatch_limits& limits, time_point now) {
@@ -139,7 +142,8 @@
     failures += stats.failure_rate;
     any_failing = any_failing || has_high_failure_rate(stats);
     if (is_usable(*it.entry, limits.silence_timeout, now) && stats.ejected_until <= now &&
-        !is_closed(admission_at(it, now)) && !is_being_probed(it, now)) {
+        stats.avoided_until <= now && !is_closed(admission_at(it, now)) &&
+        !is_being_probed(it, now)) {
       const auto load = estimated_load(stats, now);
       out.push_back(
           {&it, now < it.entry->warmup_ends_at ? warmup_load_factor * load : load});
@@ -586,6 +590,8 @@
   auto& stats = state.stats[id];
   record_result(stats, failed);
   stats.consecutive_failures = 0;
+  stats.consecutive_refusals = 0;
+  stats.avoided_until = std::min(stats.avoided_until, now);
   if (!failed) {
     stats.ejections = 0;
     stats.ejected_until = std::min(stats.ejected_until, now);
@@ -602,6 +608,13 @@
   }
 }
 
+void record_refusal(dispatch_state& state, const std::string& id, time_point now) {
+  auto& stats = state.stats[id];
+  const auto doublings = std::min(stats.consecutive_refusals, max_avoidance_doublings);
+  stats.avoided_until = now + initial_avoidance * (1U << doublings);
+  ++stats.consecutive_refusals;
+}
+
 void record_reported_load(dispatch_state& state, const std::string& id,
                           std::uint32_t requests, time_point now) {
   auto& stats = state.stats[id];
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -486,3 +486,33 @@
     CHECK(choose(it, prompt_request(42)).server->id != "s3");
   }
 }
+
+// A server that sheds load is often the home of the next request as well, and a route
+// may allow a single attempt.
+TEST_CASE("a server that refused a request is avoided while others are usable") {
+  auto it = make_fleet(2, 6);
+  const auto at = [](int ms) { return start + milliseconds(ms); };
+  const auto gets_requests = [&](time_point now) {
+    int n = 0;
+    for (int i = 0; i < 100; ++i) {
+      n += choose(it, plain_request(), now).server->id == "s0" ? 1 : 0;
+    }
+    return n > 0;
+  };
+  record_refusal(it.state, "s0", start);
+  CHECK_FALSE(gets_requests(at(99)));
+  CHECK(gets_requests(at(100)));
+  record_refusal(it.state, "s0", at(100));
+  CHECK_FALSE(gets_requests(at(299)));
+  CHECK(gets_requests(at(300)));
+  for (int i = 0; i < 20; ++i) {
+    record_refusal(it.state, "s0", at(300));
+  }
+  CHECK(gets_requests(at(1100)));
+  record_refusal(it.state, "s0", at(1100));
+  record_response(it.state, "s0", false, at(1101));
+  CHECK(gets_requests(at(1101)));
+  record_refusal(it.state, "s0", at(1101));
+  record_refusal(it.state, "s1", at(1101));
+  CHECK(choose(it, plain_request(), at(1102)).server != nullptr);
+}
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -412,6 +412,8 @@
   } else if (end == attempt_end::failed &&
              last.head.status >= io::http_status::server_error) {
     record_response(owner_.dispatch, last.server.id, true, now);
+  } else if (end == attempt_end::not_run) {
+    record_refusal(owner_.dispatch, last.server.id, now);
   }
   owner_.metrics.attempt_ended(std::string(name(end))).Increment();
   release_attempt(answered);
