--- a/tests/programs/fleet_links_test.cpp
+++ b/tests/programs/fleet_links_test.cpp
@@ -36,6 +36,7 @@
   server_directory directory;
   std::vector<std::string> silent_ids; // announced as silent by control
   std::set<std::string> member_hosts;  // as sent by control
+  std::vector<wire::FleetLoadT> loads; // of the fleet, as received
   io::control_links links;
   gateway::report_receiver reports;
 
@@ -51,6 +52,7 @@
         }
       }
     };
+    links.on_fleet_load = [this](const wire::FleetLoadT& load) { loads.push_back(load); };
     links.on_members = [this](const auto& hosts) { member_hosts = hosts; };
     links.takes_reports = [] { return true; };
     links.on_unknown_servers = [this](const auto& servers) {
@@ -60,6 +62,23 @@
     REQUIRE_FALSE(reports.listen(host, static_cast<std::uint16_t>(port + 2)));
   }
 
+  // Reports requests in flight at a server, and requests for a prompt part.
+  void report_load(const std::string& server, std::uint32_t requests,
+                   const part_key& part, std::uint32_t part_requests) {
+    wire::RouterLoadT load;
+    load.loads = io::to_wire({{io::server_hash(server), load_count{requests, 0}}});
+    load.requests = io::to_wire(std::map<part_key, std::uint32_t>{{part, part_requests}});
+    links.send_load(std::move(load));
+  }
+
+  // Requests in flight at the server, as last received.
+  [[nodiscard]] std::uint32_t fleet_load_of(const std::string& server) const {
+    return loads.empty() ? 0
+                         : find_load(io::from_wire(loads.back()), io::server_hash(server),
+                                     service_hash("s"))
+                               .requests;
+  }
+
   [[nodiscard]] bool has_server(const std::string& id, announced_state state) const {
     const auto it = directory.entries.find(id);
     return it != directory.entries.end() && it->second.server.state == state;
@@ -279,3 +298,56 @@
     return it.routers[1]->has_server("s", announced_state::ready);
   }));
 }
+
+// The leader sends loads to one router of an availability zone, so all others depend on
+// what that one forwards.
+TEST_CASE("loads and parts in demand reach every router of a zone, also if one is lost") {
+  fleet it(6, {});
+  it.links->handle_report(make_server("s", 1), [](bool) {});
+  REQUIRE(wait_until([&] { return it.all_routers_have("s", announced_state::ready); }));
+  const part_key part{service_hash("s"), 42};
+  for (auto& router : it.routers) {
+    router->report_load("s", 3, part, 2);
+  }
+  const auto all_know = [&](std::uint32_t requests) {
+    return std::all_of(it.routers.begin(), it.routers.end(), [&](const auto& router) {
+      return router->fleet_load_of("s") == requests;
+    });
+  };
+  REQUIRE(wait_until([&] { return all_know(18); }));
+  CHECK(std::any_of(
+      it.routers[5]->loads.begin(), it.routers[5]->loads.end(), [&](const auto& load) {
+        return load.popular && io::part_shares_from_wire(*load.popular).contains(part);
+      }));
+  it.routers.pop_back();
+  for (auto& router : it.routers) {
+    router->report_load("s", 4, part, 0);
+  }
+  CHECK(wait_until([&] { return all_know(20); }));
+}
+
+// A suspended router forwards old loads when it wakes up.
+TEST_CASE("loads that arrive out of order are dropped") {
+  fleet it(2, {});
+  it.links->handle_report(make_server("s", 1), [](bool) {});
+  auto& first = *it.routers[0];
+  REQUIRE(wait_until([&] { return first.loads.size() > 3; }));
+  const auto newest = first.loads.back();
+  REQUIRE(newest.number > 1);
+  io::frame_forwarder other(it.port, nullptr);
+  auto old = newest;
+  old.number = 1;
+  old.loads = io::to_wire({{io::server_hash("s"), load_count{999, 0}}});
+  other.send({"127.67.1.1"}, io::encode_fan_out(old));
+  run_event_loop(std::chrono::milliseconds(500));
+  CHECK(std::none_of(first.loads.begin(), first.loads.end(), [](const auto& load) {
+    return find_load(io::from_wire(load), io::server_hash("s"), 0).requests == 999;
+  }));
+  auto next = newest;
+  next.number = newest.number + 1000;
+  other.send({"127.67.1.1"}, io::encode_fan_out(next));
+  CHECK(wait_until([&] {
+    return std::any_of(first.loads.begin(), first.loads.end(),
+                       [&](const auto& load) { return load.number == next.number; });
+  }));
+}
