Connect to control sooner after a start of everything

A connect to a VM that is still dark ended after 0.25 s, and the next began 0.25 s later.

Change: connects end after 0.1 s at first, doubling to 1.6 s as failures follow each other (before: 0.25 to 2 s), and the next begins 0.1 s later.

--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -16,11 +16,11 @@
 // Tolerates three missing heartbeats and a late fourth.
 constexpr double timeout_in_heartbeats = 3.75;
 // The kernel retransmits a lost SYN only after one second; a new attempt is faster.
-constexpr auto connect_timeout = milliseconds(250);
+constexpr auto connect_timeout = milliseconds(100);
 // Each failed attempt doubles the timeout, up to this many times: a saturated link
 // delays packets, and abandoned attempts add to its load.
-constexpr unsigned max_backoff_doublings = 3;
-constexpr auto retry_delay = milliseconds(250);
+constexpr unsigned max_backoff_doublings = 4;
+constexpr auto retry_delay = milliseconds(100);
 // Followers learn of a commit from the leader's next heartbeat, within 75 ms.
 constexpr auto leader_fetch_delay = milliseconds(150);
 // The routing text is requested again, possibly from another control process, after
