--- a/include/marigoldstep/dispatch.h
+++ b/include/marigoldstep/dispatch.h
@@ -78,6 +78,12 @@
   std::uint64_t id_hash = 0;
 };
 
+// A prefix not sent to a server for longer has probably been evicted from its cache.
+inline constexpr auto prefix_location_ttl = milliseconds(60'000);
+
+// Id of the largest shared part of a prompt, which decides its home; 0 without a prompt.
+std::uint64_t home_key(const std::vector<prompt_part>& prompt);
+
 // Servers by service. With thousands of servers, lookups by name would take
 // most of the time of a decision.
 struct dispatch_index {
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -4,24 +4,11 @@
 #include <cmath>
 #include <functional>
 #include <iterator>
-#include <limits>
-#include <numeric>
 
 namespace marigoldstep {
 
 namespace {
 
-// A server that refuses connections often accepts them again within a second.
-constexpr auto initial_ejection = milliseconds(500);
-constexpr auto max_ejection = milliseconds(8000);
-constexpr unsigned max_doublings = 4;
-// A full server has free slots again after some responses.
-constexpr auto initial_avoidance = milliseconds(100);
-constexpr unsigned max_avoidance_doublings = 3;
-// Healthy servers also break a single connection now and then.
-constexpr unsigned consecutive_failures_to_eject = 2;
-// Weight of one response in the moving average, which covers about the last 16.
-constexpr double response_weight = 1.0 / 16;
 constexpr unsigned min_responses = 10;
 // An outlier exceeds this failure rate, and the mean rate of its peers by this factor.
 // The comparison with peers is needed because some services normally respond with
@@ -45,20 +32,12 @@
 // counted at or above that load, so that every server keeps a small weight.
 constexpr double full_load_requests_per_slot = 1.2;
 constexpr double min_free_slots = 0.05;
-// A prefix not sent to a server for longer has probably been evicted from its cache.
-constexpr auto prefix_location_ttl = milliseconds(60'000);
 // Part of max_connections that is used. A server may accept fewer connections while
 // its queue is long, and each one that it resets was opened for nothing.
 constexpr double usable_connection_fraction = 0.9;
-// Part of max_connections for idle connections; the rest is for requests in flight.
-constexpr double idle_connection_fraction = 0.5;
 // All control processes have sent their servers to a router that has just started within
 // this time, so servers that become known less far apart may have started together.
 constexpr auto join_margin = milliseconds(2000);
-// Limits memory. A deployment has thousands of parts in use.
-constexpr std::size_t max_prefix_locations = 20'000;
-// Limits memory and the size of a report. A router sends tens of requests between two.
-constexpr std::size_t max_part_requests = 256;
 
 struct candidate {
   const detail::indexed_server* indexed = nullptr;
@@ -189,15 +168,6 @@
   }
 }
 
-std::uint64_t home_key(const std::vector<prompt_part>& prompt) {
-  // The last part is specific to one request or chat and is not shared.
-  const auto shared = prompt.size() > 1 ? prompt.size() - 1 : prompt.size();
-  const auto max_part = std::max_element(
-      prompt.begin(), prompt.begin() + static_cast<std::ptrdiff_t>(shared),
-      [](const auto& left, const auto& right) { return left.tokens < right.tokens; });
-  return max_part == prompt.end() ? 0 : max_part->id;
-}
-
 // The server with this id if it can still serve a copy, else null. A draining server
 // can for a while.
 const announced_server* find_holder(const server_directory& directory,
@@ -250,7 +220,7 @@
 
 home_choice choose_home(const std::vector<candidate>& list,
                         const dispatch_request& request, double load_bound) {
-  const auto key = home_key(request.prompt);
+  const auto key = detail::home_key(request.prompt);
   home_choice out;
   std::uint64_t home_best = 0;
   std::uint64_t chosen_best = 0;
@@ -320,10 +290,10 @@
                                          const dispatch_request& request,
                                          const dispatch_limits& limits,
                                          const candidate& chosen, time_point now) {
-  const auto key = home_key(request.prompt);
+  const auto key = detail::home_key(request.prompt);
   const auto location = state.prefix_locations.find(key);
   if (location != state.prefix_locations.end() &&
-      now - location->second.sent_at <= prefix_location_ttl) {
+      now - location->second.sent_at <= detail::prefix_location_ttl) {
     return location->second.server == chosen.server().id
                ? nullptr
                : find_holder(directory, state, location->second.server, limits, now);
@@ -349,8 +319,8 @@
   if (state.popular_parts.empty()) {
     return 1;
   }
-  const auto it =
-      state.popular_parts.find({service_hash(request.service), home_key(request.prompt)});
+  const auto it = state.popular_parts.find(
+      {service_hash(request.service), detail::home_key(request.prompt)});
   if (it == state.popular_parts.end()) {
     return 1;
   }
@@ -367,7 +337,7 @@
 const candidate* draw_home(const std::vector<candidate>& list,
                            const dispatch_request& request, std::size_t n,
                            double load_bound, std::mt19937_64& random) {
-  const auto key = home_key(request.prompt);
+  const auto key = detail::home_key(request.prompt);
   std::vector<std::pair<std::uint64_t, const candidate*>> homes;
   homes.reserve(list.size());
   for (const auto& it : list) {
@@ -428,18 +398,6 @@
   return &list[std::min(static_cast<std::size_t>(at), list.size() - 1)];
 }
 
-void eject(server_stats& stats, time_point now) {
-  const auto doublings = std::min(stats.ejections, max_doublings);
-  stats.ejected_until =
-      now + std::min(initial_ejection * (1U << doublings), max_ejection);
-  ++stats.ejections;
-}
-
-void record_result(server_stats& stats, bool failed) {
-  stats.failure_rate += response_weight * ((failed ? 1.0 : 0.0) - stats.failure_rate);
-  stats.responses = std::min(stats.responses + 1, 1000U);
-}
-
 } // namespace
 
 std::string_view name(dispatch_reason value) {
@@ -536,90 +494,9 @@
   return out;
 }
 
-std::size_t idle_connections(std::uint32_t max_connections, std::uint32_t routers,
-                             const std::string& router, const std::string& server) {
-  if (max_connections == 0 || routers == 0) {
-    return std::numeric_limits<std::size_t>::max();
-  }
-  const double share = idle_connection_fraction * max_connections / routers;
-  const auto whole = static_cast<std::size_t>(share);
-  constexpr double hash_range = 0x1.0p64;
-  const double draw =
-      static_cast<double>(stable_hash(router + " " + server)) / hash_range;
-  return draw < share - static_cast<double>(whole) ? whole + 1 : whole;
-}
-
 bool may_send_to(const dispatch_state& state, const announced_server& server,
                  time_point now) {
   return !is_closed(admission(find_stats(state, server.id).notice, server.started, now));
 }
 
-void record_sent(dispatch_state& state, const std::string& id, std::uint64_t tokens) {
-  auto& local_load = state.stats[id].local_load;
-  ++local_load.requests;
-  local_load.tokens += tokens;
-}
-
-void record_prompt_sent(dispatch_state& state, const dispatch_request& request,
-                        const std::string& id, time_point now) {
-  if (request.prompt.empty()) {
-    return;
-  }
-  const auto part = home_key(request.prompt);
-  if (state.part_requests.size() < max_part_requests) {
-    ++state.part_requests[{service_hash(request.service), part}];
-  }
-  if (state.prefix_locations.size() >= max_prefix_locations) {
-    std::erase_if(state.prefix_locations, [&](const auto& it) {
-      return now - it.second.sent_at > prefix_location_ttl;
-    });
-  }
-  if (state.prefix_locations.size() < max_prefix_locations) {
-    state.prefix_locations[part] = {id, now};
-  }
-}
-
-void record_finished(dispatch_state& state, const std::string& id, std::uint64_t tokens) {
-  auto& local_load = state.stats[id].local_load;
-  local_load.requests -= std::min(local_load.requests, 1U);
-  local_load.tokens -= std::min(local_load.tokens, tokens);
-}
-
-void record_response(dispatch_state& state, const std::string& id, bool failed,
-                     time_point now) {
-  auto& stats = state.stats[id];
-  record_result(stats, failed);
-  stats.consecutive_failures = 0;
-  stats.consecutive_refusals = 0;
-  stats.avoided_until = std::min(stats.avoided_until, now);
-  if (!failed) {
-    stats.ejections = 0;
-    stats.ejected_until = std::min(stats.ejected_until, now);
-  }
-}
-
-void record_broken_connection(dispatch_state& state, const std::string& id,
-                              time_point now) {
-  auto& stats = state.stats[id];
-  record_result(stats, true);
-  if (++stats.consecutive_failures >= consecutive_failures_to_eject &&
-      stats.ejected_until <= now) {
-    eject(stats, now);
-  }
-}
-
-void record_refusal(dispatch_state& state, const std::string& id, time_point now) {
-  auto& stats = state.stats[id];
-  const auto doublings = std::min(stats.consecutive_refusals, max_avoidance_doublings);
-  stats.avoided_until = now + initial_avoidance * (1U << doublings);
-  ++stats.consecutive_refusals;
-}
-
-void record_reported_load(dispatch_state& state, const std::string& id,
-                          std::uint32_t requests, time_point now) {
-  auto& stats = state.stats[id];
-  stats.reported_requests = requests;
-  stats.reported_at = now;
-}
-
 } // namespace marigoldstep
