Take test ports on a loopback address of the test's own

A port that was free on 127.0.0.1 when probed had been given to an outgoing connection or another test. Tests that need a free port take it on an address made from their process id, which no other process uses.

--- /dev/null
+++ b/tests/loopback_address.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <QHostAddress>
+#include <QTcpServer>
+
+#include <string>
+#include <unistd.h>
+
+// A loopback address that no other process uses. On 127.0.0.1 the kernel may give a port
+// that was free a moment ago to an outgoing connection or a listener of another test.
+inline std::string own_loopback_host() {
+  const auto pid = static_cast<unsigned>(::getpid());
+  constexpr unsigned first_octet = 100; // the tests' fixed addresses are below
+  constexpr unsigned octet_values = 256;
+  return "127." + std::to_string(first_octet + pid / octet_values / octet_values % 100) +
+         "." + std::to_string(pid / octet_values % octet_values) + "." +
+         std::to_string(pid % octet_values);
+}
+
+// A port that is free on own_loopback_host().
+inline std::uint16_t free_port_on_own_host() {
+  QTcpServer server;
+  server.listen(QHostAddress(QString::fromStdString(own_loopback_host())), 0);
+  return server.serverPort();
+}
--- a/tests/programs/control_test.cpp
+++ b/tests/programs/control_test.cpp
@@ -1,5 +1,6 @@
 #include "control/replica.h"
 #include "control/service.h"
+#include "loopback_address.h"
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/control_client.h"
 
@@ -33,12 +34,6 @@
   return true;
 }
 
-std::uint16_t free_port() {
-  QTcpServer server;
-  server.listen(QHostAddress::LocalHost, 0);
-  return server.serverPort();
-}
-
 struct control_process {
   explicit control_process(const control::control_settings& settings)
       : group(settings, nullptr), service(group, settings.operators, nullptr) {
@@ -65,8 +60,8 @@
     for (std::size_t i = 0; i < n; ++i) {
       control::control_settings it;
       it.data_dir = folder.path().toStdString() + "/" + std::to_string(i);
-      it.listen = it.advertise = {"127.0.0.1", free_port()};
-      it.listen_peer = it.advertise_peer = {"127.0.0.1", free_port()};
+      it.listen = it.advertise = {own_loopback_host(), free_port_on_own_host()};
+      it.listen_peer = it.advertise_peer = {own_loopback_host(), free_port_on_own_host()};
       it.bootstrap_configuration = boot;
       it.operators = {{"ana", "secret"}};
       settings.push_back(it);
@@ -129,7 +124,7 @@
     wire::MemberRequestT body;
     body.kind = kind;
     body.node_id = id;
-    body.host = "127.0.0.1";
+    body.host = own_loopback_host();
     body.port = port;
     body.operator_key = "secret";
     return *request(body)->body.AsMemberReply();
--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -2,6 +2,7 @@
 
 #include "event_loop.h"
 #include "gateway/gateway.h"
+#include "loopback_address.h"
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/fleet_ports.h"
 #include "marigoldstep/io/text_compression.h"
@@ -243,10 +244,9 @@
   static io::endpoint free_address() {
     static std::set<std::uint16_t> used_ports;
     while (true) {
-      QTcpServer probe;
-      probe.listen(QHostAddress::LocalHost, 0);
-      if (used_ports.insert(probe.serverPort()).second) {
-        return {"127.0.0.1", probe.serverPort()};
+      const auto port = free_port_on_own_host();
+      if (used_ports.insert(port).second) {
+        return {own_loopback_host(), port};
       }
     }
   }
