Revert the two changes to a start of everything

Reverts (begin once control knows the servers) and (connects to control end after 0.1 s). Conclusion: a wait has to follow from how many servers are known, not from time. Open: control could keep the last known servers across a restart.

--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -79,8 +79,7 @@
 
   [[nodiscard]] std::size_t open_links() const;
   // Whether every connected control process had sent its servers at some time since the
-  // start, and one of them had probably heard from every server. With the few servers
-  // that report first after a restart of everything, routers would overload these.
+  // start.
   [[nodiscard]] bool has_initial_servers() const { return has_initial_servers_; }
   // Whether a connected control process still receives the server's reports.
   [[nodiscard]] bool is_server_reporting(std::uint32_t server) const;
@@ -102,8 +101,6 @@
     bool is_leader = false;
     bool has_leader = false;
     milliseconds heartbeat{}; // interval that the other side requests
-    bool has_status = false;
-    time_point knows_servers_at{}; // when it has probably heard from every server
     time_point next_ack_at{};
     std::uint64_t version = 0;
     feed_position acked_reported; // in the last acknowledgement
@@ -121,7 +118,6 @@
   void handle_forwarded(byte_view buf);
   void handle_update(const wire::ServerUpdateT& update);
   [[nodiscard]] bool have_all_sent_servers() const;
-  [[nodiscard]] bool knows_all_servers() const;
   template <typename Message> void forward_to_routers(Message& message);
   void handle_status(const std::string& host, const wire::GroupStatusT& status);
   void handle_routing(const wire::RoutingTextT& text);
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -16,11 +16,11 @@
 // Tolerates three missing heartbeats and a late fourth.
 constexpr double timeout_in_heartbeats = 3.75;
 // The kernel retransmits a lost SYN only after one second; a new attempt is faster.
-constexpr auto connect_timeout = milliseconds(100);
+constexpr auto connect_timeout = milliseconds(250);
 // Each failed attempt doubles the timeout, up to this many times: a saturated link
 // delays packets, and abandoned attempts add to its load.
-constexpr unsigned max_backoff_doublings = 4;
-constexpr auto retry_delay = milliseconds(100);
+constexpr unsigned max_backoff_doublings = 3;
+constexpr auto retry_delay = milliseconds(250);
 // Followers learn of a commit from the leader's next heartbeat, within 75 ms.
 constexpr auto leader_fetch_delay = milliseconds(150);
 // The routing text is requested again, possibly from another control process, after
@@ -148,7 +148,6 @@
   for (const auto& host : silent) {
     close_link(host, "silent");
   }
-  has_initial_servers_ = has_initial_servers_ || knows_all_servers();
   expire_confirmations(now);
   expire_reports(now);
   fetch_newer();
@@ -285,7 +284,7 @@
       view.reporting.insert(server_hash(it->id));
     }
   }
-  has_initial_servers_ = has_initial_servers_ || knows_all_servers();
+  has_initial_servers_ = has_initial_servers_ || have_all_sent_servers();
   if (on_server_update) {
     on_server_update(update);
   }
@@ -303,15 +302,6 @@
   });
 }
 
-bool control_links::knows_all_servers() const {
-  const auto now = io::now();
-  return have_all_sent_servers() &&
-         std::any_of(links_.begin(), links_.end(), [now](const auto& it) {
-           return it.second.is_open && it.second.has_status &&
-                  now >= it.second.knows_servers_at;
-         });
-}
-
 bool control_links::is_server_reporting(std::uint32_t server) const {
   return std::any_of(links_.begin(), links_.end(), [&](const auto& it) {
     const auto known = origins_.find(it.first);
@@ -335,10 +325,6 @@
     on_leader_status(status.routers, milliseconds(status.load_interval_ms));
   }
   it.heartbeat = std::max(default_heartbeat, milliseconds(status.heartbeat_ms));
-  if (!it.has_status) {
-    it.has_status = true;
-    it.knows_servers_at = io::now() + milliseconds(status.learning_ms);
-  }
   if (status.confirmed) {
     confirmed_version_ = std::max(confirmed_version_, status.routing_version);
   }
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -45,9 +45,6 @@
 // Bytes of loads that one router forwards, a few percent of the second's bandwidth of a
 // 10 Mbit/s link.
 constexpr std::size_t max_forwarded_load_bytes = 64U << 10U;
-// Part of the silence timeout within which every server reports at least once: servers
-// report four times in it, with some jitter.
-constexpr double learning_fraction = 0.28;
 // Operators wait a second for the response.
 constexpr auto version_timeout = milliseconds(700);
 // Routers that left still count, since they may have used their part of the retry budget.
@@ -89,7 +86,6 @@
 }
 
 std::error_code link_service::start() {
-  started_at_ = io::now();
   timer_.start(tick_interval);
   return peers_.start();
 }
@@ -222,11 +218,6 @@
   status.confirmed = to.confirmed;
   status.routers = static_cast<std::uint32_t>(routers_.size());
   status.load_interval_ms = static_cast<std::uint32_t>(load_interval_.count());
-  const auto learns_until =
-      started_at_ + std::chrono::duration_cast<milliseconds>(learning_fraction *
-                                                             limits_.silence_timeout);
-  status.learning_ms = static_cast<std::uint32_t>(
-      std::max<milliseconds::rep>(0, (learns_until - io::now()).count()));
   to.next_status = io::now() + heartbeat_interval();
   status.heartbeat_ms = static_cast<std::uint32_t>(heartbeat_interval().count());
   connection->send(wire::encode_link(std::move(status)));
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -168,7 +168,6 @@
   time_point next_liveness_update_{};
   time_point next_removal_{};
   time_point next_load_update_{};
-  time_point started_at_{};
 };
 
 } // namespace marigoldstep::control
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -26,9 +26,7 @@
 constexpr std::uint64_t startup_retry_jitter_ms = 300;
 // A gateway that has just started is ready after some hundred milliseconds. A request
 // that waits for that is often served in time; one that is refused seldom is.
-constexpr auto max_startup_wait = milliseconds(1000);
-// Part of the caller's time, so that a retry elsewhere can still be served.
-constexpr int startup_wait_divisor = 4;
+constexpr auto max_startup_wait = milliseconds(600);
 // After a refusal by a backend server: the other servers had no capacity a moment ago
 // either.
 constexpr auto refused_retry_delay = milliseconds(200);
@@ -72,8 +70,7 @@
   }
   waits_for_gateway_ = true;
   deadline_timer_.start(
-      call_.deadline ? std::min(max_startup_wait, *call_.deadline / startup_wait_divisor)
-                     : max_startup_wait);
+      std::min(max_startup_wait, call_.deadline.value_or(max_startup_wait) / 2));
   owner_.when_started(this, [this] {
     if (waits_for_gateway_ && !done_) {
       waits_for_gateway_ = false;
