Log what each server contributed to a stream

A line stream_part now gives the bytes that came from the server, the bytes that went to the caller and those of an incomplete event, for every part that isn't a whole stream from the only server tried; a counter gives where all parts ended; the decision names the event after which the next server is asked to continue.

Seen in a gateway test on this code (a stream whose first server is reset inside its first event): received_bytes=32 forwarded_bytes=33 for the second server, so one byte of the first server's event went to the caller.

--- a/tools/gateway/metrics.cpp
+++ b/tools/gateway/metrics.cpp
@@ -37,6 +37,10 @@
                    .Name("marigoldstep_gateway_attempts_total")
                    .Help("Attempts at backend servers by how they ended")
                    .Register(registry)),
+      stream_parts(prometheus::BuildCounter()
+                       .Name("marigoldstep_gateway_stream_parts_total")
+                       .Help("Parts of streams from one server by where they ended")
+                       .Register(registry)),
       first_byte_seconds(histogram(registry, "first_byte_seconds",
                                    "From the request to the answer's first byte")),
       total_seconds(
@@ -53,4 +57,8 @@
   return attempts.Add({{"end", outcome}});
 }
 
+prometheus::Counter& gateway_metrics::stream_part_ended(const std::string& state) {
+  return stream_parts.Add({{"end", state}});
+}
+
 } // namespace marigoldstep::gateway
--- a/tools/gateway/metrics.h
+++ b/tools/gateway/metrics.h
@@ -18,9 +18,13 @@
   prometheus::Counter& request_ended(const std::string& outcome);
   // Counter of attempts with this outcome: "answered" or the name of an attempt_end.
   prometheus::Counter& attempt_ended(const std::string& outcome);
+  // Counter of the parts that servers contributed to streams, by the state in which the
+  // part ended: "complete", "between_events" or "inside_event".
+  prometheus::Counter& stream_part_ended(const std::string& state);
 
   prometheus::Family<prometheus::Counter>& requests;
   prometheus::Family<prometheus::Counter>& attempts;
+  prometheus::Family<prometheus::Counter>& stream_parts;
   prometheus::Histogram& first_byte_seconds;
   prometheus::Histogram& total_seconds;
   prometheus::Gauge& routing_version;
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -194,7 +194,9 @@
         "candidates:" + std::to_string(choice.candidates),
         "routing:" + std::to_string(table_->config.version),
         "copy_from:" +
-            (choice.copy_from == nullptr ? std::string("none") : choice.copy_from->id)}});
+            (choice.copy_from == nullptr ? std::string("none") : choice.copy_from->id),
+        "resume_after:" +
+            (events_.last_event ? std::to_string(*events_.last_event) : "none")}});
   platform::attempt_fields added;
   added.server_id = server.id;
   added.workspace = workspace_;
@@ -306,7 +308,12 @@
     return;
   }
   const bool by_event = route_->kind == route_kind::resumable_stream;
-  const auto complete = by_event ? split_events(events_, piece) : std::string(piece);
+  auto complete = is_stream(route_->kind) ? split_events(events_, piece) : std::string();
+  if (!by_event) {
+    complete = piece;
+  }
+  attempt_->received_bytes += piece.size();
+  attempt_->forwarded_bytes += complete.size();
   if (complete.empty()) {
     return;
   }
@@ -377,6 +384,7 @@
     }
   }
   owner_.metrics.attempt_ended("answered").Increment();
+  attempt_->is_complete = true;
   const auto server = attempt_->server.id;
   release_attempt(true);
   finish("answered", server);
@@ -455,10 +463,38 @@
   }
 }
 
+// Logs the part of a stream that one server contributed, unless it is a whole stream
+// from the only server that was tried.
+void relay::record_stream_part() {
+  const auto& it = *attempt_;
+  if (!it.is_forwarding || !is_stream(route_->kind)) {
+    return;
+  }
+  const bool is_cut = !events_.partial.empty();
+  owner_.metrics
+      .stream_part_ended(is_cut           ? "inside_event"
+                         : it.is_complete ? "complete"
+                                          : "between_events")
+      .Increment();
+  if (it.is_complete && !is_cut && tried_servers_.size() == 1) {
+    return;
+  }
+  io::log_event(
+      io::log_level::info, "stream_part",
+      {{"request_id", call_.request_id},
+       {"server", it.server.id},
+       {"complete", it.is_complete ? "true" : "false"},
+       {"last_event", events_.last_event ? std::to_string(*events_.last_event) : "none"},
+       {"received_bytes", std::to_string(it.received_bytes)},
+       {"forwarded_bytes", std::to_string(it.forwarded_bytes)},
+       {"partial_bytes", std::to_string(events_.partial.size())}});
+}
+
 void relay::release_attempt(bool reusable) {
   if (!attempt_) {
     return;
   }
+  record_stream_part();
   record_finished(owner_.dispatch, attempt_->server.id, attempt_->tokens);
   if (reusable && !attempt_->metadata.leaving) {
     owner_.pool.release(attempt_->connection,
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -36,6 +36,10 @@
     std::string body; // of a response that is buffered before it is forwarded
     bool has_head = false;
     bool is_forwarding = false; // the response is forwarded as it arrives
+    bool is_complete = false;
+    // Of a stream's body: what the server sent, and what the caller got of it.
+    std::uint64_t received_bytes = 0;
+    std::uint64_t forwarded_bytes = 0;
   };
 
   bool resolve_target();
@@ -54,6 +58,7 @@
   void end_attempt(attempt_end end);
   void apply_step(relay_step step, attempt_end end, const attempt& last);
   void release_attempt(bool reusable);
+  void record_stream_part();
   void handle_caller_disconnect();
   void handle_timeout();
   void refuse_without_configuration();
