Give each listener of a test process a port of its own

The test asks for six free ports one after the other and binds them later, so the kernel may offer one twice.

--- a/tests/loopback_address.h
+++ b/tests/loopback_address.h
@@ -3,6 +3,7 @@
 #include <QHostAddress>
 #include <QTcpServer>
 
+#include <set>
 #include <string>
 #include <unistd.h>
 
@@ -17,9 +18,15 @@
          std::to_string(pid % octet_values);
 }
 
-// A port that is free on own_loopback_host().
+// A port that is free on own_loopback_host(). Never returns a port twice: the kernel may
+// offer a port again while nothing listens on it yet.
 inline std::uint16_t free_port_on_own_host() {
-  QTcpServer server;
-  server.listen(QHostAddress(QString::fromStdString(own_loopback_host())), 0);
-  return server.serverPort();
+  static std::set<std::uint16_t> used_ports;
+  while (true) {
+    QTcpServer server;
+    server.listen(QHostAddress(QString::fromStdString(own_loopback_host())), 0);
+    if (used_ports.insert(server.serverPort()).second) {
+      return server.serverPort();
+    }
+  }
 }
--- a/tests/programs/control_test.cpp
+++ b/tests/programs/control_test.cpp
@@ -37,6 +37,8 @@
 struct control_process {
   explicit control_process(const control::control_settings& settings)
       : group(settings, nullptr), service(group, settings.operators, nullptr) {
+    INFO("listens on ports " << settings.listen.port << " and "
+                             << settings.listen_peer.port);
     std::error_code ec = service.listen(settings.listen);
     REQUIRE_FALSE(ec);
     std::string detail;
--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -11,7 +11,6 @@
 #include <QTcpSocket>
 
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -234,16 +233,8 @@
     return out;
   }
 
-  // Never returns a port twice: the system may offer a port again while nothing listens
-  // on it yet.
   static io::endpoint free_address() {
-    static std::set<std::uint16_t> used_ports;
-    while (true) {
-      const auto port = free_port_on_own_host();
-      if (used_ports.insert(port).second) {
-        return {own_loopback_host(), port};
-      }
-    }
+    return {own_loopback_host(), free_port_on_own_host()};
   }
 
   io::endpoint address;
