Keep the bytes of a cut event with the attempt that received them

Cause: the buffer of an incomplete event belonged to the request, not to the attempt, and was cleared before the next attempt only if the caller already had a part of the response. The class: state of one attempt that outlives it, with a reset that has to be remembered at each place.

The buffer now is a member of the attempt, is created and destroyed with it, and begins at the resume point; the request keeps only the id of the last event that went to the caller. No path can leave bytes behind, so nothing needs to be cleared.

--- a/tests/programs/gateway_stream_test.cpp
+++ b/tests/programs/gateway_stream_test.cpp
@@ -55,8 +55,7 @@
 
 } // namespace
 
-TEST_CASE("an event cut by one server is not joined to the events of the next",
-          "[.known-red]") {
+TEST_CASE("an event cut by one server is not joined to the events of the next") {
   const std::string cut =
       GENERATE("i", "id", "id: ", "id: 4", "id: 4\n", "id: 4\nda", "id: 4\ndata: e4",
                "id: 4\ndata: e4\n", ": note", "\n");
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -102,7 +102,7 @@
   const auto allowed =
       std::min(call_.deadline.value_or(route_->timeout), route_->timeout);
   state_.deadline = started_at_ + allowed;
-  events_.last_event = call_.last_event;
+  last_event_ = call_.last_event;
   deadline_timer_.start(std::max(milliseconds(0), time_left()) + deadline_slack);
   record_request(owner_.retries, service_, started_at_);
   send_attempt();
@@ -195,8 +195,7 @@
         "routing:" + std::to_string(table_->config.version),
         "copy_from:" +
             (choice.copy_from == nullptr ? std::string("none") : choice.copy_from->id),
-        "resume_after:" +
-            (events_.last_event ? std::to_string(*events_.last_event) : "none")}});
+        "resume_after:" + (last_event_ ? std::to_string(*last_event_) : "none")}});
   platform::attempt_fields added;
   added.server_id = server.id;
   added.workspace = workspace_;
@@ -209,9 +208,9 @@
     added.copy_from =
         choice.copy_from->host + ":" + std::to_string(choice.copy_from->port);
   }
+  it.events.last_event = last_event_;
   if (response_started_) {
-    added.last_event = events_.last_event;
-    events_.partial.clear();
+    added.last_event = last_event_;
   }
   it.connection = owner_.pool.acquire({server.host, server.port});
   it.connection->may_send = [this] {
@@ -308,19 +307,22 @@
     return;
   }
   const bool by_event = route_->kind == route_kind::resumable_stream;
-  auto complete = is_stream(route_->kind) ? split_events(events_, piece) : std::string();
+  auto& it = *attempt_;
+  auto complete =
+      is_stream(route_->kind) ? split_events(it.events, piece) : std::string();
   if (!by_event) {
     complete = piece;
   }
-  attempt_->received_bytes += piece.size();
-  attempt_->forwarded_bytes += complete.size();
+  it.received_bytes += piece.size();
+  it.forwarded_bytes += complete.size();
   if (complete.empty()) {
     return;
   }
+  last_event_ = it.events.last_event;
   begin_response();
   caller_->write_body(complete);
   if (caller_->queued_bytes() > pause_above_bytes) {
-    attempt_->connection->set_paused(true);
+    it.connection->set_paused(true);
   }
 }
 
@@ -470,7 +472,7 @@
   if (!it.is_forwarding || !is_stream(route_->kind)) {
     return;
   }
-  const bool is_cut = !events_.partial.empty();
+  const bool is_cut = !it.events.partial.empty();
   owner_.metrics
       .stream_part_ended(is_cut           ? "inside_event"
                          : it.is_complete ? "complete"
@@ -479,15 +481,14 @@
   if (it.is_complete && !is_cut && tried_servers_.size() == 1) {
     return;
   }
-  io::log_event(
-      io::log_level::info, "stream_part",
-      {{"request_id", call_.request_id},
-       {"server", it.server.id},
-       {"complete", it.is_complete ? "true" : "false"},
-       {"last_event", events_.last_event ? std::to_string(*events_.last_event) : "none"},
-       {"received_bytes", std::to_string(it.received_bytes)},
-       {"forwarded_bytes", std::to_string(it.forwarded_bytes)},
-       {"partial_bytes", std::to_string(events_.partial.size())}});
+  io::log_event(io::log_level::info, "stream_part",
+                {{"request_id", call_.request_id},
+                 {"server", it.server.id},
+                 {"complete", it.is_complete ? "true" : "false"},
+                 {"last_event", last_event_ ? std::to_string(*last_event_) : "none"},
+                 {"received_bytes", std::to_string(it.received_bytes)},
+                 {"forwarded_bytes", std::to_string(it.forwarded_bytes)},
+                 {"partial_bytes", std::to_string(it.events.partial.size())}});
 }
 
 void relay::release_attempt(bool reusable) {
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -37,6 +37,7 @@
     bool has_head = false;
     bool is_forwarding = false; // the response is forwarded as it arrives
     bool is_complete = false;
+    event_splitter events;
     // Of a stream's body: what the server sent, and what the caller got of it.
     std::uint64_t received_bytes = 0;
     std::uint64_t forwarded_bytes = 0;
@@ -89,7 +90,8 @@
   request_progress state_;
   std::vector<std::string> tried_servers_;
   std::optional<attempt> attempt_;
-  event_splitter events_;
+  // Id of the last event that the caller has; another server continues after it.
+  std::optional<std::uint64_t> last_event_;
   QTimer deadline_timer_;
   time_point started_at_{};
   bool waits_for_gateway_ = false;
