Send the events that have arrived before closing a cut stream

A caller whose stream broke lost events that the gateway already had: abort() on the caller's socket discards what Qt has queued since the last turn of the event loop. A caller that resumes its stream then asks for events that had been made.

The connection is flushed before it is aborted; the flush doesn't block, and a chunked response without its last chunk still shows as cut.

--- a/include/marigoldstep/io/http_connection.h
+++ b/include/marigoldstep/io/http_connection.h
@@ -46,7 +46,7 @@
   void write_body(std::string_view piece);
   void finish();
   // Closes the connection at once, so that the client sees a begun response as
-  // truncated.
+  // truncated. Response bytes are still sent as far as the kernel's buffer takes them.
   void abort();
   // Makes the next response close the connection.
   void close_after_response() { close_after_ = true; }
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -219,6 +219,8 @@
   if (phase_ == phase::closed) {
     return;
   }
+  // QTcpSocket::abort() discards what is not written yet.
+  socket_->flush();
   socket_->abort();
   handle_closed();
 }
--- a/tests/programs/gateway_stream_test.cpp
+++ b/tests/programs/gateway_stream_test.cpp
@@ -76,6 +76,15 @@
         resumes);
 }
 
+TEST_CASE("events that arrived before a stream broke reach its caller") {
+  const std::string path = GENERATE("/resume/", "/stream/");
+  gateway_fixture it(
+      {{{write_text(stream_head() + chunk(event(1) + event(2))), close_in_order()}}});
+  const auto result = read_stream(it, path);
+  CHECK_FALSE(result.is_complete);
+  CHECK(result.body == event(1) + event(2));
+}
+
 TEST_CASE("a stream that its server ends inside an event is not forwarded as complete",
           "[.known-red]") {
   const std::string cut = GENERATE("id: 2", "id: 2\ndata: e2", "id: 2\ndata: e2\n");
