Treat a stream that ends inside an event as broken

A caller could get a stream that ends as complete and lacks its last event: a response without a length ends with its connection, and a server process that is killed closes its connections in order; one that ends its chunks early looks the same. A resumable stream lost the incomplete event, another one ended with half of it.

The class: an end in the transport is taken for the end of the content. The events show better: bytes of an event that has begun and not ended mean that the attempt broke, so a resumable stream goes on at another server and another one is closed as incomplete. Line ends after the last event belong to no event and are forwarded.

A stream without a length whose server dies between two events still looks whole: nothing in it tells otherwise.

--- a/src/event_splitter.cpp
+++ b/src/event_splitter.cpp
@@ -69,4 +69,8 @@
   return out;
 }
 
+bool is_inside_event(const event_splitter& state) {
+  return state.partial.find_first_not_of("\r\n") != std::string::npos;
+}
+
 } // namespace marigoldstep
--- a/tests/programs/gateway_stream_test.cpp
+++ b/tests/programs/gateway_stream_test.cpp
@@ -85,8 +85,7 @@
   CHECK(result.body == event(1) + event(2));
 }
 
-TEST_CASE("a stream that its server ends inside an event is not forwarded as complete",
-          "[.known-red]") {
+TEST_CASE("a stream that its server ends inside an event is not forwarded as complete") {
   const std::string cut = GENERATE("id: 2", "id: 2\ndata: e2", "id: 2\ndata: e2\n");
   const auto script = GENERATE_COPY(
       server_script{write_text(unframed_stream_head() + event(1) + cut),
@@ -108,6 +107,15 @@
   }
 }
 
+TEST_CASE("line ends after the last event of a stream are forwarded") {
+  const std::string path = GENERATE("/resume/", "/stream/");
+  gateway_fixture it(
+      {{{write_text(stream_head() + chunk(event(1) + "\n") + last_chunk)}}});
+  const auto result = read_stream(it, path);
+  CHECK(result.is_complete);
+  CHECK(result.body == event(1) + "\n");
+}
+
 TEST_CASE("a stream is not resumed after an event without a usable id", "[.known-red]") {
   const std::string unusable =
       GENERATE("data: e2\n\n", "id:\ndata: e2\n\n", "id: 2b\ndata: e2\n\n");
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -369,6 +369,11 @@
     end_attempt(end);
     return;
   }
+  // A server that crashes may close its connection in order.
+  if (is_inside_event(attempt_->events)) {
+    end_attempt(attempt_end::broken);
+    return;
+  }
   record_response(owner_.dispatch, attempt_->server.id, false, io::now());
   finish_response();
 }
@@ -377,6 +382,9 @@
   if (has_caller()) {
     if (response_started_ || is_stream(route_->kind)) {
       begin_response();
+      if (route_->kind == route_kind::resumable_stream) {
+        caller_->write_body(attempt_->events.partial);
+      }
       caller_->finish();
     } else {
       owner_.metrics.first_byte_seconds.Observe(
@@ -472,7 +480,7 @@
   if (!it.is_forwarding || !is_stream(route_->kind)) {
     return;
   }
-  const bool is_cut = !it.events.partial.empty();
+  const bool is_cut = is_inside_event(it.events);
   owner_.metrics
       .stream_part_ended(is_cut           ? "inside_event"
                          : it.is_complete ? "complete"
