Never continue a partly forwarded response with another server's

A caller of a repeatable call with a response above 256 kB could get one that is not its server's: the first server broke off after a part had been forwarded, the policy saw only that the call may be repeated, and another server's response followed. If that fitted into memory, its bytes were dropped, the response ended short of its Content-Length and the connection stayed open, so the next response on it would have filled the gap; a larger one would have been appended.

The same class as the broken order of streams: what one attempt has sent outlives it, and the decision about the next attempt didn't know. request_progress now says whether the caller has a part of the response and whether another server can continue it; the policy, a pure function, tries again only then. Only resumable streams are continuable.

--- a/include/marigoldstep/relay_policy.h
+++ b/include/marigoldstep/relay_policy.h
@@ -64,6 +64,9 @@
   std::uint32_t failed_connects = 0; // attempts that got no connection
   std::uint32_t wrong_servers = 0;   // attempts that reached another server
   bool may_have_run = false;         // of any attempt
+  bool response_started = false;     // the caller has a part of the response
+  // Another server can continue the response after that part.
+  bool is_continuable = false;
   time_point deadline{};
 };
 
@@ -93,7 +96,8 @@
                              Budget budget_left) {
   detail::count_end(state, end);
   const bool safe = !state.may_have_run || is_repeatable(state.kind);
-  if (!safe || !detail::has_attempts_left(state, now)) {
+  const bool is_possible = !state.response_started || state.is_continuable;
+  if (!safe || !is_possible || !detail::has_attempts_left(state, now)) {
     return detail::give_up(state, end);
   }
   // A request that no server has received does not count against the retry budget.
--- a/tests/programs/gateway_stream_test.cpp
+++ b/tests/programs/gateway_stream_test.cpp
@@ -137,8 +137,7 @@
   CHECK(result.body == event(1) + ": note\n\n" + event(2));
 }
 
-TEST_CASE("a partly forwarded response is not continued with another server's response",
-          "[.known-red]") {
+TEST_CASE("a partly forwarded response is not continued with another server's response") {
   const std::string body(400'000, 'a');
   const std::string other(400'000, 'b');
   const auto truncated = response_text(body).substr(0, 350'000);
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -71,6 +71,19 @@
         relay_step::answer_unknown);
 }
 
+TEST_CASE(
+    "a response that the caller has in part is continued only where that is possible") {
+  for (const auto kind : {route_kind::repeatable, route_kind::resumable_stream}) {
+    for (const bool is_continuable : {false, true}) {
+      auto state = make_state(kind, 3);
+      state.response_started = true;
+      state.is_continuable = is_continuable;
+      CHECK(step_after(state, attempt_end::broken) ==
+            (is_continuable ? relay_step::try_again : relay_step::answer_unknown));
+    }
+  }
+}
+
 TEST_CASE("the result is never \"not run\" after an attempt that may have run") {
   rc::prop("for every sequence of attempt ends", [] {
     const auto kind = *rc::gen::element(route_kind::repeatable, route_kind::once,
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -164,7 +164,7 @@
   const auto request = make_dispatch_request();
   const auto choice = owner_.choose_backend(request);
   if (choice.server == nullptr) {
-    if (response_started_) {
+    if (state_.response_started) {
       abort_response("no backend server can resume the response");
       return;
     }
@@ -209,7 +209,7 @@
         choice.copy_from->host + ":" + std::to_string(choice.copy_from->port);
   }
   it.events.last_event = last_event_;
-  if (response_started_) {
+  if (state_.response_started) {
     added.last_event = last_event_;
   }
   it.connection = owner_.pool.acquire({server.host, server.port});
@@ -319,6 +319,7 @@
     return;
   }
   last_event_ = it.events.last_event;
+  state_.is_continuable = by_event;
   begin_response();
   caller_->write_body(complete);
   if (caller_->queued_bytes() > pause_above_bytes) {
@@ -327,10 +328,10 @@
 }
 
 void relay::begin_response() {
-  if (response_started_) {
+  if (state_.response_started) {
     return;
   }
-  response_started_ = true;
+  state_.response_started = true;
   owner_.metrics.first_byte_seconds.Observe(
       std::chrono::duration<double>(io::now() - started_at_).count());
   const auto length = is_stream(route_->kind) ? std::nullopt : attempt_->head.length;
@@ -380,7 +381,7 @@
 
 void relay::finish_response() {
   if (has_caller()) {
-    if (response_started_ || is_stream(route_->kind)) {
+    if (state_.response_started || is_stream(route_->kind)) {
       begin_response();
       if (route_->kind == route_kind::resumable_stream) {
         caller_->write_body(attempt_->events.partial);
@@ -458,7 +459,7 @@
     send_attempt();
     return;
   }
-  if (response_started_) {
+  if (state_.response_started) {
     abort_response(name(end));
     return;
   }
@@ -526,7 +527,8 @@
     return;
   }
   release_attempt(false);
-  finish("left", response_started_ ? "after the answer began" : "before the answer");
+  finish("left",
+         state_.response_started ? "after the answer began" : "before the answer");
 }
 
 void relay::handle_timeout() {
@@ -542,7 +544,7 @@
   release_attempt(false);
   if (!has_caller()) {
     finish("left", "deadline");
-  } else if (response_started_) {
+  } else if (state_.response_started) {
     abort_response("deadline passed");
   } else if (state_.may_have_run) {
     respond(io::http_status::gateway_timeout, "deadline passed", std::nullopt);
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -95,7 +95,6 @@
   QTimer deadline_timer_;
   time_point started_at_{};
   bool waits_for_gateway_ = false;
-  bool response_started_ = false; // the response head was sent to the caller
   bool done_ = false;
 };
 
