Search each byte of a stream once for the end of its event

A caller of a stream with a long event, or without an empty line, could get a cut stream, and the requests of other callers waited meanwhile: with each piece that arrived the gateway searched the whole incomplete event again and copied it.

The search now begins at the last bytes of the earlier pieces, where an end may have begun, and nothing is copied while no event ends.

--- a/src/event_splitter.cpp
+++ b/src/event_splitter.cpp
@@ -1,11 +1,15 @@
 #include "marigoldstep/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace marigoldstep {
 
 namespace {
 
+// Two line terminators.
+constexpr std::size_t max_event_end_bytes = 4;
+
 // Length of the line terminator at position at; 0 if there is none.
 std::size_t line_end(std::string_view buf, std::size_t at) {
   if (buf[at] == '\n') {
@@ -15,8 +19,9 @@
 }
 
 // Position after the empty line that ends the first event; 0 if it has not arrived yet.
-std::size_t event_end(std::string_view buf) {
-  for (std::size_t i = 0; i < buf.size(); ++i) {
+// The line ends around it begin at position from or later.
+std::size_t event_end(std::string_view buf, std::size_t from) {
+  for (std::size_t i = from; i < buf.size(); ++i) {
     const auto n = line_end(buf, i);
     if (n != 0 && i + n < buf.size()) {
       const auto second = line_end(buf, i + n);
@@ -67,10 +72,13 @@
 } // namespace
 
 std::string split_events(event_splitter& state, std::string_view buf) {
+  // No event ends in the bytes of earlier calls.
+  const auto searched =
+      state.partial.size() - std::min(state.partial.size(), max_event_end_bytes - 1);
   state.partial.append(buf);
   std::string out;
   std::string_view rest = state.partial;
-  for (auto n = event_end(rest); n != 0; n = event_end(rest)) {
+  for (auto n = event_end(rest, searched); n != 0; n = event_end(rest, 0)) {
     const auto event = rest.substr(0, n);
     rest.remove_prefix(n);
     const auto fields = parse_event(event);
@@ -83,7 +91,7 @@
     state.last_event = fields.id ? fields.id : state.last_event;
     out.append(event);
   }
-  state.partial = std::string(rest);
+  state.partial.erase(0, state.partial.size() - rest.size());
   return out;
 }
 
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -6,6 +6,8 @@
 #include <rapidcheck.h>
 #include <rapidcheck/catch.h>
 
+#include <chrono>
+
 using namespace marigoldstep;
 
 namespace {
@@ -218,3 +220,17 @@
     CHECK(state.partial.empty());
   }
 }
+
+TEST_CASE("the time to find the end of an event does not grow with its square") {
+  constexpr std::size_t pieces = 16'384;
+  constexpr auto allowed = std::chrono::seconds(5);
+  const std::string piece(256, 'a');
+  const auto began = std::chrono::steady_clock::now();
+  event_splitter state;
+  std::size_t n = 0;
+  while (n < pieces && std::chrono::steady_clock::now() - began < allowed) {
+    split_events(state, piece);
+    ++n;
+  }
+  CHECK(n == pieces);
+}
