Don't use an attempt after its caller's disconnection has released it

A caller that resets its connection just as its response ends could make the gateway read a freed attempt: writing the last bytes flushes the socket of a connection that is to close, the flush meets the reset, the disconnection is handled within the call and releases the attempt, and the code after it marked that attempt complete and copied its server's id. Ids of up to 15 bytes happened to survive, so nothing was seen from outside.

What is needed of the attempt is now read before anything is written.

"a caller's reset at the end of its stream does not end the request twice" failed before (stream_part_ended("complete") 0 instead of 1, since the attempt was gone when it was marked) and passes.

--- a/tests/programs/gateway_stream_test.cpp
+++ b/tests/programs/gateway_stream_test.cpp
@@ -149,3 +149,30 @@
   CHECK(caller.received.find('b') == std::string::npos);
   CHECK(it.servers[1]->requests.empty());
 }
+
+TEST_CASE("a caller's reset at the end of its stream does not end the request twice") {
+  gateway_fixture it({{{write_text(stream_head() + chunk(event(1)))}}});
+  QTcpSocket caller;
+  caller.connectToHost(QString::fromStdString(it.address.host), it.address.port);
+  REQUIRE(wait_until([&] { return caller.state() == QAbstractSocket::ConnectedState; }));
+  caller.write(QByteArray::fromStdString(
+      request_text("POST", "/stream/", "r1", "Connection: close\r\n", "x")));
+  REQUIRE(wait_until([&] { return caller.bytesAvailable() > 0; }));
+  for (auto* socket : it.servers[0]->findChildren<QTcpSocket*>()) {
+    socket->write(QByteArray::fromStdString(chunk(event(2)) + last_chunk));
+    socket->flush();
+  }
+  const linger send_reset{1, 0};
+  ::setsockopt(static_cast<int>(caller.socketDescriptor()), SOL_SOCKET, SO_LINGER,
+               &send_reset, sizeof(send_reset));
+  caller.abort();
+  // The gateway reads from the server before it sees the caller's reset.
+  for (auto* socket : it.subject->findChildren<QTcpSocket*>()) {
+    if (socket->peerPort() == it.servers[0]->address().port) {
+      CHECK(socket->waitForReadyRead(1000));
+    }
+  }
+  CHECK(it.subject->metrics.stream_part_ended("complete").Value() == 1);
+  CHECK(it.subject->metrics.request_ended("left").Value() == 1);
+  CHECK(it.subject->metrics.request_ended("answered").Value() == 0);
+}
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -380,6 +380,9 @@
 }
 
 void relay::finish_response() {
+  owner_.metrics.attempt_ended("answered").Increment();
+  attempt_->is_complete = true;
+  const auto server = attempt_->server.id;
   if (has_caller()) {
     if (state_.response_started || is_stream(route_->kind)) {
       begin_response();
@@ -394,9 +397,7 @@
                        platform::make_response_fields(attempt_->head), attempt_->body);
     }
   }
-  owner_.metrics.attempt_ended("answered").Increment();
-  attempt_->is_complete = true;
-  const auto server = attempt_->server.id;
+  // Both have no effect if the end of the response met a caller that has disconnected.
   release_attempt(true);
   finish("answered", server);
 }
