Forward the events that arrive together with malformed bytes

The head and the body that were parsed are now reported first, as if the malformed bytes had come in a read of their own.

--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -162,11 +162,10 @@
     std::error_code ec;
     const auto n = parser_.feed(input_, ec);
     input_.erase(0, n);
-    if (ec) {
-      fail(exchange_failure::malformed);
-      return;
-    }
     if (!parser_.has_head()) {
+      if (ec) {
+        fail(exchange_failure::malformed);
+      }
       return;
     }
     const bool is_interim = parser_.head().status < http_status::ok;
@@ -187,7 +186,14 @@
     if (!body.empty() && !skipping_ && on_body) {
       on_body(std::move(body));
     }
-    if (state_ == state::closed || !busy_ || !parser_.is_done()) {
+    if (state_ == state::closed || !busy_) {
+      return;
+    }
+    if (ec) {
+      fail(exchange_failure::malformed);
+      return;
+    }
+    if (!parser_.is_done()) {
       return;
     }
     if (is_interim || skipping_) {
--- a/tests/programs/gateway_stream_test.cpp
+++ b/tests/programs/gateway_stream_test.cpp
@@ -85,6 +85,15 @@
   CHECK(result.body == event(1) + event(2));
 }
 
+TEST_CASE("events that arrived together with malformed bytes reach their caller") {
+  const std::string path = GENERATE("/resume/", "/stream/");
+  gateway_fixture it(
+      {{{write_text(stream_head() + chunk(event(1) + event(2)) + "malformed\r\n")}}});
+  const auto result = read_stream(it, path);
+  CHECK_FALSE(result.is_complete);
+  CHECK(result.body == event(1) + event(2));
+}
+
 TEST_CASE("a stream that its server ends inside an event is not forwarded as complete") {
   const std::string cut = GENERATE("id: 2", "id: 2\ndata: e2", "id: 2\ndata: e2\n");
   const auto script = GENERATE_COPY(
