Send no bytes after the head of a response without content

A caller on a kept connection could get bytes that belong to no response: a 204 on a route of streams was sent as chunked, so "0\r\n\r\n" followed its head, where a client that knows that a 204 has no body (RFC 9110, section 15.3.5) expects the next response. On other routes it bore a Content-Length, which a 204 must not have.

The connection now writes neither a framing field nor a body for that status, as for the body of a response to HEAD.

--- a/include/marigoldstep/io/http_connection.h
+++ b/include/marigoldstep/io/http_connection.h
@@ -83,7 +83,7 @@
   time_point phase_since_;
   bool begun_ = false;
   bool chunked_ = false;
-  bool is_head_request_ = false;
+  bool has_no_body_ = false; // of the response in progress
   bool close_after_ = false;
   bool continue_sent_ = false;
 };
--- a/include/marigoldstep/io/http_status.h
+++ b/include/marigoldstep/io/http_status.h
@@ -4,6 +4,7 @@
 namespace marigoldstep::io::http_status {
 
 inline constexpr unsigned ok = 200; // the first 2xx status; 2xx ends below redirect
+inline constexpr unsigned no_content = 204;
 inline constexpr unsigned redirect = 300;
 inline constexpr unsigned temporary_redirect = 307;
 inline constexpr unsigned bad_request = 400;
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -103,7 +103,7 @@
   phase_ = phase::responding;
   begun_ = false;
   continue_sent_ = false;
-  is_head_request_ = request.head.method == "HEAD";
+  has_no_body_ = request.head.method == "HEAD";
   close_after_ = close_after_ || !request.head.keep_alive;
   parser_ = http_parser(http_role::request, limits_.message);
   if (on_request) {
@@ -150,7 +150,9 @@
     return;
   }
   auto all = fields;
-  if (length) {
+  if (status == http_status::no_content) {
+    has_no_body_ = true;
+  } else if (length) {
     all.push_back({"Content-Length", std::to_string(*length)});
   } else {
     all.push_back({"Transfer-Encoding", "chunked"});
@@ -161,7 +163,7 @@
 }
 
 void http_connection::write_body(std::string_view piece) {
-  if (phase_ != phase::responding || piece.empty() || is_head_request_) {
+  if (phase_ != phase::responding || piece.empty() || has_no_body_) {
     return;
   }
   if (!chunked_) {
@@ -180,7 +182,7 @@
   if (phase_ != phase::responding) {
     return;
   }
-  if (chunked_ && !is_head_request_) {
+  if (chunked_ && !has_no_body_) {
     socket_->write("0\r\n\r\n");
   }
   end_response();
--- a/tests/programs/gateway_stream_test.cpp
+++ b/tests/programs/gateway_stream_test.cpp
@@ -125,6 +125,20 @@
   CHECK(result.body == event(1) + "\n");
 }
 
+TEST_CASE("no bytes follow the head of a response without content") {
+  const std::string path = GENERATE("/safe/", "/stream/", "/resume/");
+  gateway_fixture it(
+      {{{write_text("HTTP/1.1 204 No Content\r\nMarigoldstep-Request-Id: {id}\r\n"
+                    "Marigoldstep-Response-Seal: seal\r\n\r\n")},
+        {write_text(response_text("next"))}}});
+  test_caller caller(it.address);
+  caller.send(request_text("GET", path, "r1"));
+  REQUIRE(caller.wait_for("\r\n\r\n"));
+  caller.send(request_text("GET", "/safe/", "r2"));
+  REQUIRE(caller.wait_for("next"));
+  CHECK(caller.received.find("seal\r\n\r\nHTTP/1.1 200 OK\r\n") != std::string::npos);
+}
+
 TEST_CASE("a stream is not resumed after an event without a usable id") {
   const std::string unusable =
       GENERATE("data: e2\n\n", "id:\ndata: e2\n\n", "id: 2b\ndata: e2\n\n");
