--- a/tests/programs/gateway_stream_test.cpp
+++ b/tests/programs/gateway_stream_test.cpp
@@ -85,6 +85,15 @@
   CHECK(result.body == event(1) + event(2));
 }
 
+TEST_CASE("events that arrived together with malformed bytes reach their caller") {
+  const std::string path = GENERATE("/resume/", "/stream/");
+  gateway_fixture it(
+      {{{write_text(stream_head() + chunk(event(1) + event(2)) + "malformed\r\n")}}});
+  const auto result = read_stream(it, path);
+  CHECK_FALSE(result.is_complete);
+  CHECK(result.body == event(1) + event(2));
+}
+
 TEST_CASE("a stream that its server ends inside an event is not forwarded as complete") {
   const std::string cut = GENERATE("id: 2", "id: 2\ndata: e2", "id: 2\ndata: e2\n");
   const auto script = GENERATE_COPY(
@@ -116,6 +125,20 @@
   CHECK(result.body == event(1) + "\n");
 }
 
+TEST_CASE("no bytes follow the head of a response without content") {
+  const std::string path = GENERATE("/safe/", "/stream/", "/resume/");
+  gateway_fixture it(
+      {{{write_text("HTTP/1.1 204 No Content\r\nMarigoldstep-Request-Id: {id}\r\n"
+                    "Marigoldstep-Response-Seal: seal\r\n\r\n")},
+        {write_text(response_text("next"))}}});
+  test_caller caller(it.address);
+  caller.send(request_text("GET", path, "r1"));
+  REQUIRE(caller.wait_for("\r\n\r\n"));
+  caller.send(request_text("GET", "/safe/", "r2"));
+  REQUIRE(caller.wait_for("next"));
+  CHECK(caller.received.find("seal\r\n\r\nHTTP/1.1 200 OK\r\n") != std::string::npos);
+}
+
 TEST_CASE("a stream is not resumed after an event without a usable id") {
   const std::string unusable =
       GENERATE("data: e2\n\n", "id:\ndata: e2\n\n", "id: 2b\ndata: e2\n\n");
@@ -149,3 +172,30 @@
   CHECK(caller.received.find('b') == std::string::npos);
   CHECK(it.servers[1]->requests.empty());
 }
+
+TEST_CASE("a caller's reset at the end of its stream does not end the request twice") {
+  gateway_fixture it({{{write_text(stream_head() + chunk(event(1)))}}});
+  QTcpSocket caller;
+  caller.connectToHost(QString::fromStdString(it.address.host), it.address.port);
+  REQUIRE(wait_until([&] { return caller.state() == QAbstractSocket::ConnectedState; }));
+  caller.write(QByteArray::fromStdString(
+      request_text("POST", "/stream/", "r1", "Connection: close\r\n", "x")));
+  REQUIRE(wait_until([&] { return caller.bytesAvailable() > 0; }));
+  for (auto* socket : it.servers[0]->findChildren<QTcpSocket*>()) {
+    socket->write(QByteArray::fromStdString(chunk(event(2)) + last_chunk));
+    socket->flush();
+  }
+  const linger send_reset{1, 0};
+  ::setsockopt(static_cast<int>(caller.socketDescriptor()), SOL_SOCKET, SO_LINGER,
+               &send_reset, sizeof(send_reset));
+  caller.abort();
+  // The gateway reads from the server before it sees the caller's reset.
+  for (auto* socket : it.subject->findChildren<QTcpSocket*>()) {
+    if (socket->peerPort() == it.servers[0]->address().port) {
+      CHECK(socket->waitForReadyRead(1000));
+    }
+  }
+  CHECK(it.subject->metrics.stream_part_ended("complete").Value() == 1);
+  CHECK(it.subject->metrics.request_ended("left").Value() == 1);
+  CHECK(it.subject->metrics.request_ended("answered").Value() == 0);
+}
