Don't take a whole comment at the end of a stream for a cut event

A comment line that has ended belongs to no event, like a line end; one that breaks off still shows that the stream was cut. The bytes are forwarded as before.

"line ends and comments after the last event of a stream are forwarded", extended by three endings, failed before for the two with comments on both kinds of route (4 of 8 cases) and passes.

--- a/include/marigoldstep/event_splitter.h
+++ b/include/marigoldstep/event_splitter.h
@@ -21,8 +21,8 @@
 // not above last_event, because a resumed stream may repeat them.
 std::string split_events(event_splitter& state, std::string_view buf);
 
-// Whether an event has begun and its end has not arrived yet. Line ends after the last
-// event belong to none.
+// Whether an event or a comment has begun and its end has not arrived yet. Line ends and
+// whole comments after the last event belong to none.
 bool is_inside_event(const event_splitter& state);
 
 } // namespace marigoldstep
--- a/src/event_splitter.cpp
+++ b/src/event_splitter.cpp
@@ -96,7 +96,16 @@
 }
 
 bool is_inside_event(const event_splitter& state) {
-  return state.partial.find_first_not_of("\r\n") != std::string::npos;
+  std::string_view rest = state.partial;
+  while (!rest.empty()) {
+    const auto end = rest.find('\n');
+    const bool is_whole_comment = end != std::string_view::npos && rest.front() == ':';
+    if (!is_whole_comment && rest.front() != '\r' && rest.front() != '\n') {
+      return true;
+    }
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+  }
+  return false;
 }
 
 } // namespace marigoldstep
--- a/tests/programs/gateway_stream_test.cpp
+++ b/tests/programs/gateway_stream_test.cpp
@@ -116,13 +116,14 @@
   }
 }
 
-TEST_CASE("line ends after the last event of a stream are forwarded") {
+TEST_CASE("line ends and comments after the last event of a stream are forwarded") {
   const std::string path = GENERATE("/resume/", "/stream/");
+  const std::string rest = GENERATE("\n", "\r\n", ": bye\n", ": bye\r\n: end\n");
   gateway_fixture it(
-      {{{write_text(stream_head() + chunk(event(1) + "\n") + last_chunk)}}});
+      {{{write_text(stream_head() + chunk(event(1) + rest) + last_chunk)}}});
   const auto result = read_stream(it, path);
   CHECK(result.is_complete);
-  CHECK(result.body == event(1) + "\n");
+  CHECK(result.body == event(1) + rest);
 }
 
 TEST_CASE("no bytes follow the head of a response without content") {
