Treat only responses of events as streams

On a route of streams a caller could lose a response that isn't a stream: the body of a signed 200 with another media type was searched for events.

Whether a response consists of events now follows from its own Content-Type as well as from the route; servers may omit it. Other responses are buffered and forwarded as on other routes, and never continue a stream that has begun.

"a response without events on a route of streams is forwarded as it is" failed before in 4 of 4 cases and passes; "a stream is not continued with a response without events" passed before and guards the new branch.

--- a/tests/programs/gateway_stream_test.cpp
+++ b/tests/programs/gateway_stream_test.cpp
@@ -126,6 +126,33 @@
   CHECK(result.body == event(1) + rest);
 }
 
+TEST_CASE("a response without events on a route of streams is forwarded as it is") {
+  const std::string path = GENERATE("/resume/", "/stream/");
+  const std::string body =
+      GENERATE(as<std::string>(), R"({"a": 1})", std::string(300'000, 'a'));
+  gateway_fixture it({{{write_text(
+      "HTTP/1.1 200 OK\r\nMarigoldstep-Request-Id: {id}\r\n"
+      "Marigoldstep-Response-Seal: seal\r\nContent-Type: application/json\r\n"
+      "Content-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body)}}});
+  test_caller caller(it.address);
+  caller.send(request_text("POST", path, "r1", "", "x"));
+  REQUIRE(caller.wait_for("\r\n\r\n" + body));
+  CHECK(caller.received.ends_with("\r\n\r\n" + body));
+}
+
+TEST_CASE("a stream is not continued with a response without events") {
+  gateway_fixture it(
+      {{{write_text(stream_head() + chunk(event(1))), pause_script(50),
+         reset_connection()}},
+       {{write_text("HTTP/1.1 200 OK\r\nMarigoldstep-Request-Id: {id}\r\n"
+                    "Marigoldstep-Response-Seal: seal\r\nContent-Type: text/plain\r\n"
+                    "Content-Length: 2\r\n\r\nok")}}});
+  const auto result = read_stream(it, "/resume/");
+  CHECK_FALSE(result.is_complete);
+  CHECK(result.body == event(1));
+}
+
 TEST_CASE("no bytes follow the head of a response without content") {
   const std::string path = GENERATE("/safe/", "/stream/", "/resume/");
   gateway_fixture it(
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -39,6 +39,15 @@
   return std::to_string(value.count());
 }
 
+// Whether the response's body consists of events. Servers may omit the media type.
+bool has_events(const io::http_head& head) {
+  constexpr std::string_view media_type = "text/event-stream";
+  const auto* value = io::find_field(head, "Content-Type");
+  return value == nullptr ||
+         io::equal_ignoring_case(std::string_view(*value).substr(0, media_type.size()),
+                                 media_type);
+}
+
 } // namespace
 
 relay::relay(gateway& owner, io::http_connection& caller, io::http_request request)
@@ -252,7 +261,8 @@
   if (metadata.load) {
     record_reported_load(owner_.dispatch, it.server.id, *metadata.load, io::now());
   }
-  it.is_forwarding = is_forwardable_response() && is_stream(route_->kind);
+  it.is_stream = is_stream(route_->kind) && has_events(head);
+  it.is_forwarding = is_forwardable_response() && it.is_stream;
   record_notice(metadata);
 }
 
@@ -306,10 +316,9 @@
   if (!has_caller()) {
     return;
   }
-  const bool by_event = route_->kind == route_kind::resumable_stream;
   auto& it = *attempt_;
-  auto complete =
-      is_stream(route_->kind) ? split_events(it.events, piece) : std::string();
+  const bool by_event = it.is_stream && route_->kind == route_kind::resumable_stream;
+  auto complete = it.is_stream ? split_events(it.events, piece) : std::string();
   if (!by_event) {
     complete = piece;
   }
@@ -334,7 +343,7 @@
   state_.response_started = true;
   owner_.metrics.first_byte_seconds.Observe(
       std::chrono::duration<double>(io::now() - started_at_).count());
-  const auto length = is_stream(route_->kind) ? std::nullopt : attempt_->head.length;
+  const auto length = attempt_->is_stream ? std::nullopt : attempt_->head.length;
   caller_->begin(attempt_->head.status, platform::make_response_fields(attempt_->head),
                  length);
 }
@@ -371,7 +380,9 @@
     return;
   }
   // A server that crashes may close its connection in order.
-  if (is_inside_event(attempt_->events)) {
+  const bool is_cut = is_inside_event(attempt_->events);
+  const bool is_other_kind = state_.response_started && !attempt_->is_forwarding;
+  if (is_cut || is_other_kind) {
     end_attempt(attempt_end::broken);
     return;
   }
@@ -384,7 +395,7 @@
   attempt_->is_complete = true;
   const auto server = attempt_->server.id;
   if (has_caller()) {
-    if (state_.response_started || is_stream(route_->kind)) {
+    if (state_.response_started || attempt_->is_stream) {
       begin_response();
       if (route_->kind == route_kind::resumable_stream) {
         caller_->write_body(attempt_->events.partial);
@@ -479,7 +490,7 @@
 // from the only server that was tried.
 void relay::record_stream_part() {
   const auto& it = *attempt_;
-  if (!it.is_forwarding || !is_stream(route_->kind)) {
+  if (!it.is_forwarding || !it.is_stream) {
     return;
   }
   const bool is_cut = is_inside_event(it.events);
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -35,6 +35,7 @@
     io::http_head head;
     std::string body; // of a response that is buffered before it is forwarded
     bool has_head = false;
+    bool is_stream = false;     // the response consists of events
     bool is_forwarding = false; // the response is forwarded as it arrives
     bool is_complete = false;
     event_splitter events;
