Don't demand the end marker of a stream without a body

A caller that sent HEAD for an event stream got a 502 with verdict may_have_run, after as many runs as the retries allow; so did one whose request got a 204 with that type.

Cause: the agent looks for `data: [DONE]` in every response with the type of an event stream, also where the method or the status excludes a body.

--- a/tools/agent/backend_call.cpp
+++ b/tools/agent/backend_call.cpp
@@ -189,14 +189,14 @@
 }
 
 bool backend_call::is_complete() const {
+  if (!expects_body_) {
+    return true;
+  }
   if (is_event_stream_) {
     const auto last = tail_.find_last_not_of("\r\n");
     return last != std::string::npos &&
            std::string_view(tail_).substr(0, last + 1).ends_with(stream_end_marker);
   }
-  if (!expects_body_) {
-    return true;
-  }
   const auto length = reply_->rawHeader("Content-Length");
   if (!length.isEmpty()) {
     bool ok = false;
