Take an end marker for the end only where it is a whole event

A caller could get a stream as complete, with its last chunk, that its backend server had cut: an event whose text ends with "data: [DONE]", or one that was cut right after these characters, counted as the end marker.

The marker now has to be a line of its own. Where the body is delimited by its length or its last chunk, the line is enough, since the transport proves the end; where the body ends with the connection, the empty line has to have arrived.

--- a/tests/programs/agent_cut_test.cpp
+++ b/tests/programs/agent_cut_test.cpp
@@ -28,6 +28,33 @@
 
 } // namespace
 
+TEST_CASE("a response that is cut at any byte is not reported as completed") {
+  agent_fixture fixture;
+  auto& node = fixture.start();
+  fake_router router(node.port());
+  const QByteArray stream = "data: 1\n\ndata: [DONE]\n\n";
+  const auto size = QByteArray::number(stream.size(), 16);
+  const auto text = GENERATE_COPY(
+      ok + "Content-Length: 3\r\n\r\nabc",
+      ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+      events + "Transfer-Encoding: chunked\r\n\r\n" + size + "\r\n" + stream +
+          "\r\n0\r\n\r\n",
+      events + "\r\n" + stream);
+  CHECK(run_attempt(fixture, router, text) == "completed/ok");
+  for (qsizetype n = 0; n < text.size(); ++n) {
+    CAPTURE(text.left(n).toStdString());
+    CHECK(run_attempt(fixture, router, text.left(n)) == "may_have_run/answer_truncated");
+  }
+}
+
+TEST_CASE("an end marker inside an event does not end its stream") {
+  agent_fixture fixture;
+  auto& node = fixture.start();
+  fake_router router(node.port());
+  CHECK(run_attempt(fixture, router, events + "\r\ndata: say data: [DONE]\n\n") ==
+        "may_have_run/answer_truncated");
+}
+
 TEST_CASE("a response without a body needs no end marker of a stream") {
   agent_fixture fixture;
   auto& node = fixture.start();
--- a/tools/agent/backend_call.cpp
+++ b/tools/agent/backend_call.cpp
@@ -78,6 +78,22 @@
   return content || server;
 }
 
+// Whether the last line of a stream that ends with tail is the end marker. The event may
+// lack its empty line only if the body is delimited: otherwise more could have followed.
+bool ends_with_marker(std::string_view tail, bool is_delimited) {
+  const auto size = tail.find_last_not_of("\r\n") + 1;
+  const auto text = tail.substr(0, size);
+  const auto line_ends = tail.substr(size);
+  if (!text.ends_with(stream_end_marker)) {
+    return false;
+  }
+  const auto before = text.substr(0, size - stream_end_marker.size());
+  const bool is_line = before.empty() || before.back() == '\n';
+  const bool is_event =
+      line_ends.starts_with("\n\n") || line_ends.starts_with("\r\n\r\n");
+  return is_line && (is_event || is_delimited);
+}
+
 QNetworkRequest make_request(const io::endpoint& backend, const backend_request& from) {
   const auto url = "http://" + backend.host + ":" + std::to_string(backend.port);
   QNetworkRequest out(QUrl::fromEncoded(QByteArray::fromStdString(url + from.path)));
@@ -192,20 +208,17 @@
   if (!expects_body_) {
     return true;
   }
-  if (is_event_stream_) {
-    const auto last = tail_.find_last_not_of("\r\n");
-    return last != std::string::npos &&
-           std::string_view(tail_).substr(0, last + 1).ends_with(stream_end_marker);
-  }
+  // Qt reports a chunked body without its last chunk as an error. A body that ends with
+  // the connection cannot be distinguished from a truncated one.
+  bool is_delimited =
+      reply_->rawHeader("Transfer-Encoding").toLower().contains("chunked");
   const auto length = reply_->rawHeader("Content-Length");
   if (!length.isEmpty()) {
     bool ok = false;
     const auto announced = length.toULongLong(&ok);
-    return ok && announced == received_bytes_;
+    is_delimited = ok && announced == received_bytes_;
   }
-  // Qt reports a chunked body without its last chunk as an error. A body that ends with
-  // the connection cannot be distinguished from a truncated one.
-  return reply_->rawHeader("Transfer-Encoding").toLower().contains("chunked");
+  return is_event_stream_ ? ends_with_marker(tail_, is_delimited) : is_delimited;
 }
 
 // A refused connection proves that the call did not run only at the first connection
