End a response at the router from which another one took it over

A caller that resumed its response through another router, while its first connection still counted as open, left that connection waiting for good: the agent sent everything to the second router and told the first one nothing, so its caller got neither bytes nor an end. A caller that reads both, or a router whose caller is half-open, held the request open until the connection timed out.

Cause: the attempt belonged to the new connection, but the old one's part of it had no end. For a router that reconnects, the end goes to the connection that it has dropped.

--- a/tests/programs/agent_cut_test.cpp
+++ b/tests/programs/agent_cut_test.cpp
@@ -64,3 +64,20 @@
                     "HTTP/1.1 204 No\r\nContent-Type: text/event-stream\r\n\r\n") ==
         "completed/ok");
 }
+
+TEST_CASE("a router is told that another one has taken over its response") {
+  agent_fixture fixture;
+  auto& node = fixture.start();
+  fixture.backend->on_call = [](fake_backend::call& call) {
+    fake_backend::write(call, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhe", false);
+  };
+  fake_router router(node.port());
+  const auto id = io::make_attempt_id();
+  router.send(router.make_start(id));
+  REQUIRE(wait_for([&] { return router.body == "he"; }));
+  fake_router other(node.port());
+  other.resume(id, 2);
+  REQUIRE(router.wait_for_end());
+  CHECK(router.last_result() == "may_have_run/attempt_expired");
+  CHECK(other.ends.empty());
+}
--- a/tools/agent/attempt_store.cpp
+++ b/tools/agent/attempt_store.cpp
@@ -74,6 +74,10 @@
              "the offset lies beyond the answer");
     return;
   }
+  if (it.link != nullptr && it.link != &link) {
+    send_end(*it.link, it.id, may_have_run(errc::attempt_expired),
+             "another router continues the answer");
+  }
   it.link = &link;
   it.end_sent = false;
   it.expires_at = {};
--- a/tools/agent/attempt_store.h
+++ b/tools/agent/attempt_store.h
@@ -22,8 +22,8 @@
   attempt* find(const attempt_id& id);
   void erase(const attempt_id& id);
 
-  // Attaches the attempt to link instead of the router attached before, and sends it the
-  // head and the response from offset on.
+  // Attaches the attempt to link and sends it the head and the response from offset on.
+  // For a router attached before over another connection, the attempt ends.
   void attach(attempt& it, router_link& link, std::uint64_t offset);
   // Advances the send window. Ignored if link is not attached to the attempt.
   void acknowledge(attempt& it, const router_link& link, std::uint64_t offset);
