Close the connection whose response is resumed through the same router

A caller that resumed its response through the same router, before the router knew that its first connection was gone, lost the response: when the first connection closed, the router told the agent that nobody was attached, and forwarded nothing more. The resumed connection stayed open without bytes and without an end. Where the first connection stayed open, that one waited for good.

A link has one handler for each attempt, the resuming relay took the place of the first one, and the first one went on to detach and to erase "its" attempt. A relay whose attempt is taken over is now told so, gives up its link, and closes its caller without the last chunk, so it can't act on the attempt any more.

--- a/tools/router/agent_link.cpp
+++ b/tools/router/agent_link.cpp
@@ -3,6 +3,7 @@
 #include "marigoldstep/io/clock.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace marigoldstep::router {
 
@@ -50,7 +51,10 @@
 }
 
 void agent_link::attach(const attempt_id& id, attempt_handler& handler) {
-  handlers_[id] = &handler;
+  auto* replaced = std::exchange(handlers_[id], &handler);
+  if (replaced != nullptr) {
+    replaced->on_replaced();
+  }
   if (ready_) {
     handler.on_link_ready(agent_incarnation_);
   } else if (connection_ == nullptr && !timer_.isActive()) {
--- a/tools/router/agent_link.h
+++ b/tools/router/agent_link.h
@@ -19,6 +19,8 @@
   virtual void on_link_ready(incarnation agent) = 0;
   // The agent cannot be reached. The attempt is already detached.
   virtual void on_link_lost() = 0;
+  // Another request has attached to the attempt, which is detached from this one.
+  virtual void on_replaced() = 0;
   virtual void on_agent_frame(wire::DataFrameT& frame) = 0;
   // Whether the start message was written. An attempt without it fails when the
   // connection is lost, instead of waiting for a reconnect.
@@ -44,7 +46,7 @@
   std::function<std::uint64_t()> config_version;
 
   // Connects if necessary. Calls handler.on_link_ready when the connection is ready,
-  // which can be before attach returns.
+  // which can be before attach returns. Replaces a handler attached to the same attempt.
   void attach(const attempt_id& id, attempt_handler& handler);
   void detach(const attempt_id& id);
   // Returns false and writes nothing if the connection is not ready.
--- a/tools/router/relay.cpp
+++ b/tools/router/relay.cpp
@@ -225,6 +225,11 @@
   apply(on_agent_loss(state_, errc::agent_unreachable));
 }
 
+void relay::on_replaced() {
+  link_ = nullptr;
+  apply(on_agent_loss(state_, errc::attempt_expired));
+}
+
 void relay::on_agent_frame(wire::DataFrameT& frame) {
   if (finished_) {
     return;
--- a/tools/router/relay.h
+++ b/tools/router/relay.h
@@ -44,6 +44,7 @@
 
   void on_link_ready(incarnation agent) override;
   void on_link_lost() override;
+  void on_replaced() override;
   void on_agent_frame(wire::DataFrameT& frame) override;
   [[nodiscard]] bool is_started() const override { return state_.start_written; }
   void on_caller_disconnected() override;
