Begin a resumed response with the head that the agent sends for it

A caller that resumed its response while its first connection was open could get a wrong head or a wrong end: what the agent had sent to the first connection was on its way and reached the resuming one. Data at the offset asked for began the response with a made-up status 200 without a content type, and the rest was dropped as repeated, so the response broke off; an end that was on its way ended it with a 502.

The agent answers each resume with the head first, so everything before the head is old. Data is now accepted only after the head, for all attempts, and a completed end that comes before it is ignored.

"frames on their way to the replaced connection do not begin a resumed response" failed before in 2 of 2 cases (no "HTTP/1.1 206"; bodies "and " and "" for "and half") and passes.

--- a/include/marigoldstep/attempt.h
+++ b/include/marigoldstep/attempt.h
@@ -44,8 +44,8 @@
 // Records that the start message was written to a connection.
 void mark_start_written(relay_state& state);
 
-// Whether a response head or data of an attempt is accepted. Data is accepted only at
-// the next offset.
+// Whether a response head or data of an attempt is accepted. Data is accepted only after
+// the head and at the next offset.
 enum class data_check { accept, stale, gap };
 bool accept_head(relay_state& state, const attempt_id& id);
 data_check accept_data(relay_state& state, const attempt_id& id, std::uint64_t offset,
--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -70,7 +70,9 @@
 
 data_check accept_data(relay_state& state, const attempt_id& id, std::uint64_t offset,
                        std::uint64_t size) {
-  if (!is_current(state, id) || !state.start_written || offset < state.next_offset) {
+  // The agent sends the head first, also to a request that resumes the response. Earlier
+  // data was meant for the request before it.
+  if (!is_current(state, id) || !state.head_seen || offset < state.next_offset) {
     return data_check::stale;
   }
   if (offset > state.next_offset) {
--- a/tests/programs/router_resume_test.cpp
+++ b/tests/programs/router_resume_test.cpp
@@ -45,3 +45,33 @@
   REQUIRE(wait_for([&] { return caller.is_complete(); }));
   CHECK(caller.chunked_body() == "and half");
 }
+
+TEST_CASE(
+    "frames on their way to the replaced connection do not begin a resumed response") {
+  const bool data_is_late = GENERATE(true, false);
+  CAPTURE(data_is_late);
+  fleet_fixture fleet;
+  fleet.agent_a.on_start = [&](const wire::StartAttemptT& start) {
+    fleet.agent_a.send_head(*start.attempt_id, 206);
+    fleet.agent_a.send_data(*start.attempt_id, 0, "half ");
+  };
+  fleet.agent_a.on_resume = [&](const wire::ResumeAttemptT& it) {
+    if (data_is_late) {
+      fleet.agent_a.send_data(*it.attempt_id, 5, "and ");
+    } else {
+      fleet.agent_a.send_end(*it.attempt_id, completed(), 13);
+    }
+    fleet.agent_a.send_head(*it.attempt_id, 206);
+    fleet.agent_a.send_data(*it.attempt_id, 5, "and half");
+    fleet.agent_a.send_end(*it.attempt_id, completed(), 13);
+  };
+  fleet.start({fleet.server(fleet.agent_a, "pool")});
+  fake_caller before(fleet.daemon->port());
+  before.send_chat(true);
+  REQUIRE(wait_for([&] { return before.chunked_body() == "half "; }));
+  fake_caller caller(fleet.daemon->port());
+  resume(caller, before.header("X-Marigoldstep-Resume"), 5);
+  REQUIRE(wait_for([&] { return caller.is_complete() || caller.is_closed(); }));
+  CHECK(caller.contains("HTTP/1.1 206"));
+  CHECK(caller.chunked_body() == "and half");
+}
--- a/tools/router/relay.cpp
+++ b/tools/router/relay.cpp
@@ -266,6 +266,10 @@
 
 void relay::handle_end(const wire::AttemptEndT& end) {
   const auto how = to_outcome(end);
+  if (is_resume_ && !state_.head_seen && how.result == verdict::completed) {
+    owner_.metrics().count_stale_frame(); // for the request before this one
+    return;
+  }
   record_attempt_result(owner_.fleet(), job_.request.service, server_id_,
                         is_failure(how) || has_server_error_, io::now());
   if (is_resume_) {
@@ -283,7 +287,7 @@
 }
 
 wire::AttemptHeadT& relay::ensure_head() {
-  // An agent may omit the head of a resumed response.
+  // A resumed attempt may end before its head has arrived.
   if (head_ == nullptr) {
     constexpr int ok = 200;
     head_ = std::make_unique<wire::AttemptHeadT>();
@@ -305,9 +309,6 @@
   if (!state_.response_forwarded) {
     buffered_.append(as_text(data));
     update_buffered_bytes();
-    if (head_ == nullptr && !is_resume_) {
-      return; // without acknowledgements, the agent's send window limits the buffer
-    }
     if (!may_buffer_response()) {
       begin_response();
     }
