Keep a response for its caller when a resume of it breaks off

A caller whose second connection broke too, after it had asked to resume its response and before the first byte, lost the response: the next resume got a 404, and the backend server's run was aborted. The same happened when a resumed stream was silent for 10 s.

Cause: the router cancels a repeatable attempt whose caller leaves before the head, since such a caller has no resume token. A caller that resumes has one from its first connection. The attempt is now detached, so that the agent keeps the response for its resume window.

"a caller that breaks off before its resumed response can resume it again" failed before (cancel_count 1 == 0) and passes. The end after 10 s takes the same path and has no test of its own.

--- a/tests/programs/router_resume_test.cpp
+++ b/tests/programs/router_resume_test.cpp
@@ -75,3 +75,23 @@
   CHECK(caller.contains("HTTP/1.1 206"));
   CHECK(caller.chunked_body() == "and half");
 }
+
+TEST_CASE("a caller that breaks off before its resumed response can resume it again") {
+  fleet_fixture fleet;
+  fleet.agent_a.on_start = [&](const wire::StartAttemptT& start) {
+    fleet.agent_a.send_head(*start.attempt_id);
+    fleet.agent_a.send_data(*start.attempt_id, 0, "half ");
+  };
+  fleet.start({fleet.server(fleet.agent_a, "pool")});
+  fake_caller before(fleet.daemon->port());
+  before.send_chat(true);
+  REQUIRE(wait_for([&] { return before.chunked_body() == "half "; }));
+  before.socket.abort();
+  REQUIRE(wait_for([&] { return fleet.agent_a.detach_count == 1; }));
+  fake_caller caller(fleet.daemon->port());
+  resume(caller, before.header("X-Marigoldstep-Resume"), 5);
+  REQUIRE(wait_for([&] { return fleet.agent_a.resumes.size() == 1; }));
+  caller.socket.abort();
+  CHECK(wait_for([&] { return fleet.agent_a.detach_count == 2; }));
+  CHECK(fleet.agent_a.cancel_count == 0);
+}
--- a/tools/router/relay.cpp
+++ b/tools/router/relay.cpp
@@ -353,6 +353,16 @@
   return {job_.request_id, to_string(resume_token{server_id_, state_.current})};
 }
 
+// Leaves the attempt to a later resume if the caller has a resume token, which it gets
+// with the head of the response.
+void relay::abandon_attempt() {
+  if (state_.response_forwarded || is_resume_) {
+    send_about_attempt(wire::DetachAttemptT());
+  } else {
+    send_about_attempt(wire::CancelAttemptT());
+  }
+}
+
 void relay::on_bytes_sent() {
   last_progress_at_ = io::now();
   acknowledge(acknowledge_step_bytes);
@@ -363,13 +373,12 @@
   if (finished_) {
     return;
   }
-  // Before the head is sent the caller has no resume token, so the response of a
-  // repeatable request cannot be requested any more. A call that is not repeatable
-  // continues, because its response is stored under its idempotency key.
-  if (state_.response_forwarded || !state_.repeatable) {
-    send_about_attempt(wire::DetachAttemptT());
+  // A call that is not repeatable continues, because its response is stored under its
+  // idempotency key.
+  if (state_.repeatable) {
+    abandon_attempt();
   } else {
-    send_about_attempt(wire::CancelAttemptT());
+    send_about_attempt(wire::DetachAttemptT());
   }
   state_.ended = true;
   const bool may_run = state_.start_written || state_.earlier_may_have_run;
@@ -405,7 +414,7 @@
     return;
   }
   if (now >= deadline_) {
-    send_about_attempt(wire::CancelAttemptT());
+    abandon_attempt();
     detach_link();
     apply(give_up(state_, not_run(errc::deadline_exceeded)));
   } else if (link_ == nullptr && !state_.claim_requested) {
--- a/tools/router/relay.h
+++ b/tools/router/relay.h
@@ -57,6 +57,7 @@
   void start_attempt(const server_info& server);
   void send_start();
   void send_resume();
+  void abandon_attempt();
   void wait_until(time_point when);
   void detach_link();
   void apply(const relay_decision& decision);
