Don't take an informational response for the final one

A caller that sent HEAD could get a response with status 103 and wait for the final one: its backend server had sent Early Hints first. For other methods the agent sent the head with 103 to the router, and the attempt ended as truncated.

Cause: Qt skips only 100; it ends the reply at any other informational head, and what follows is lost. The agent took that head, which for HEAD is a whole response. It ignores informational heads now, so the attempt has no head and ends as truncated. Such a backend server still can't be called; the final response can't be had from Qt.

"an informational response is not reported as the final one" failed before (HEAD: "completed/ok" == "may_have_run/answer_truncated"; both methods: 103 == 0) and passes.

--- a/tests/programs/agent_cut_test.cpp
+++ b/tests/programs/agent_cut_test.cpp
@@ -65,6 +65,17 @@
         "completed/ok");
 }
 
+TEST_CASE("an informational response is not reported as the final one") {
+  agent_fixture fixture;
+  auto& node = fixture.start();
+  fake_router router(node.port());
+  const std::string method = GENERATE("GET", "HEAD");
+  CHECK(run_attempt(fixture, router,
+                    "HTTP/1.1 103 Early Hints\r\n\r\n" + ok + "Content-Length: 0\r\n\r\n",
+                    method) == "may_have_run/answer_truncated");
+  CHECK(router.status == 0);
+}
+
 TEST_CASE("a router is told that another one has taken over its response") {
   agent_fixture fixture;
   auto& node = fixture.start();
--- a/tools/agent/backend_call.cpp
+++ b/tools/agent/backend_call.cpp
@@ -157,7 +157,10 @@
 
 void backend_call::read_head() {
   const auto status = reply_->attribute(QNetworkRequest::HttpStatusCodeAttribute);
-  if (has_head_ || !status.isValid()) {
+  // Qt takes an informational response other than 100 for the final one and reads nothing
+  // after it.
+  constexpr int first_final_status = 200;
+  if (has_head_ || !status.isValid() || status.toInt() < first_final_status) {
     return;
   }
   has_head_ = true;
