Test that a broken attempt leaves nothing to the next response

The head and the bytes of an attempt that broke before anything was forwarded must not reach the caller with the next attempt's response, whether the attempt or its agent ended, and a response from a claim must replace those of the broken attempt.

--- a/tests/programs/router_resume_test.cpp
+++ b/tests/programs/router_resume_test.cpp
@@ -95,3 +95,56 @@
   CHECK(wait_for([&] { return fleet.agent_a.detach_count == 2; }));
   CHECK(fleet.agent_a.cancel_count == 0);
 }
+
+TEST_CASE("bytes of a broken attempt do not reach the caller of the next") {
+  const bool stream = GENERATE(true, false);
+  const bool sends_data = GENERATE(true, false);
+  const bool loses_agent = GENERATE(true, false);
+  CAPTURE(stream, sends_data, loses_agent);
+  fleet_fixture fleet;
+  const auto on_start = [&](fake_agent& agent, const wire::StartAttemptT& start) {
+    if (fleet.agent_a.starts.size() + fleet.agent_b.starts.size() > 1) {
+      agent.send_complete_response(*start.attempt_id, "second");
+      return;
+    }
+    agent.send_head(*start.attempt_id, 500);
+    if (sends_data && !stream) {
+      agent.send_data(*start.attempt_id, 0, "first");
+    }
+    if (loses_agent) {
+      ++agent.started;
+      agent.close_connection();
+    } else {
+      agent.send_end(*start.attempt_id, may_have_run(errc::answer_truncated), 0);
+    }
+  };
+  fleet.agent_a.on_start = [&](const auto& it) { on_start(fleet.agent_a, it); };
+  fleet.agent_b.on_start = [&](const auto& it) { on_start(fleet.agent_b, it); };
+  fleet.start({fleet.server(fleet.agent_a, "pool"), fleet.server(fleet.agent_b, "pool")});
+  fake_caller caller(fleet.daemon->port());
+  caller.send_chat(stream);
+  REQUIRE(wait_for([&] { return caller.is_complete(); }));
+  CHECK(caller.contains("HTTP/1.1 200"));
+  CHECK((stream ? caller.chunked_body() : caller.body()) == "second");
+}
+
+TEST_CASE("a stored response replaces the part that a broken attempt sent") {
+  fleet_fixture fleet;
+  fleet.agent_a.on_start = [&](const wire::StartAttemptT& start) {
+    fleet.agent_a.send_head(*start.attempt_id);
+    fleet.agent_a.send_data(*start.attempt_id, 0, "part");
+    fleet.agent_a.send_end(*start.attempt_id, may_have_run(errc::answer_truncated), 4);
+  };
+  auto& reply = fleet.control.claim_reply;
+  reply.outcome = wire::ClaimOutcome::completed;
+  reply.answer = std::make_unique<wire::StoredAnswerT>();
+  reply.answer->status = 201;
+  reply.answer->body = {'o', 'k'};
+  reply.answer->complete = true;
+  fleet.start({fleet.server(fleet.agent_a, "booking")});
+  fake_caller caller(fleet.daemon->port());
+  caller.send_booking(std::to_string(io::wall_clock()) + "-resume-1");
+  REQUIRE(wait_for([&] { return caller.is_complete(); }));
+  CHECK(caller.contains("HTTP/1.1 201"));
+  CHECK(caller.body() == "ok");
+}
