End a response to HEAD with its head

A caller that sent HEAD got a 502 with verdict may_have_run for every response that announces a length, which a backend server may do for HEAD, after as many runs as the retries allow.

Cause: Qt knows HEAD only by its own function and takes a custom request of that name for one with a body, so it waited for the announced bytes and reported the end of the connection as an error. The end of the transport was taken for the end of the content, the other way round. The agent now ends a response that can't have a body when its head has arrived, and doesn't wait for the connection.

"a response to HEAD is complete with its head whatever length it announces" failed before in 4 of 4 cases, "may_have_run/answer_truncated" == "completed/ok", and passes.

--- a/tests/programs/agent_cut_test.cpp
+++ b/tests/programs/agent_cut_test.cpp
@@ -7,13 +7,14 @@
 const QByteArray ok = "HTTP/1.1 200 OK\r\n";
 const QByteArray events = ok + "Content-Type: text/event-stream\r\n";
 
-// Runs one attempt whose backend server sends text and closes its connection in order.
-// Returns its result.
+// Runs one attempt whose backend server sends text and, if closes is set, closes its
+// connection in order. Returns the result.
 std::string run_attempt(agent_fixture& fixture, fake_router& router,
-                        const QByteArray& text, const std::string& method = "GET") {
+                        const QByteArray& text, const std::string& method = "GET",
+                        bool closes = true) {
   fixture.backend->calls.clear();
-  fixture.backend->on_call = [&text](fake_backend::call& call) {
-    fake_backend::write(call, text, true);
+  fixture.backend->on_call = [&text, closes](fake_backend::call& call) {
+    fake_backend::write(call, text, closes);
   };
   router.ends.clear();
   router.body.clear();
@@ -65,6 +66,18 @@
         "completed/ok");
 }
 
+TEST_CASE("a response to HEAD is complete with its head whatever length it announces") {
+  agent_fixture fixture;
+  auto& node = fixture.start();
+  fake_router router(node.port());
+  const QByteArray field =
+      GENERATE("Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n");
+  const bool closes = GENERATE(true, false);
+  CAPTURE(field.toStdString(), closes);
+  CHECK(run_attempt(fixture, router, ok + field + "\r\n", "HEAD", closes) ==
+        "completed/ok");
+}
+
 TEST_CASE("an informational response is not reported as the final one") {
   agent_fixture fixture;
   auto& node = fixture.start();
--- a/tools/agent/backend_call.cpp
+++ b/tools/agent/backend_call.cpp
@@ -185,6 +185,10 @@
   if (on_head) {
     on_head(head);
   }
+  // Qt would wait for the announced body of a response to HEAD.
+  if (!expects_body_) {
+    end(backend_result::complete, {});
+  }
 }
 
 void backend_call::read_data() {
@@ -208,9 +212,6 @@
 }
 
 bool backend_call::is_complete() const {
-  if (!expects_body_) {
-    return true;
-  }
   // Qt reports a chunked body without its last chunk as an error. A body that ends with
   // the connection cannot be distinguished from a truncated one.
   bool is_delimited =
