--- a/tools/router/relay.cpp
+++ b/tools/router/relay.cpp
@@ -225,6 +225,11 @@
   apply(on_agent_loss(state_, errc::agent_unreachable));
 }
 
+void relay::on_replaced() {
+  link_ = nullptr;
+  apply(on_agent_loss(state_, errc::attempt_expired));
+}
+
 void relay::on_agent_frame(wire::DataFrameT& frame) {
   if (finished_) {
     return;
@@ -261,6 +266,10 @@
 
 void relay::handle_end(const wire::AttemptEndT& end) {
   const auto how = to_outcome(end);
+  if (is_resume_ && !state_.head_seen && how.result == verdict::completed) {
+    owner_.metrics().count_stale_frame(); // for the request before this one
+    return;
+  }
   record_attempt_result(owner_.fleet(), job_.request.service, server_id_,
                         is_failure(how) || has_server_error_, io::now());
   if (is_resume_) {
@@ -278,7 +287,7 @@
 }
 
 wire::AttemptHeadT& relay::ensure_head() {
-  // An agent may omit the head of a resumed response.
+  // A resumed attempt may end before its head has arrived.
   if (head_ == nullptr) {
     constexpr int ok = 200;
     head_ = std::make_unique<wire::AttemptHeadT>();
@@ -300,9 +309,6 @@
   if (!state_.response_forwarded) {
     buffered_.append(as_text(data));
     update_buffered_bytes();
-    if (head_ == nullptr && !is_resume_) {
-      return; // without acknowledgements, the agent's send window limits the buffer
-    }
     if (!may_buffer_response()) {
       begin_response();
     }
@@ -347,6 +353,16 @@
   return {job_.request_id, to_string(resume_token{server_id_, state_.current})};
 }
 
+// Leaves the attempt to a later resume if the caller has a resume token, which it gets
+// with the head of the response.
+void relay::abandon_attempt() {
+  if (state_.response_forwarded || is_resume_) {
+    send_about_attempt(wire::DetachAttemptT());
+  } else {
+    send_about_attempt(wire::CancelAttemptT());
+  }
+}
+
 void relay::on_bytes_sent() {
   last_progress_at_ = io::now();
   acknowledge(acknowledge_step_bytes);
@@ -357,13 +373,12 @@
   if (finished_) {
     return;
   }
-  // Before the head is sent the caller has no resume token, so the response of a
-  // repeatable request cannot be requested any more. A call that is not repeatable
-  // continues, because its response is stored under its idempotency key.
-  if (state_.response_forwarded || !state_.repeatable) {
-    send_about_attempt(wire::DetachAttemptT());
+  // A call that is not repeatable continues, because its response is stored under its
+  // idempotency key.
+  if (state_.repeatable) {
+    abandon_attempt();
   } else {
-    send_about_attempt(wire::CancelAttemptT());
+    send_about_attempt(wire::DetachAttemptT());
   }
   state_.ended = true;
   const bool may_run = state_.start_written || state_.earlier_may_have_run;
@@ -399,7 +414,7 @@
     return;
   }
   if (now >= deadline_) {
-    send_about_attempt(wire::CancelAttemptT());
+    abandon_attempt();
     detach_link();
     apply(give_up(state_, not_run(errc::deadline_exceeded)));
   } else if (link_ == nullptr && !state_.claim_requested) {
--- a/tools/router/relay.h
+++ b/tools/router/relay.h
@@ -44,6 +44,7 @@
 
   void on_link_ready(incarnation agent) override;
   void on_link_lost() override;
+  void on_replaced() override;
   void on_agent_frame(wire::DataFrameT& frame) override;
   [[nodiscard]] bool is_started() const override { return state_.start_written; }
   void on_caller_disconnected() override;
@@ -56,6 +57,7 @@
   void start_attempt(const server_info& server);
   void send_start();
   void send_resume();
+  void abandon_attempt();
   void wait_until(time_point when);
   void detach_link();
   void apply(const relay_decision& decision);
