End the soak's servers before its event loop ends

Inferred cause: Python 3.11's asyncio.wait_for() swallows a cancellation that comes when its task is done, and a server's reporter loops until the server has ended. The hung process's tasks could not be listed, so that it was the reporter isn't shown.

All servers that a run started now end before the event loop does, also when the run fails, so the loops have another reason to end.

--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -86,6 +86,7 @@
         self.leaving_told = {}  # by gateway and server: when a response said that it leaves
         self.drain_s = 0.5
         self.faulty_control = set()
+        self.started_servers = []  # those that have ended included
 
     def event_count(self, request):
         return 3 + sum(request.encode()) % 8
@@ -497,6 +498,7 @@
         server = Server(self, f"i-{index}-{self.next_id}", "web" if index % 2 == 0 else "engine",
                         self.seed * 1000 + self.next_id)
         await server.start()
+        self.started_servers.append(server)
         return server
 
     async def settle_and_check(self):
@@ -535,6 +537,15 @@
         for it in self.control + self.gateways:
             it.start()
         self.servers = [await self.new_server(i) for i in range(SERVERS)]
+        try:
+            await self.run_load()
+        finally:
+            # asyncio.wait_for() can swallow a cancellation, so loops need another reason to end.
+            self.stopping = True
+            for it in self.started_servers:
+                await it.crash()
+
+    async def run_load(self):
         operator = asyncio.create_task(self.run_operator())
         until = time.monotonic() + 10
         while time.monotonic() < until and (self.version == 0 or await self.send_request(self.gateways[0]) != 200):
