Break streams off inside events in the soak, and check what callers got

Its only stream route could not be resumed, its servers broke a stream off only between events and before the last one, and large responses didn't occur. Its resets were none either: asyncio's abort() closes a socket in order (FIN in 20 of 20 tries; with SO_LINGER RST in 20 of 20), and the proxies made an orderly close of every reset.

New: a resumable route; events of varied sizes with comments, missing or unusable ids, sent in pieces; servers that break off after any byte, by reset, by orderly close or by a proper last chunk inside an event, with and without chunks; repeatable calls above 256 kB that are cut; callers that resume at another gateway as a new request. The text of an event names the run that made it, so pieces of two runs show. Checked: whole events of the runs of the request, in order and each once, continued exactly where the caller's part ends, with the headers of the first server; no event lost that arrived before an orderly close; large responses are one run's; no caller kept waiting. Servers don't end a stream between two events where that can't be told from its end.

--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -13,15 +13,18 @@
 import tempfile
 import time
 
-from soak_servers import Proxy, Server, new_run_counts, read_message
+from soak_callers import KEY, Callers
+from soak_servers import Proxy, Server, read_message
+from soak_streams import Run
 
 CONTROL, GATEWAYS, SERVERS = 3, 3, 6
-KEY = "soak-key"
 # Required by the users: a confirmed configuration is in force within this time on
 # undisturbed gateways, and later reads never return an older one.
 MAX_APPLY_S = 2.0
 UNDISTURBED_S = 3.0
 STOP_TIME_S = 4
+# Uses up the retry budget at times, so that callers resume their streams themselves.
+CUT_RATE = 0.25
 LINKS_PORT = 2  # offset from the first port
 FIRST_PORT, PORT_COUNT, MAX_PORT_ATTEMPTS = 10000, 20000, 200
 # Low enough that gateways forward a message of 300 bytes to three gateways, and that the
@@ -71,25 +74,29 @@
         self.seed, self.seconds, self.bin = seed, seconds, bin_folder
         self.random = random.Random(seed)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="mstep-soak-"))
-        self.runs = new_run_counts()
-        self.refused = set()
-        self.max_runs = {}  # by request id
+        self.runs = {}  # by request id
+        self.run_count = 0
+        self.cut_rate = 0.0  # fraction of streams and large responses that break off
         self.problems = []
         self.counts = {"asked": 0, "answered": 0, "refused": 0, "failed": 0, "faults": 0, "versions": 0,
-                       "handed_over": 0, "leaving": 0, "backoffs": 0}
+                       "handed_over": 0, "leaving": 0, "backoffs": 0, "cut": 0, "resumed": 0}
         self.confirmed = []  # (time, version)
         self.version = 0
         self.stopping = False
-        self.next_id = 0
-        self.sender_of = {}  # by request id: the gateway, its process and the time
-        self.served_by = {}  # name of the server that ran the request
         self.leaving_told = {}  # by gateway and server: when a response said that it leaves
         self.drain_s = 0.5
         self.faulty_control = set()
+        self.callers = Callers(self)
         self.started_servers = []  # those that have ended included
 
-    def event_count(self, request):
-        return 3 + sum(request.encode()) % 8
+    def record_run(self, request, server, last_event):
+        self.run_count += 1
+        run = Run(self.run_count, request, server, last_event)
+        self.runs.setdefault(request, []).append(run)
+        return run
+
+    def find_runs(self, request):
+        return self.runs.get(request, [])
 
     def report_problem(self, text):
         self.problems.append(text)
@@ -168,9 +175,10 @@
     def configuration(self, version):
         def route(prefix, kind, service, attempts=2):
             return {"name": prefix, "host": "h", "path_prefix": f"/{prefix}/", "type": kind,
-                    "timeout_ms": 2000, "service": service, "max_attempts": attempts}
+                    "timeout_ms": 2000, "service": service, "max_attempts": attempts,
+                    "can_resume": prefix == "resume"}
         routes = [route("safe", "safe", "web"), route("once", "unsafe", "web"),
-                  route("stream", "streaming", "engine", 1)]
+                  route("stream", "streaming", "engine", 1), route("resume", "streaming", "engine")]
         routes += [route(f"v{i}", "safe", "web") for i in range(1, version + 1)]
         return json.dumps({"version": version, "routes": routes,
                            "services": [{"name": "web"}, {"name": "engine"}],
@@ -204,84 +212,6 @@
             return seen
         return None if not required else -1
 
-    # Callers.
-    def new_request(self):
-        self.next_id += 1
-        return f"{self.seed}-{self.next_id}"
-
-    async def run_caller(self):
-        while not self.stopping:
-            await self.send_request(self.random.choice(self.gateways))
-            await asyncio.sleep(self.random.uniform(0.0, 0.05))
-
-    async def send_request(self, gateway):
-        kind = self.random.choice(["safe", "once", "once", "stream"])
-        request = self.new_request()
-        self.counts["asked"] += 1
-        self.max_runs[request] = 2 if kind == "safe" else 1
-        try:
-            self.sender_of[request] = {"gateway": gateway, "child": gateway.child, "sent_at": time.monotonic()}
-            return await asyncio.wait_for(self.exchange(gateway.host, kind, request), 4)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            self.counts["failed"] += 1
-            return 0
-
-    async def exchange(self, host, kind, request):
-        reader, writer = await asyncio.open_connection(host, self.front_port)
-        try:
-            writer.write((f"POST /{kind}/x HTTP/1.1\r\nHost: h\r\nMarigoldstep-Request-Id: {request}\r\n"
-                          f"Marigoldstep-Deadline-Ms: 2000\r\nAuthorization: Bearer {KEY}\r\n"
-                          "Content-Length: 4\r\n\r\nbody").encode())
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
-            status = int(head.split(" ")[1])
-            if status == 200 and "chunked" in head:
-                await self.read_stream(reader, request)
-            else:
-                size = int(head.lower().split("content-length: ")[1].split("\r\n")[0])
-                text = (await reader.readexactly(size)).decode("latin1")
-                if status == 200 and text != f"answer to {request}":
-                    self.report_problem(f"{request} got another response: {text[:60]!r}")
-            self.record_status(kind, request, status)
-            if "server-leaving: 1" in head.lower():
-                self.record_leaving(request)
-            return status
-        finally:
-            writer.close()
-
-    def record_leaving(self, request):
-        sender = self.sender_of[request]
-        key = (sender["gateway"].name, self.served_by.get(request))
-        self.leaving_told[key] = {"at": time.monotonic(), "child": sender["child"]}
-        self.counts["leaving"] += 1
-
-    async def chunk_size(self, reader):
-        line = await reader.readline()
-        if not line.endswith(b"\r\n"):
-            raise asyncio.IncompleteReadError(line, None)
-        return int(line, 16)
-
-    async def read_stream(self, reader, request):
-        text = ""
-        while size := await self.chunk_size(reader):
-            text += (await reader.readexactly(size)).decode()
-            await reader.readexactly(2)
-        n = self.event_count(request)
-        expected = "".join(f"id: {i}\ndata: {request} {i}\n\n" for i in range(1, n + 1))
-        if text != expected:
-            self.report_problem(f"stream {request} ended as complete with {len(text)} of {len(expected)} bytes")
-
-    def record_status(self, kind, request, status):
-        if status == 200:
-            self.counts["answered"] += 1
-        elif status in (408, 421, 429, 503):
-            self.counts["refused"] += 1
-            if kind != "safe":
-                self.refused.add(request)
-        else:
-            self.counts["failed"] += 1
-            if status in (401, 404):
-                self.report_problem(f"{request} on a route that always existed got {status}")
-
     # Checks that confirmed configurations are in force on undisturbed gateways.
     async def watch_versions(self):
         while not self.stopping:
@@ -292,7 +222,7 @@
             if confirmed_version == 0 or not gateway.is_undisturbed() or not control_undisturbed:
                 continue
             pid = gateway.child.pid
-            extra_headers = f"Marigoldstep-Request-Id: {self.new_request()}\r\nAuthorization: Bearer {KEY}\r\n"
+            extra_headers = f"Marigoldstep-Request-Id: {self.callers.new_request()}\r\nAuthorization: Bearer {KEY}\r\n"
             status, _ = await self.call(gateway.host, "GET", f"/v{confirmed_version}/x", port=self.front_port,
                                         extra_headers=extra_headers)
             if status == 404 and gateway.is_undisturbed() and gateway.child.pid == pid:
@@ -309,12 +239,14 @@
                   self.announce_leaving, self.ask_for_silence, self.silence_service]
         tasks = []
         until = time.monotonic() + self.seconds
+        self.cut_rate = CUT_RATE
         while time.monotonic() < until:
             fault = self.random.choice(faults)
             self.counts["faults"] += 1
             tasks.append(asyncio.create_task(fault()))
             await asyncio.sleep(self.random.expovariate(2.0))
         await asyncio.gather(*tasks)
+        self.cut_rate = 0.0
 
     async def restart(self, process):
         await process.wait_for_exit(5)
@@ -494,9 +426,8 @@
         await self.ask_for_silence([it for it in self.servers if it.service == "web"])
 
     async def new_server(self, index):
-        self.next_id += 1
-        server = Server(self, f"i-{index}-{self.next_id}", "web" if index % 2 == 0 else "engine",
-                        self.seed * 1000 + self.next_id)
+        n = self.callers.next_number()
+        server = Server(self, f"i-{index}-{n}", "web" if index % 2 == 0 else "engine", self.seed * 1000 + n)
         await server.start()
         self.started_servers.append(server)
         return server
@@ -506,7 +437,7 @@
         await asyncio.sleep(6)
         self.stopping = True
         await asyncio.sleep(3)
-        served = [await self.send_request(self.random.choice(self.gateways)) for _ in range(40)]
+        served = [await self.callers.send_request(self.random.choice(self.gateways)) for _ in range(40)]
         if served.count(200) < 36:
             self.report_problem(f"after the faults only {served.count(200)} of 40 requests were served: {served}")
         seen = [await self.read_back(required=True) for _ in range(6)]
@@ -518,11 +449,7 @@
         for it in self.control + self.gateways:
             if it.child.poll() is not None:
                 self.report_problem(f"{it.name} exited unexpectedly with status {it.child.returncode}")
-        for request, n in self.runs.items():
-            if request in self.refused:
-                self.report_problem(f"{request} was reported as not run, but ran")
-            if n > self.max_runs.get(request, 2):
-                self.report_problem(f"{request} ran {n} times")
+        self.callers.check_runs()
 
     def record_exception(self, _loop, context):
         """Tasks are cancelled at the end; any other exception is an error of the soak test."""
@@ -548,9 +475,9 @@
     async def run_load(self):
         operator = asyncio.create_task(self.run_operator())
         until = time.monotonic() + 10
-        while time.monotonic() < until and (self.version == 0 or await self.send_request(self.gateways[0]) != 200):
+        while time.monotonic() < until and (self.version == 0 or await self.callers.send_request(self.gateways[0]) != 200):
             await asyncio.sleep(0.2)
-        tasks = [asyncio.create_task(self.run_caller()) for _ in range(8)]
+        tasks = [asyncio.create_task(self.callers.run()) for _ in range(8)]
         tasks += [operator, asyncio.create_task(self.watch_versions())]
         await self.inject_faults()
         await self.settle_and_check()
@@ -558,6 +485,10 @@
             if isinstance(it, Exception):
                 self.report_problem(f"the soak test itself failed: {it!r}")
 
+    def write_runs(self):
+        lines = [f"{it.request} {it}\n" for runs in self.runs.values() for it in runs]
+        (self.folder / "runs.txt").write_text("".join(lines))
+
     def close(self):
         for it in self.control + self.gateways:
             if it.child and it.child.poll() is None:
@@ -572,6 +503,7 @@
     finally:
         fleet.close()
         if keep and fleet.problems:
+            fleet.write_runs()
             shutil.copytree(fleet.folder, pathlib.Path(keep) / f"seed-{seed}", dirs_exist_ok=True)
         shutil.rmtree(fleet.folder, ignore_errors=True)
     return fleet.problems, " ".join(f"{key}={value}" for key, value in fleet.counts.items())
--- a/tests/soak/soak_servers.py
+++ b/tests/soak/soak_servers.py
@@ -1,12 +1,15 @@
 """Backend servers of the soak test, and the loopback proxies in front of processes."""
 import asyncio
-import collections
 import json
 import random
 import time
 
+from soak_streams import SETTLE_S, Sender, Stream, reset_connection
+
 REPORT_INTERVAL_S = 0.5
 SLOTS = 16
+# Gateways buffer smaller responses in whole.
+BUFFERED_BYTES = 256 << 10
 
 
 async def read_message(reader):
@@ -23,7 +26,7 @@
 
 
 class Proxy:
-    """Forwards TCP connections to a port and injects network faults on demand."""
+    """Forwards TCP connections to a port, resets included, and injects network faults."""
 
     def __init__(self, port, target="127.0.0.1"):
         self.target, self.port = target, port
@@ -40,7 +43,7 @@
         try:
             up_reader, up_writer = await asyncio.open_connection(self.target, self.port)
         except OSError:
-            writer.transport.abort()
+            reset_connection(writer)
             return
         self.writers |= {writer, up_writer}
         await asyncio.gather(self.pump(reader, up_writer, "up"), self.pump(up_reader, writer, "down"))
@@ -56,12 +59,13 @@
                 writer.write(data)
                 await writer.drain()
         except OSError:
-            pass
+            reset_connection(writer)
         writer.close()
 
     def reset(self):
+        self.last_fault_at = time.monotonic()
         for it in list(self.writers):
-            it.transport.abort()
+            reset_connection(it)
 
     async def inject_fault(self, rng):
         """Resets all connections, or stalls them in one or both directions or delays them for a while."""
@@ -84,6 +88,11 @@
             self.mode = "pass"
 
 
+def make_large_body(run, size):
+    text = f"{run.request} run {run.number} "
+    return (text * (size // len(text) + 1))[:size].encode()
+
+
 class Server:
     """A backend server that counts runs by request id and injects faults into its responses."""
 
@@ -152,20 +161,20 @@
             writer.close()
 
     def record_backoff(self, request):
-        sender = self.fleet.sender_of.get(request)
+        call = self.fleet.callers.calls.get(request)
         now = time.monotonic()
-        if sender:
-            self.backoffs.append({"gateway": sender["gateway"], "child": sender["child"], "from": now + 0.5,
+        if call:
+            self.backoffs.append({"gateway": call.gateway, "child": call.child, "from": now + 0.5,
                                   "began": now, "until": now + self.backoff_s, "requests": 0})
 
     def check_notices(self, request):
         """Checks that a gateway that was told to send nothing sends nothing."""
-        sender = self.fleet.sender_of.get(request)
-        if not sender:
+        call = self.fleet.callers.calls.get(request)
+        if not call:
             return
-        now, gateway = time.monotonic(), sender["gateway"]
+        now, gateway = time.monotonic(), call.gateway
         told = self.fleet.leaving_told.get((gateway.name, self.name))
-        if told and told["child"] is gateway.child and sender["sent_at"] > told["at"] + self.fleet.drain_s \
+        if told and told["child"] is gateway.child and call.sent_at > told["at"] + self.fleet.drain_s \
                 and gateway.last_disturbed < told["at"]:
             self.fleet.report_problem(f"{gateway.name} sent {request} to {self.name}, which is leaving")
         for it in self.backoffs:
@@ -179,7 +188,7 @@
     async def respond(self, line, headers, writer):
         request = headers.get("marigoldstep-request-id", "")
         path = line.split(" ")[1]
-        head = f"Marigoldstep-Request-Id: {request}\r\nMarigoldstep-Response-Seal: s\r\n"
+        head = f"Marigoldstep-Request-Id: {request}\r\nMarigoldstep-Response-Seal: {self.name}\r\n"
         if headers.get("marigoldstep-target-instance") != self.name:
             writer.write(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
             return True
@@ -197,10 +206,12 @@
             writer.write(("HTTP/1.1 503 Service Unavailable\r\nMarigoldstep-Not-Executed: 1\r\n"
                           f"Marigoldstep-Request-Id: {request}\r\nContent-Length: 0\r\n\r\n").encode())
             return True
-        self.fleet.runs[request] += 1
-        self.fleet.served_by[request] = self.name
-        if "/stream/" in path:
-            return await self.stream(request, head, writer, is_faulty)
+        run = self.fleet.record_run(request, self, int(headers.get("last-event-id", 0)))
+        is_cut = is_faulty or self.random.random() < self.fleet.cut_rate
+        if path.startswith(("/stream/", "/resume/")):
+            return await self.send_stream(run, Stream(path.split("/")[2]), head, writer, is_cut)
+        if path == "/safe/large":
+            return await self.send_large(run, head, writer, is_cut)
         await asyncio.sleep(self.random.uniform(0.0, 0.03) + (0.4 if is_faulty and kind == "slow" else 0))
         text = f"answer to {request}"
         response = f"HTTP/1.1 200 OK\r\n{head}Content-Length: {len(text)}\r\n\r\n{text}".encode()
@@ -213,19 +224,23 @@
         await writer.drain()
         return True
 
-    async def stream(self, request, head, writer, is_faulty):
-        writer.write(f"HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n".encode())
-        n = self.fleet.event_count(request)
-        for i in range(1, n + 1):
-            if is_faulty and i == n:
-                writer.transport.abort()
-                return False
-            text = f"id: {i}\ndata: {request} {i}\n\n"
-            writer.write(f"{len(text):x}\r\n{text}\r\n".encode())
-            await asyncio.sleep(0.02)
-        writer.write(b"0\r\n\r\n")
+    async def send_stream(self, run, stream, head, writer, is_cut):
+        sender = Sender(self.random, stream, run, writer)
+        if is_cut:
+            sender.plan_fault()
+        return await sender.send(head)
+
+    async def send_large(self, run, head, writer, is_cut):
+        size = random.Random(run.request).randrange(BUFFERED_BYTES, 2 * BUFFERED_BYTES)
+        body = make_large_body(run, size)
+        cut = self.random.randrange(self.random.choice([0, BUFFERED_BYTES]), size) if is_cut else size
+        run.plan = f"large cut={cut} of {size}"
+        writer.write(f"HTTP/1.1 200 OK\r\n{head}Content-Length: {size}\r\n\r\n".encode() + body[:cut])
         await writer.drain()
-        return True
+        if is_cut and self.random.random() < 0.5:
+            await asyncio.sleep(SETTLE_S)
+            reset_connection(writer)
+        return not is_cut
 
     async def crash(self):
         self.alive = False
@@ -233,7 +248,3 @@
         self.listener.close()
         self.proxy.server.close()
         self.proxy.reset()
-
-
-def new_run_counts():
-    return collections.Counter()
