Say which bytes of a stream are forwarded and when another server may continue

forward_body() computed the events of every stream and then replaced them; it now says in order what the two kinds of stream get. Nothing changes for callers; gateway_stream_test and gateway_test pass.

--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -300,20 +300,25 @@
     return;
   }
   auto& it = *attempt_;
-  const bool by_event = it.is_stream && route_->kind == route_kind::resumable_stream;
-  auto complete = it.is_stream ? split_events(it.events, piece) : std::string();
-  if (!by_event) {
-    complete = piece;
+  std::string out(piece);
+  bool is_continuable = false;
+  if (it.is_stream) {
+    auto events = split_events(it.events, piece);
+    // A stream that another server may continue is forwarded in whole events.
+    if (route_->kind == route_kind::resumable_stream) {
+      out = std::move(events);
+      is_continuable = it.events.is_resumable;
+    }
   }
   it.received_bytes += piece.size();
-  it.forwarded_bytes += complete.size();
-  if (complete.empty()) {
+  it.forwarded_bytes += out.size();
+  if (out.empty()) {
     return;
   }
   last_event_ = it.events.last_event;
-  state_.is_continuable = by_event && it.events.is_resumable;
+  state_.is_continuable = is_continuable;
   begin_response();
-  caller_->write_body(complete);
+  caller_->write_body(out);
   if (caller_->queued_bytes() > pause_above_bytes) {
     it.connection->set_paused(true);
   }
