Log received, refused and read routing configurations

When a configuration read back is older than an acknowledged one, the log showed only proposals and acknowledgements: not which process answered a read, with which version, when a change reached the leader, or why it wasn't stored.

Each change received, each one not stored and each read now has a line.

--- a/tools/control/api.cpp
+++ b/tools/control/api.cpp
@@ -123,6 +123,10 @@
     respond_error(from, io::http_status::bad_request, problem);
     return;
   }
+  io::log_event(io::log_level::info, "routing_received",
+                {{"version", std::to_string(config.version)},
+                 {"bytes", std::to_string(request.body.size())},
+                 {"leads", group_.is_leader() ? "true" : "false"}});
   if (!group_.is_leader()) {
     redirect(from, request.head.target);
     return;
@@ -138,6 +142,10 @@
 void api::store(const connection& from, std::uint64_t version, const std::string& text) {
   group_.confirm([this, from, version, text](std::error_code ec) {
     if (ec || !tolerates_losses()) {
+      io::log_event(io::log_level::warning, "routing_not_stored",
+                    {{"version", std::to_string(version)},
+                     {"voters", std::to_string(voter_count(members(*group_.node())))},
+                     {"reason", ec ? ec.message() : "too few voters"}});
       respond_error(from, io::http_status::unavailable,
                     ec ? ec.message() : "too few voters");
       return;
@@ -182,6 +190,11 @@
 // Served by every process, since large configurations would saturate the leader's link.
 void api::handle_read(const connection& from) {
   links_.when_state_is_newest([this, from](std::error_code ec) {
+    io::log_event(io::log_level::info, "routing_read",
+                  {{"version", std::to_string(group_.state().routing_version)},
+                   {"leads", group_.is_leader() ? "true" : "false"},
+                   {"connected", from ? "true" : "false"},
+                   {"result", ec ? ec.message() : "newest"}});
     if (ec || group_.state().routing_version == 0) {
       respond_error(from, io::http_status::unavailable,
                     ec ? ec.message() : "none stored yet");
