Forward configuration changes to the leader instead of redirecting them

A member that isn't the leader redirected the operator after it had read the whole text, so 305 kB crossed a second 3 Mbit/s link; two changes at once shared the leader's link, and its heartbeats, reads and acknowledgements queued behind them.

Such a member now compresses the text, to a tenth or less, and forwards it over the control link; it redirects only without a link to a leader.

Without the forwarding the new test fails with a 307 for the change sent to a follower: "routing_version == 6, expansion: 5 == 6".

Requests over a control link that wait for a reply, and the versions of the routing configuration, move to files of their own.

--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -67,6 +67,11 @@
   // Asks the leader which routing version a quorum confirms. Calls done with 0 when
   // there is no leader or no reply in time.
   void confirm_version(std::function<void(std::uint64_t)> done);
+  // Forwards a compressed routing configuration to the leader. Calls done with true once
+  // the leader has stored this version or a higher one; with false when that fails or no
+  // reply comes in time. Returns false, without a call, when no leader is connected.
+  bool forward_routing(std::uint64_t version, const bytes& packed_text,
+                       std::function<void(bool)> done);
   // Forwards a server's report that changes something. Calls done with true once
   // every process that needs the change has it; with false when that fails or no
   // reply comes in time.
@@ -124,11 +129,12 @@
   void handle_fleet_load(const wire::FleetLoadT& load);
   link* select_fetch_link(time_point now);
   link* select_report_link();
+  link* find_leader_link();
   void fetch_newer();
   void send_ack(const std::string& host);
   void expire_confirmations(time_point now);
-  void complete_report(std::uint64_t token, bool confirmed);
-  void expire_reports(time_point now);
+  void complete_forward(std::uint64_t token, bool settled);
+  void expire_forwards(time_point now);
 
   link_settings settings_;
   std::set<std::string> members_;
@@ -148,11 +154,11 @@
   std::map<std::uint64_t, confirmation> confirmations_; // by token
   // Term and number of the latest loads of the fleet.
   std::pair<std::uint64_t, std::uint64_t> fleet_load_position_;
-  struct pending_report {
+  struct pending_forward {
     time_point deadline{};
     std::function<void(bool)> done;
   };
-  std::map<std::uint64_t, pending_report> reports_; // by token
+  std::map<std::uint64_t, pending_forward> forwards_; // by token
   std::uint64_t next_token_ = 1;
   time_point newer_known_since_{}; // when a process first offered a newer version
   bool has_initial_servers_ = false;
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -26,9 +26,6 @@
 // The routing text is requested again, possibly from another control process, after
 // this time. Control processes pace these texts, so that their links stay usable.
 constexpr auto fetch_timeout = milliseconds(1200);
-constexpr auto confirm_timeout = milliseconds(500);
-// A server waits 1 s for the confirmation of its report, a control process waits 0.8 s.
-constexpr auto report_timeout = milliseconds(900);
 
 } // namespace
 
@@ -149,7 +146,7 @@
     close_link(host, "silent");
   }
   expire_confirmations(now);
-  expire_reports(now);
+  expire_forwards(now);
   fetch_newer();
 }
 
@@ -205,7 +202,9 @@
       on_unknown_servers(unknown->servers);
     }
   } else if (const auto* result = frame->body.AsReportSettled()) {
-    complete_report(result->token, result->settled);
+    complete_forward(result->token, result->settled);
+  } else if (const auto* stored = frame->body.AsRoutingSettled()) {
+    complete_forward(stored->token, stored->settled);
   } else if (auto* text = frame->body.AsRoutingText()) {
     forward_to_routers(*text);
     handle_routing(*text);
@@ -403,105 +402,6 @@
   acknowledge_version();
 }
 
-void control_links::send_load(wire::RouterLoadT load) {
-  for (auto& [host, it] : links_) {
-    if (it.is_open && it.is_leader) {
-      it.connection->send(wire::encode_link(std::move(load)));
-      return;
-    }
-  }
-}
-
-void control_links::confirm_version(std::function<void(std::uint64_t)> done) {
-  for (auto& [host, it] : links_) {
-    if (it.is_open && it.is_leader) {
-      wire::ConfirmVersionT request;
-      request.token = next_token_++;
-      confirmations_[request.token] = {io::now() + confirm_timeout, std::move(done)};
-      it.connection->send(wire::encode_link(request));
-      return;
-    }
-  }
-  done(0);
-}
-
-void control_links::expire_confirmations(time_point now) {
-  std::vector<std::function<void(std::uint64_t)>> ended;
-  std::erase_if(confirmations_, [&](auto& it) {
-    if (now < it.second.deadline) {
-      return false;
-    }
-    ended.push_back(std::move(it.second.done));
-    return true;
-  });
-  for (const auto& done : ended) {
-    done(0);
-  }
-}
-
-// Each router ranks the control processes by its own hash, which spreads the reports
-// over them.
-control_links::link* control_links::select_report_link() {
-  link* best = nullptr;
-  std::uint64_t best_score = 0;
-  for (auto& [host, it] : links_) {
-    const auto score = stable_hash(host + settings_.node_id);
-    if (it.is_open && it.has_leader && (best == nullptr || score > best_score)) {
-      best = &it;
-      best_score = score;
-    }
-  }
-  return best;
-}
-
-void control_links::report(const announced_server& server,
-                           std::function<void(bool)> done) {
-  auto* to = select_report_link();
-  if (to == nullptr) {
-    done(false);
-    return;
-  }
-  const auto now = io::now();
-  wire::ReportServerT message;
-  message.token = next_token_++;
-  message.server = std::make_unique<wire::AnnouncedServerT>(
-      to_wire(directory_entry{.server = server, .last_seen = now}, now));
-  reports_[message.token] = {now + report_timeout, std::move(done)};
-  to->connection->send(wire::encode_link(std::move(message)));
-}
-
-void control_links::complete_report(std::uint64_t token, bool confirmed) {
-  const auto it = reports_.find(token);
-  if (it != reports_.end()) {
-    const auto done = std::move(it->second.done);
-    reports_.erase(it);
-    done(confirmed);
-  }
-}
-
-void control_links::expire_reports(time_point now) {
-  std::vector<std::uint64_t> late;
-  for (const auto& [token, it] : reports_) {
-    if (now >= it.deadline) {
-      late.push_back(token);
-    }
-  }
-  for (const auto token : late) {
-    complete_report(token, false);
-  }
-}
-
-bool control_links::send_unchanged_reports(const std::vector<std::uint32_t>& servers) {
-  auto* to = select_report_link();
-  if (to == nullptr) {
-    return false;
-  }
-  wire::ServersHeardT message;
-  message.servers = servers;
-  to->connection->send(wire::encode_link(std::move(message)));
-  return true;
-}
-
 std::size_t control_links::open_links() const {
   std::size_t n = 0;
   for (const auto& [host, it] : links_) {
--- a/tests/programs/platform_control_test.cpp
+++ b/tests/programs/platform_control_test.cpp
@@ -14,6 +14,15 @@
 
 namespace {
 
+std::string call_api(const io::endpoint& api, const std::string& method,
+                     const std::string& target, const std::string& body = {}) {
+  test_caller caller(api);
+  caller.send(method + " " + target + " HTTP/1.1\r\nHost: c\r\nConnection: close\r\n" +
+              "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  caller.wait_closed();
+  return caller.received;
+}
+
 // One control process that forms a group of one.
 struct control_fixture {
   QTemporaryDir folder;
@@ -67,11 +76,7 @@
 
   std::string call(const std::string& method, const std::string& target,
                    const std::string& body = {}) const {
-    test_caller caller(api_address);
-    caller.send(method + " " + target + " HTTP/1.1\r\nHost: c\r\nConnection: close\r\n" +
-                "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-    caller.wait_closed();
-    return caller.received;
+    return call_api(api_address, method, target, body);
   }
 
   std::string replace_config(const std::string& text) const {
@@ -143,8 +148,10 @@
     std::unique_ptr<QTemporaryDir> folder = std::make_unique<QTemporaryDir>();
     std::unique_ptr<control::replica> group;
     std::unique_ptr<control::link_service> links;
+    std::unique_ptr<control::api> api;
   };
 
+  std::uint16_t api_port = gateway::test::gateway_fixture::free_address().port;
   std::uint16_t peer_port = gateway::test::gateway_fixture::free_address().port;
   std::uint16_t link_port = gateway::test::gateway_fixture::free_address().port;
   std::map<int, process> processes;
@@ -170,6 +177,10 @@
     it.links->on_members = [group](const std::set<std::string>& hosts) {
       group->set_member_hosts(hosts);
     };
+    it.api = std::make_unique<control::api>(*it.group, *it.links, nullptr);
+    auto* links = it.links.get();
+    it.group->on_changed = [links] { links->handle_state_changed(); };
+    REQUIRE_FALSE(it.api->listen({host(i), api_port}));
     std::error_code ec;
     std::string detail;
     it.group->start({host(i), link_port}, ec, detail);
@@ -221,6 +232,36 @@
   CHECK(wait_until([&] { return it.is_voter(4); }));
 }
 
+TEST_CASE("a change that reaches a follower is not sent again to the leader") {
+  test_application();
+  control_group it;
+  it.start(1, 1);
+  for (const int i : {2, 3}) {
+    it.start(i, 1);
+    REQUIRE(wait_until([&] { return it.is_voter(i); }));
+  }
+  const auto store = [&](int i, std::uint64_t version) {
+    return call_api({control_group::host(i), it.api_port}, "POST", "/v1/Config.Replace",
+                    routing_text(version));
+  };
+  REQUIRE(wait_until([&] { return starts_with_status(store(1, 5), "200"); }));
+  const auto read = [&] {
+    return call_api({control_group::host(2), it.api_port}, "GET", "/v1/Config.Read");
+  };
+  REQUIRE(wait_until([&] { return read().ends_with(routing_text(5)); }));
+  CHECK(starts_with_status(store(2, 6), "200"));
+  CHECK(it.processes.at(1).group->state().routing_version == 6);
+  SECTION("an older change is acknowledged and changes nothing") {
+    CHECK(starts_with_status(store(3, 4), "200"));
+    CHECK(it.processes.at(1).group->state().routing_version == 6);
+  }
+  SECTION("nothing is acknowledged without a quorum") {
+    it.kill(1);
+    it.kill(3);
+    CHECK_FALSE(starts_with_status(store(2, 7), "200"));
+  }
+}
+
 TEST_CASE("the highest version is kept, and equal or older ones are acknowledged") {
   const control_fixture it;
   CHECK(starts_with_status(it.read_config(), "503"));
--- a/tools/control/api.cpp
+++ b/tools/control/api.cpp
@@ -27,6 +27,14 @@
   }
 }
 
+void respond_stored(const QPointer<io::http_connection>& to, const std::string& problem) {
+  if (problem.empty()) {
+    respond_json(to, io::http_status::ok, "{}");
+  } else {
+    respond_error(to, io::http_status::unavailable, problem);
+  }
+}
+
 } // namespace
 
 api::api(replica& group, link_service& links, QObject* parent)
@@ -36,6 +44,11 @@
                                 const io::http_request& request) {
     handle_request(from, request);
   };
+  links_.on_routing_forwarded = [this](std::uint64_t version, bytes packed_text,
+                                       const std::function<void(bool)>& done) {
+    store(version, std::move(packed_text),
+          [done](const std::string& problem) { done(problem.empty()); });
+  };
 }
 
 std::error_code api::listen(const io::endpoint& address) {
@@ -127,11 +140,24 @@
                 {{"version", std::to_string(config.version)},
                  {"bytes", std::to_string(request.body.size())},
                  {"leads", group_.is_leader() ? "true" : "false"}});
-  if (!group_.is_leader()) {
+  auto packed_text = io::compress_text(request.body);
+  if (group_.is_leader()) {
+    store(config.version, std::move(packed_text),
+          [from](const std::string& reason) { respond_stored(from, reason); });
+  } else if (!forward(from, config.version, packed_text)) {
     redirect(from, request.head.target);
-    return;
   }
-  store(from, config.version, request.body);
+}
+
+// A redirect would make the operator send the whole text again, over the leader's link.
+bool api::forward(const connection& from, std::uint64_t version,
+                  const bytes& packed_text) {
+  return links_.forward_routing(version, packed_text, [from, version](bool settled) {
+    io::log_event(
+        settled ? io::log_level::info : io::log_level::warning, "routing_forwarded",
+        {{"version", std::to_string(version)}, {"settled", settled ? "true" : "false"}});
+    respond_stored(from, settled ? "" : "the leader did not store it in time");
+  });
 }
 
 // Whether a committed change survives the losses that the group must tolerate.
@@ -139,52 +165,54 @@
   return voter_count(members(*group_.node())) >= group_.required_voters();
 }
 
-void api::store(const connection& from, std::uint64_t version, const std::string& text) {
-  group_.confirm([this, from, version, text](std::error_code ec) {
+void api::store(std::uint64_t version, bytes packed_text, store_callback done) {
+  group_.confirm([this, version, packed_text = std::move(packed_text),
+                  done = std::move(done)](std::error_code ec) {
     if (ec || !tolerates_losses()) {
+      const auto reason = ec ? ec.message() : "too few voters";
       io::log_event(io::log_level::warning, "routing_not_stored",
                     {{"version", std::to_string(version)},
                      {"voters", std::to_string(voter_count(members(*group_.node())))},
-                     {"reason", ec ? ec.message() : "too few voters"}});
-      respond_error(from, io::http_status::unavailable,
-                    ec ? ec.message() : "too few voters");
+                     {"reason", reason}});
+      done(reason);
       return;
     }
     if (version <= group_.state().routing_version) {
       io::log_event(io::log_level::info, "routing_not_newer",
                     {{"version", std::to_string(version)},
                      {"stored", std::to_string(group_.state().routing_version)}});
-      respond_when_applied(from, group_.state().routing_version);
+      complete_when_applied(group_.state().routing_version, done);
       return;
     }
     wire::StoreRoutingT request;
     request.version = version;
-    request.packed_text = io::compress_text(text);
+    request.packed_text = packed_text;
     auto command =
         encode_command(wire::control_frame(std::move(request), 0), io::wall_clock());
-    group_.propose(std::move(command), [this, from, version](std::error_code result,
-                                                             const auto& /*reply*/) {
-      io::log_event(io::log_level::info, "routing_proposed",
-                    {{"version", std::to_string(version)},
-                     {"result", result ? result.message() : "committed"}});
-      if (result) {
-        respond_error(from, io::http_status::unavailable, result.message());
-      } else {
-        respond_when_applied(from, version);
-      }
-    });
+    group_.propose(std::move(command),
+                   [this, version, done](std::error_code result, const auto& /*reply*/) {
+                     io::log_event(io::log_level::info, "routing_proposed",
+                                   {{"version", std::to_string(version)},
+                                    {"result", result ? result.message() : "committed"}});
+                     if (result) {
+                       done(result.message());
+                     } else {
+                       complete_when_applied(version, done);
+                     }
+                   });
   });
 }
 
 // Waits until the connected routers apply the version or the wait times out, so that a
 // lost router does not block the response.
-void api::respond_when_applied(const connection& from, std::uint64_t version) {
-  links_.when_version_applied(version, [from, version](bool acknowledged) {
-    io::log_event(io::log_level::info, "routing_acknowledged",
-                  {{"version", std::to_string(version)},
-                   {"in_force_everywhere", acknowledged ? "true" : "false"}});
-    respond_json(from, io::http_status::ok, "{}");
-  });
+void api::complete_when_applied(std::uint64_t version, store_callback done) {
+  links_.when_version_applied(
+      version, [version, done = std::move(done)](bool acknowledged) {
+        io::log_event(io::log_level::info, "routing_acknowledged",
+                      {{"version", std::to_string(version)},
+                       {"in_force_everywhere", acknowledged ? "true" : "false"}});
+        done("");
+      });
 }
 
 // Served by every process, since large configurations would saturate the leader's link.
--- a/tools/control/api.h
+++ b/tools/control/api.h
@@ -25,9 +25,12 @@
   void handle_request(io::http_connection& from, const io::http_request& request);
   void handle_report(const connection& from, const announced_server& server);
   void handle_store(const connection& from, const io::http_request& request);
-  void store(const connection& from, std::uint64_t version, const std::string& text);
+  // Takes the reason why a change was not stored; empty when it was.
+  using store_callback = std::function<void(const std::string& problem)>;
+  void store(std::uint64_t version, bytes packed_text, store_callback done);
+  bool forward(const connection& from, std::uint64_t version, const bytes& packed_text);
   void handle_read(const connection& from);
-  void respond_when_applied(const connection& from, std::uint64_t version);
+  void complete_when_applied(std::uint64_t version, store_callback done);
   void redirect(const connection& from, const std::string& target);
   [[nodiscard]] bool tolerates_losses() const;
 
--- /dev/null
+++ b/tools/control/link_routing.cpp
@@ -0,0 +1,119 @@
+// Versions of the routing configuration: changes, reads and acknowledgements.
+#include "control/link_service.h"
+
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/logging.h"
+
+#include <algorithm>
+
+namespace marigoldstep::control {
+
+namespace {
+
+// Operators wait a second for the response.
+constexpr auto version_timeout = milliseconds(700);
+
+} // namespace
+
+void link_service::confirm_routing_version(io::framed_connection* connection,
+                                           std::uint64_t token) {
+  group_.confirm([this, connection, token](std::error_code ec) {
+    if (!subscribers_.contains(connection)) {
+      return;
+    }
+    wire::VersionConfirmedT reply;
+    reply.token = token;
+    reply.version = ec ? 0 : group_.state().routing_version;
+    connection->send(wire::encode_link(reply));
+  });
+}
+
+void link_service::handle_forwarded_routing(io::framed_connection* connection,
+                                            wire::ForwardRoutingT& request) {
+  const auto reply = [this, connection, token = request.token](bool settled) {
+    if (subscribers_.contains(connection)) {
+      wire::RoutingSettledT message;
+      message.token = token;
+      message.settled = settled;
+      connection->send(wire::encode_link(message));
+    }
+  };
+  if (!on_routing_forwarded) {
+    reply(false);
+    return;
+  }
+  on_routing_forwarded(request.version, std::move(request.packed_text), reply);
+}
+
+void link_service::when_state_is_newest(std::function<void(std::error_code)> done) {
+  if (group_.is_leader()) {
+    group_.confirm(std::move(done));
+    return;
+  }
+  peers_.confirm_version([this, done = std::move(done)](std::uint64_t version) {
+    const bool newest = version != 0 && group_.state().routing_version >= version;
+    done(newest ? std::error_code() : make_error_code(errc::control_unavailable));
+  });
+}
+
+void link_service::when_version_applied(std::uint64_t version,
+                                        acknowledged_callback done) {
+  // A proposal completes before the replica announces the change of its state.
+  handle_state_changed();
+  acknowledgement_waiter it;
+  it.version = version;
+  it.deadline = version_stored_at_ + version_timeout;
+  it.done = std::move(done);
+  waiting_.push_back(std::move(it));
+  complete_waiting();
+}
+
+bool link_service::is_acknowledged(const acknowledgement_waiter& it) const {
+  for (auto* connection : it.receivers) {
+    const auto to = subscribers_.find(connection);
+    if (to != subscribers_.end() &&
+        resume_number(reported_, to->second.reported.acked) < it.number) {
+      return false;
+    }
+  }
+  if (it.version == 0) {
+    return true;
+  }
+  return std::all_of(subscribers_.begin(), subscribers_.end(), [&](const auto& to) {
+    return !to.second.is_router || to.second.version >= it.version;
+  });
+}
+
+void link_service::complete_waiting() {
+  const auto now = io::now();
+  std::vector<std::pair<acknowledged_callback, bool>> ended;
+  std::erase_if(waiting_, [&](auto& it) {
+    const bool acknowledged = is_acknowledged(it);
+    if (acknowledged || now >= it.deadline) {
+      ended.emplace_back(std::move(it.done), acknowledged);
+      return true;
+    }
+    return false;
+  });
+  for (auto& [done, acknowledged] : ended) {
+    done(acknowledged);
+  }
+}
+
+void link_service::handle_state_changed() {
+  const auto version = group_.state().routing_version;
+  if (version != observed_version_) {
+    observed_version_ = version;
+    version_stored_at_ = io::now();
+    io::log_event(io::log_level::info, "routing_stored",
+                  {{"version", std::to_string(version)},
+                   {"bytes", std::to_string(group_.state().routing_packed_text.size())}});
+    for (auto& [connection, it] : subscribers_) {
+      if (!it.node_id.empty()) {
+        send_status(connection);
+      }
+    }
+  }
+}
+
+} // namespace marigoldstep::control
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -45,8 +45,6 @@
 // Bytes of loads that one router forwards, a few percent of the second's bandwidth of a
 // 10 Mbit/s link.
 constexpr std::size_t max_forwarded_load_bytes = 64U << 10U;
-// Operators wait a second for the response.
-constexpr auto version_timeout = milliseconds(700);
 // Routers that left still count, since they may have used their part of the retry budget.
 constexpr auto router_retention = milliseconds(15'000);
 // The connection of a slower reader is closed; its next one starts with a full update.
@@ -130,7 +128,7 @@
 
 void link_service::handle_frame(io::framed_connection* connection, byte_view buf) {
   std::error_code ec;
-  const auto frame = wire::decode_link(buf, ec);
+  auto frame = wire::decode_link(buf, ec);
   const auto known = subscribers_.find(connection);
   if (!frame || known == subscribers_.end()) {
     drop_subscriber(connection, "malformed frame");
@@ -149,6 +147,8 @@
     send_requested_texts();
   } else if (const auto* request = frame->body.AsConfirmVersion()) {
     confirm_routing_version(connection, request->token);
+  } else if (auto* forwarded = frame->body.AsForwardRouting()) {
+    handle_forwarded_routing(connection, *forwarded);
   } else if (const auto* ack = frame->body.AsUpdateAck()) {
     if (ack->reported) {
       from.reported.acked = io::from_wire(ack->reported);
@@ -296,30 +296,6 @@
   text_requests_.clear();
 }
 
-void link_service::confirm_routing_version(io::framed_connection* connection,
-                                           std::uint64_t token) {
-  group_.confirm([this, connection, token](std::error_code ec) {
-    if (!subscribers_.contains(connection)) {
-      return;
-    }
-    wire::VersionConfirmedT reply;
-    reply.token = token;
-    reply.version = ec ? 0 : group_.state().routing_version;
-    connection->send(wire::encode_link(reply));
-  });
-}
-
-void link_service::when_state_is_newest(std::function<void(std::error_code)> done) {
-  if (group_.is_leader()) {
-    group_.confirm(std::move(done));
-    return;
-  }
-  peers_.confirm_version([this, done = std::move(done)](std::uint64_t version) {
-    const bool newest = version != 0 && group_.state().routing_version >= version;
-    done(newest ? std::error_code() : make_error_code(errc::control_unavailable));
-  });
-}
-
 // A process without a configuration accepts its first one only after a quorum has
 // confirmed that the leader's version is the newest.
 void link_service::confirm_subscribers() {
@@ -349,66 +325,6 @@
   });
 }
 
-void link_service::when_version_applied(std::uint64_t version,
-                                        acknowledged_callback done) {
-  // A proposal completes before the replica announces the change of its state.
-  handle_state_changed();
-  acknowledgement_waiter it;
-  it.version = version;
-  it.deadline = version_stored_at_ + version_timeout;
-  it.done = std::move(done);
-  waiting_.push_back(std::move(it));
-  complete_waiting();
-}
-
-bool link_service::is_acknowledged(const acknowledgement_waiter& it) const {
-  for (auto* connection : it.receivers) {
-    const auto to = subscribers_.find(connection);
-    if (to != subscribers_.end() &&
-        resume_number(reported_, to->second.reported.acked) < it.number) {
-      return false;
-    }
-  }
-  if (it.version == 0) {
-    return true;
-  }
-  return std::all_of(subscribers_.begin(), subscribers_.end(), [&](const auto& to) {
-    return !to.second.is_router || to.second.version >= it.version;
-  });
-}
-
-void link_service::complete_waiting() {
-  const auto now = io::now();
-  std::vector<std::pair<acknowledged_callback, bool>> ended;
-  std::erase_if(waiting_, [&](auto& it) {
-    const bool acknowledged = is_acknowledged(it);
-    if (acknowledged || now >= it.deadline) {
-      ended.emplace_back(std::move(it.done), acknowledged);
-      return true;
-    }
-    return false;
-  });
-  for (auto& [done, acknowledged] : ended) {
-    done(acknowledged);
-  }
-}
-
-void link_service::handle_state_changed() {
-  const auto version = group_.state().routing_version;
-  if (version != observed_version_) {
-    observed_version_ = version;
-    version_stored_at_ = io::now();
-    io::log_event(io::log_level::info, "routing_stored",
-                  {{"version", std::to_string(version)},
-                   {"bytes", std::to_string(group_.state().routing_packed_text.size())}});
-    for (auto& [connection, it] : subscribers_) {
-      if (!it.node_id.empty()) {
-        send_status(connection);
-      }
-    }
-  }
-}
-
 // Chooses the interval at which routers report loads and get those of the fleet, so that
 // both take at most their part of the link. 0 if that would take too long.
 void link_service::choose_load_interval(std::size_t forwarders) {
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -54,6 +54,16 @@
   // Calls done when the version is in force at every connected gateway, or with false
   // some time after it was stored.
   void when_version_applied(std::uint64_t version, acknowledged_callback done);
+  // Called for a compressed routing configuration that another control process forwards;
+  // done takes whether this version or a higher one is stored.
+  std::function<void(std::uint64_t version, bytes packed_text,
+                     std::function<void(bool)> done)>
+      on_routing_forwarded;
+  // See control_links::forward_routing().
+  bool forward_routing(std::uint64_t version, const bytes& packed_text,
+                       std::function<void(bool)> done) {
+    return peers_.forward_routing(version, packed_text, std::move(done));
+  }
   // Calls done when this process holds the routing version that a quorum confirms as
   // the newest, or with an error: errc::not_leader on the leader and
   // errc::control_unavailable elsewhere.
@@ -107,6 +117,8 @@
   void refill_budgets(time_point now);
   void send_requested_texts();
   void confirm_routing_version(io::framed_connection* connection, std::uint64_t token);
+  void handle_forwarded_routing(io::framed_connection* connection,
+                                wire::ForwardRoutingT& request);
   void send_status(io::framed_connection* connection);
   [[nodiscard]] feed_progress& progress(subscriber& it, feed which) const;
   [[nodiscard]] bool receives(const subscriber& it, feed which) const;
