Leave reads of the configuration to the leader's followers

A read of 305 kB occupied the leader's 3 Mbit/s link for 0.8 s. Heartbeats, confirmations of reads and acknowledgements of changes queued behind it: followers started elections in calm phases and refused reads, and a forwarded change that the leader had acknowledged timed out.

The leader now redirects a read to the members that hold its version, in turn, and answers itself only when there is none. They confirm the version with it as before. For this they also report their version over the control links.

The new section of the test fails without the redirect (no 307 in time).

--- a/tests/programs/platform_control_test.cpp
+++ b/tests/programs/platform_control_test.cpp
@@ -251,6 +251,16 @@
   REQUIRE(wait_until([&] { return read().ends_with(routing_text(5)); }));
   CHECK(starts_with_status(store(2, 6), "200"));
   CHECK(it.processes.at(1).group->state().routing_version == 6);
+  SECTION("the leader leaves reads to followers") {
+    const auto read_leader = [&] {
+      return call_api({control_group::host(1), it.api_port}, "GET", "/v1/Config.Read");
+    };
+    REQUIRE(wait_until([&] { return starts_with_status(read_leader(), "307"); }));
+    CHECK(read_leader().find("/v1/Config.Read\r\n") != std::string::npos);
+    it.kill(2);
+    it.kill(3);
+    CHECK(wait_until([&] { return starts_with_status(read_leader(), "503"); }));
+  }
   SECTION("an older change is acknowledged and changes nothing") {
     CHECK(starts_with_status(store(3, 4), "200"));
     CHECK(it.processes.at(1).group->state().routing_version == 6);
--- a/tools/control/api.cpp
+++ b/tools/control/api.cpp
@@ -85,7 +85,7 @@
     handle_store(to, request);
     return;
   case control_operation::read_routing:
-    handle_read(to);
+    handle_read(to, request.head.target);
     return;
   case control_operation::unknown:
     respond_error(to, io::http_status::not_found, "no such call");
@@ -119,11 +119,15 @@
     respond_error(from, io::http_status::unavailable, "no leader");
     return;
   }
+  redirect_to(from, leader.host, target);
+}
+
+void api::redirect_to(const connection& from, const std::string& host,
+                      const std::string& target) {
   if (from) {
-    from->respond(
-        io::http_status::temporary_redirect,
-        {{"Location", "http://" + leader.host + ":" + std::to_string(port_) + target}},
-        "");
+    from->respond(io::http_status::temporary_redirect,
+                  {{"Location", "http://" + host + ":" + std::to_string(port_) + target}},
+                  "");
   }
 }
 
@@ -215,8 +219,13 @@
       });
 }
 
-// Served by every process, since large configurations would saturate the leader's link.
-void api::handle_read(const connection& from) {
+// Served by followers where possible: a large configuration saturates a slow link, and
+// the group's heartbeats, commits and confirmations pass over the leader's.
+void api::handle_read(const connection& from, const std::string& target) {
+  if (const auto host = links_.find_reader(); group_.is_leader() && !host.empty()) {
+    redirect_to(from, host, target);
+    return;
+  }
   links_.when_state_is_newest([this, from](std::error_code ec) {
     io::log_event(io::log_level::info, "routing_read",
                   {{"version", std::to_string(group_.state().routing_version)},
--- a/tools/control/api.h
+++ b/tools/control/api.h
@@ -29,9 +29,11 @@
   using store_callback = std::function<void(const std::string& problem)>;
   void store(std::uint64_t version, bytes packed_text, store_callback done);
   bool forward(const connection& from, std::uint64_t version, const bytes& packed_text);
-  void handle_read(const connection& from);
+  void handle_read(const connection& from, const std::string& target);
   void complete_when_applied(std::uint64_t version, store_callback done);
   void redirect(const connection& from, const std::string& target);
+  void redirect_to(const connection& from, const std::string& host,
+                   const std::string& target);
   [[nodiscard]] bool tolerates_losses() const;
 
   replica& group_;
--- a/tools/control/link_routing.cpp
+++ b/tools/control/link_routing.cpp
@@ -45,6 +45,18 @@
   on_routing_forwarded(request.version, std::move(request.packed_text), reply);
 }
 
+std::string link_service::find_reader() {
+  std::vector<std::string> hosts;
+  for (const auto& [connection, it] : subscribers_) {
+    if (!it.is_router && !it.host.empty() &&
+        it.version >= group_.state().routing_version) {
+      hosts.push_back(it.host);
+    }
+  }
+  std::sort(hosts.begin(), hosts.end());
+  return hosts.empty() ? std::string() : hosts[next_reader_++ % hosts.size()];
+}
+
 void link_service::when_state_is_newest(std::function<void(std::error_code)> done) {
   if (group_.is_leader()) {
     group_.confirm(std::move(done));
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -71,6 +71,7 @@
   peers_.on_unchanged_reports = [this](const std::vector<std::uint32_t>& it) {
     handle_peer_unchanged_reports(it);
   };
+  peers_.routing_version = [this] { return group_.state().routing_version; };
   peers_.on_members = [this](const std::set<std::string>& hosts) {
     if (on_members) {
       on_members(hosts);
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -64,6 +64,9 @@
                        std::function<void(bool)> done) {
     return peers_.forward_routing(version, packed_text, std::move(done));
   }
+  // Host of another connected control process that holds the newest version known here;
+  // empty if there is none. Takes turns among them.
+  [[nodiscard]] std::string find_reader();
   // Calls done when this process holds the routing version that a quorum confirms as
   // the newest, or with an error: errc::not_leader on the leader and
   // errc::control_unavailable elsewhere.
@@ -174,6 +177,7 @@
   time_point budgets_refilled_at_{};
   std::map<std::string, time_point> routers_; // time of the last frame by node id
   std::uint64_t observed_version_ = 0;
+  std::size_t next_reader_ = 0;
   time_point version_stored_at_{}; // when this process learned of observed_version_
   time_point next_primary_choice_{};
   std::uint64_t fleet_load_number_ = 0;
