--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -51,8 +51,22 @@
   // Address for the next reports of a server that reported over HTTP: a router when
   // such reports exceed their part of this VM's link, and none otherwise.
   std::optional<io::endpoint> next_report_address(const announced_server& server);
-  // Calls done when the version is in force at every connected gateway.
+  // Calls done when the version is in force at every connected gateway, or with false
+  // some time after it was stored.
   void when_version_applied(std::uint64_t version, acknowledged_callback done);
+  // Called for a compressed routing configuration that another control process forwards;
+  // done takes whether this version or a higher one is stored.
+  std::function<void(std::uint64_t version, bytes packed_text,
+                     std::function<void(bool)> done)>
+      on_routing_forwarded;
+  // See control_links::forward_routing().
+  bool forward_routing(std::uint64_t version, const bytes& packed_text,
+                       std::function<void(bool)> done) {
+    return peers_.forward_routing(version, packed_text, std::move(done));
+  }
+  // Host of another connected control process that holds the newest version known here;
+  // empty if there is none. Takes turns among them.
+  [[nodiscard]] std::string find_reader();
   // Calls done when this process holds the routing version that a quorum confirms as
   // the newest, or with an error: errc::not_leader on the leader and
   // errc::control_unavailable elsewhere.
@@ -106,6 +120,8 @@
   void refill_budgets(time_point now);
   void send_requested_texts();
   void confirm_routing_version(io::framed_connection* connection, std::uint64_t token);
+  void handle_forwarded_routing(io::framed_connection* connection,
+                                wire::ForwardRoutingT& request);
   void send_status(io::framed_connection* connection);
   [[nodiscard]] feed_progress& progress(subscriber& it, feed which) const;
   [[nodiscard]] bool receives(const subscriber& it, feed which) const;
@@ -161,6 +177,8 @@
   time_point budgets_refilled_at_{};
   std::map<std::string, time_point> routers_; // time of the last frame by node id
   std::uint64_t observed_version_ = 0;
+  std::size_t next_reader_ = 0;
+  time_point version_stored_at_{}; // when this process learned of observed_version_
   time_point next_primary_choice_{};
   std::uint64_t fleet_load_number_ = 0;
   part_demand part_demand_;
