Redirect only reads that would occupy the leader's link

The leader now redirects a read only if the text would take more than 0.1 s of its link, and logs it.

--- a/tools/control/api.cpp
+++ b/tools/control/api.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// A quarter of the interval between heartbeats of a link.
+constexpr double max_leader_read_ms = 100;
+
 // A configuration of hundreds of routes takes a few hundred kilobytes.
 constexpr std::uint64_t max_body_bytes = 8U << 20U;
 
@@ -219,12 +222,21 @@
       });
 }
 
-// Served by followers where possible: a large configuration saturates a slow link, and
-// the group's heartbeats, commits and confirmations pass over the leader's.
+// Large texts are read from followers where possible: the group's heartbeats, commits and
+// confirmations pass over the leader's link.
 void api::handle_read(const connection& from, const std::string& target) {
-  if (const auto host = links_.find_reader(); group_.is_leader() && !host.empty()) {
-    redirect_to(from, host, target);
-    return;
+  if (group_.is_leader() && group_.state().routing_version != 0) {
+    const auto text = io::decompress_text(group_.state().routing_packed_text);
+    const auto host =
+        links_.send_time_ms(text.size()) > max_leader_read_ms ? links_.find_reader() : "";
+    if (!host.empty()) {
+      io::log_event(io::log_level::info, "routing_read",
+                    {{"version", std::to_string(group_.state().routing_version)},
+                     {"leads", "true"},
+                     {"result", "redirected to " + host}});
+      redirect_to(from, host, target);
+      return;
+    }
   }
   links_.when_state_is_newest([this, from](std::error_code ec) {
     io::log_event(io::log_level::info, "routing_read",
--- a/tools/control/link_routing.cpp
+++ b/tools/control/link_routing.cpp
@@ -45,6 +45,10 @@
   on_routing_forwarded(request.version, std::move(request.packed_text), reply);
 }
 
+double link_service::send_time_ms(std::size_t bytes) const {
+  return static_cast<double>(bytes) / limits_.link_bytes_per_ms;
+}
+
 std::string link_service::find_reader() {
   std::vector<std::string> hosts;
   for (const auto& [connection, it] : subscribers_) {
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -64,6 +64,8 @@
                        std::function<void(bool)> done) {
     return peers_.forward_routing(version, packed_text, std::move(done));
   }
+  // Time in which this VM's network link transmits so many bytes.
+  [[nodiscard]] double send_time_ms(std::size_t bytes) const;
   // Host of another connected control process that holds the newest version known here;
   // empty if there is none. Takes turns among them.
   [[nodiscard]] std::string find_reader();
