--- a/tests/programs/platform_control_test.cpp
+++ b/tests/programs/platform_control_test.cpp
@@ -283,6 +283,8 @@
     REQUIRE(wait_until([&] { return starts_with_status(read(), "307"); }));
     CHECK(read().find("/v1/Config.Read\r\n") != std::string::npos);
   } else {
+    // Until the followers have reported that they hold the version.
+    run_event_loop(std::chrono::milliseconds(1000));
     CHECK(read().ends_with(routing_text(5)));
   }
   it.kill(2);
