--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -86,6 +86,7 @@
   void handle_end();
   void fail(exchange_failure why);
   void end_exchange();
+  void log_unexpected_bytes(std::string_view when, std::size_t n) const;
   void clear_callbacks();
   [[nodiscard]] bool was_closed_orderly() const;
 
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -2,6 +2,7 @@
 
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/http_status.h"
+#include "marigoldstep/io/logging.h"
 
 #include <QHostAddress>
 #include <QPointer>
@@ -148,6 +149,7 @@
   input_.append(chunk.constData(), static_cast<std::size_t>(chunk.size()));
   if (!busy_) {
     // No request is in progress, so these bytes belong to none.
+    log_unexpected_bytes("idle", input_.size());
     abort();
     if (on_idle_closed) {
       on_idle_closed();
@@ -203,11 +205,24 @@
       continue;
     }
     keep_alive_ = parser_.head().keep_alive;
+    if (!input_.empty()) {
+      log_unexpected_bytes("after a response", input_.size());
+    }
     end_exchange();
     return;
   }
 }
 
+// The connection is not used again after such bytes.
+void backend_connection::log_unexpected_bytes(std::string_view when,
+                                              std::size_t n) const {
+  log_event(log_level::warning, "unexpected_bytes",
+            {{"server", target_.host + ":" + std::to_string(target_.port)},
+             {"when", std::string(when)},
+             {"bytes", std::to_string(n)},
+             {"exchanges", std::to_string(exchange_count_)}});
+}
+
 // The callbacks are cleared first, because on_done may send the next request.
 void backend_connection::end_exchange() {
   busy_ = false;
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -238,6 +238,16 @@
     it.connection->skip_response();
     return;
   }
+  if (metadata.request_id.empty()) {
+    io::log_event(
+        io::log_level::warning, "response_without_id",
+        {{"request_id", call_.request_id},
+         {"server", it.server.id},
+         {"status", std::to_string(head.status)},
+         {"signed", metadata.is_signed ? "true" : "false"},
+         {"not_run", metadata.not_run ? "true" : "false"},
+         {"first_exchange", it.connection->is_first_exchange() ? "true" : "false"}});
+  }
   it.metadata = metadata;
   it.head = head;
   it.has_head = true;
