Give each HEAD request a backend connection of its own

Callers saw: a lost response (502), and on unfortunate lengths bytes of another response. Cause: a second response is framed by the request that it answers. That of a HEAD request announces a length and has no body, so on a shared connection the next response was read as that body; behind a GET, the body of its second response was read as the next head. Before, "a request and one without a response body don't share a connection" counted one connection for both orders; now two.

--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -71,7 +71,8 @@
   [[nodiscard]] bool is_open() const { return state_ == state::open; }
   [[nodiscard]] bool is_first_exchange() const { return exchange_count_ <= 1; }
   // Whether another request may follow: the last response was complete, no bytes came
-  // after it, and the whole request was written.
+  // after it, and the whole request was written. Not after a HEAD request: a second
+  // response to it has a length but no body, so its end would be found too late.
   [[nodiscard]] bool is_reusable() const;
 
   // Closed, or received unexpected bytes, while idle; set by the pool.
@@ -116,6 +117,8 @@
   // Returns an idle connection that its server keeps open for at least another second,
   // or a new one.
   backend_connection* acquire(const endpoint& target);
+  // Returns a new connection.
+  backend_connection* open(const endpoint& target);
   // Returns a connection to the pool after a complete response. The server keeps it
   // open for idle_timeout; at most max_idle connections are kept per server.
   void release(backend_connection* connection, milliseconds idle_timeout,
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -310,8 +310,8 @@
 }
 
 bool backend_connection::is_reusable() const {
-  return state_ == state::open && !busy_ && keep_alive_ && input_.empty() &&
-         socket_->bytesAvailable() == 0 && socket_->bytesToWrite() == 0;
+  return state_ == state::open && !busy_ && keep_alive_ && !is_head_request_ &&
+         input_.empty() && socket_->bytesAvailable() == 0 && socket_->bytesToWrite() == 0;
 }
 
 backend_pool::backend_pool(QObject* parent) : QObject(parent) {
@@ -332,6 +332,10 @@
     }
     discard(it.connection);
   }
+  return open(target);
+}
+
+backend_connection* backend_pool::open(const endpoint& target) {
   ++connect_count_;
   return new backend_connection(target, connect_timeout, this);
 }
--- a/tests/programs/gateway_response_test.cpp
+++ b/tests/programs/gateway_response_test.cpp
@@ -82,8 +82,7 @@
   CHECK(it.subject->pool.connects() == 2);
 }
 
-TEST_CASE("a request and one without a response body don't share a connection",
-          "[.known-red]") {
+TEST_CASE("a request and one without a response body don't share a connection") {
   const auto head_only = response_text("12345").substr(0, response_text("").size());
   const bool head_first = GENERATE(true, false);
   gateway_fixture it({{{write_text(head_first ? head_only : response_text("12345"))},
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -204,7 +204,11 @@
   if (state_.response_started) {
     added.last_event = last_event_;
   }
-  it.connection = owner_.pool.acquire({server.host, server.port});
+  // A second response to an earlier request would be taken to end with its head.
+  const bool is_head_request = request_.head.method == "HEAD";
+  const io::endpoint target{server.host, server.port};
+  it.connection =
+      is_head_request ? owner_.pool.open(target) : owner_.pool.acquire(target);
   it.connection->may_send = [this] {
     return may_send_to(owner_.dispatch, attempt_->server, io::now());
   };
@@ -217,7 +221,7 @@
   auto* connection = it.connection;
   attempt_ = std::move(it);
   connection->send(platform::make_backend_request(request_.head, request_.body, added),
-                   request_.head.method == "HEAD");
+                   is_head_request);
 }
 
 bool relay::is_forwardable_response() const {
