Log the software version of servers and which request a caller resumes

The version that a server reports now reaches the gateways; a report that lacks it, from a process of an older build, doesn't make the known version of a start unknown. Nothing is routed by it yet.

--- a/include/marigoldstep/relay_policy.h
+++ b/include/marigoldstep/relay_policy.h
@@ -21,6 +21,9 @@
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_response_tokens = 0;
   std::optional<std::uint64_t> last_event; // id after which the caller resumes a stream
+  // Id of the caller's request that brought the first event of that stream; empty when
+  // none was sent.
+  std::string resumed_request;
 };
 
 // Metadata of a backend server's response.
--- a/include/marigoldstep/server_directory.h
+++ b/include/marigoldstep/server_directory.h
@@ -28,6 +28,9 @@
   std::uint32_t slots = 0;
   announced_state state = announced_state::ready;
   milliseconds warmup_left{0}; // remaining time with reduced performance
+  // Of its software, without an order; empty if unknown. Events of one stream come from
+  // servers of one version.
+  std::string version;
 
   friend bool operator==(const announced_server&, const announced_server&) = default;
 };
--- a/src/io/link_messages.cpp
+++ b/src/io/link_messages.cpp
@@ -168,6 +168,7 @@
   out.slots = entry.slots;
   out.state = static_cast<announced_state>(entry.state);
   out.warmup_left = milliseconds(entry.warmup_ms);
+  out.version = entry.version;
   return out;
 }
 
@@ -182,6 +183,7 @@
   out.host = server.host;
   out.port = server.port;
   out.slots = server.slots;
+  out.version = server.version;
   out.state = static_cast<wire::AnnouncedState>(server.state);
   out.warmup_ms = static_cast<std::uint32_t>(server.warmup_left.count());
   out.silent_ms = static_cast<std::uint32_t>(
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -53,6 +53,14 @@
   return server;
 }
 
+// A sender of an older build leaves out the version, which one start never changes.
+announced_server merge_version(const announced_server& known, announced_server server) {
+  if (server.version.empty() && server.started == known.started) {
+    server.version = known.version;
+  }
+  return server;
+}
+
 } // namespace
 
 std::string_view name(announced_state state) {
@@ -70,7 +78,8 @@
 bool routing_differs(const announced_server& left, const announced_server& right) {
   return left.started != right.started || left.state != right.state ||
          left.service != right.service || !same_address(left, right) ||
-         left.slots != right.slots || left.zone != right.zone;
+         left.slots != right.slots || left.zone != right.zone ||
+         left.version != right.version;
 }
 
 directory_change apply_report(server_directory& directory, const announced_server& server,
@@ -106,7 +115,8 @@
   auto& entry = directory.entries[report.id];
   const auto before = entry.server;
   release_address(directory, before);
-  entry.server = known ? merge_deregistration(before, report) : report;
+  entry.server =
+      known ? merge_version(before, merge_deregistration(before, report)) : report;
   if (entry.server.state != announced_state::gone) {
     directory.id_by_address[address_of(entry.server)] = entry.server.id;
   }
--- a/tests/platform_messages_test.cpp
+++ b/tests/platform_messages_test.cpp
@@ -109,15 +109,18 @@
   CHECK(server->port == 80);
   CHECK(server->state == announced_state::ready);
   CHECK(server->warmup_left == milliseconds(5));
-  const auto invalid =
-      GENERATE(std::string("{"), std::string("5"), std::string("{}"),
-               replace_once(valid_heartbeat, "\"ready\"", "\"sleeping\""),
-               replace_once(valid_heartbeat, "\"10.0.0.9:80\"", "\"10.0.0.9\""),
-               replace_once(valid_heartbeat, "\"10.0.0.9:80\"", "7"),
-               replace_once(valid_heartbeat, "\"seq\":4", "\"seq\":\"4\""),
-               replace_once(valid_heartbeat, "\"slots\":6", "\"slots\":null"),
-               replace_once(valid_heartbeat, "\"service\":\"s\"", "\"service\":[]"),
-               replace_once(valid_heartbeat, "1700000000123", "\"soon\""));
+  CHECK(server->version == "v1");
+  const auto invalid = GENERATE(
+      std::string("{"), std::string("5"), std::string("{}"),
+      replace_once(valid_heartbeat, "\"ready\"", "\"sleeping\""),
+      replace_once(valid_heartbeat, "\"v1\"", "1"),
+      replace_once(valid_heartbeat, "\"v1\"", "\"" + std::string(129, 'v') + "\""),
+      replace_once(valid_heartbeat, "\"10.0.0.9:80\"", "\"10.0.0.9\""),
+      replace_once(valid_heartbeat, "\"10.0.0.9:80\"", "7"),
+      replace_once(valid_heartbeat, "\"seq\":4", "\"seq\":\"4\""),
+      replace_once(valid_heartbeat, "\"slots\":6", "\"slots\":null"),
+      replace_once(valid_heartbeat, "\"service\":\"s\"", "\"service\":[]"),
+      replace_once(valid_heartbeat, "1700000000123", "\"soon\""));
   CHECK_FALSE(platform::parse_heartbeat("i-1", invalid));
   CHECK_FALSE(platform::parse_heartbeat("", valid_heartbeat));
 }
--- a/tests/server_directory_test.cpp
+++ b/tests/server_directory_test.cpp
@@ -55,6 +55,29 @@
   CHECK(state_of(directory, "a") == announced_state::draining);
 }
 
+TEST_CASE("a report without a version doesn't make the version of a start unknown") {
+  server_directory directory;
+  auto server = make_server("a", 1, 1);
+  server.version = "v1";
+  report(directory, server);
+  report(directory, make_server("a", 1, 2));
+  CHECK(directory.entries.at("a").server.version == "v1");
+  report(directory, make_server("a", 1, 3, announced_state::gone));
+  CHECK(directory.entries.at("a").server.version == "v1");
+  report(directory, make_server("a", 2, 1));
+  CHECK(directory.entries.at("a").server.version.empty());
+}
+
+TEST_CASE("a start with another version is a change") {
+  server_directory directory;
+  report(directory, make_server("a", 1, 1));
+  auto server = make_server("a", 1, 2);
+  server.version = "v1";
+  CHECK(report(directory, server) == directory_change::changed);
+  server.sequence = 3;
+  CHECK(report(directory, server) == directory_change::refreshed);
+}
+
 TEST_CASE("a deregistered server stays gone until it restarts") {
   server_directory directory;
   report(directory, make_server("a", 1, 5));
--- a/tools/control/link_servers.cpp
+++ b/tools/control/link_servers.cpp
@@ -46,6 +46,7 @@
                    {"service", server.service},
                    {"address", server.host + ":" + std::to_string(server.port)},
                    {"state", std::string(name(server.state))},
+                   {"version", server.version},
                    {"started", std::to_string(server.started)},
                    {"sequence", std::to_string(server.sequence)}});
   }
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -264,6 +264,7 @@
                   {{"server", server.id},
                    {"service", server.service},
                    {"state", std::string(name(server.state))},
+                   {"version", server.version},
                    {"started", std::to_string(server.started)},
                    {"sequence", std::to_string(server.sequence)}});
     if (server.state != announced_state::ready) {
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -185,9 +185,12 @@
        {"load:" + std::to_string(choice.load),
         "candidates:" + std::to_string(choice.candidates),
         "routing:" + std::to_string(table_->config.version),
+        "version:" + (server.version.empty() ? std::string("unknown") : server.version),
         "copy_from:" +
             (choice.copy_from == nullptr ? std::string("none") : choice.copy_from->id),
-        "resume_after:" + (last_event_ ? std::to_string(*last_event_) : "none")}});
+        "resume_after:" + (last_event_ ? std::to_string(*last_event_) : "none"),
+        "resumes:" + (call_.resumed_request.empty() ? std::string("none")
+                                                    : call_.resumed_request)}});
   platform::attempt_fields added;
   added.server_id = server.id;
   added.workspace = workspace_;
