Resume a stream only at servers of the version that began it

Callers saw: a stream that they resume at another gateway goes on with events of another software version. Cause: the version that began a stream was known nowhere, so a resume went to any server.

Where a caller resumes a stream, the gateway looks in its own memory and then asks all control processes. If none knows it, the resume goes on only if the service's servers have had one version for as long as the stream may have lasted, in touch with control all the while; otherwise it is refused at once as not run. A record never changes, so the first one found counts. Records are soft state of limited number and age; gateways send them only to control processes that say they understand them.

Before, "a resume of an unknown stream is refused while two versions serve" was sent to a server in both cases; now refused. New tests for the recorded, the local and the sole version, for control that doesn't answer and for streams that break while their first event is held. Two cases of gateway_stream_test resume a stream by Last-Event-Id alone; they now name the request that began it, as callers do.

--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -36,6 +36,7 @@
 #include "marigoldstep/routing.h"
 #include "marigoldstep/server_directory.h"
 #include "marigoldstep/server_notice.h"
+#include "marigoldstep/stream_origins.h"
 #include "marigoldstep/types.h"
 #include "marigoldstep/verdict.h"
 #include "marigoldstep/view_repair.h"
--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -76,6 +76,18 @@
   // every process that needs the change has it; with false when that fails or no
   // reply comes in time.
   void report(const announced_server& server, std::function<void(bool)> done);
+  // Records at control which software version began a stream. Calls done with true once
+  // one control process has it; with false when none keeps such records or no reply comes
+  // in time. stream: from stream_key().
+  void record_stream(std::uint64_t stream, const std::string& version, milliseconds keep,
+                     std::function<void(bool)> done);
+  // Asks every control process for the version that began a stream. Calls done once, with
+  // the first version found, or without one when none knows it or replies in time.
+  void find_stream(std::uint64_t stream,
+                   std::function<void(std::optional<std::string>)> done);
+  // Whether a link to a control process that knows a leader has been open, without a gap,
+  // for so long.
+  [[nodiscard]] bool has_leader_since(milliseconds age) const;
   // Sends the hashes of servers whose report changed nothing. Returns false when no
   // control process is connected that knows a leader.
   bool send_unchanged_reports(const std::vector<std::uint32_t>& servers);
@@ -105,6 +117,7 @@
     bool is_open = false;
     bool is_leader = false;
     bool has_leader = false;
+    bool keeps_streams = false;
     milliseconds heartbeat{}; // interval that the other side requests
     time_point next_ack_at{};
     std::uint64_t version = 0;
@@ -135,6 +148,10 @@
   void expire_confirmations(time_point now);
   void complete_forward(std::uint64_t token, bool settled);
   void expire_forwards(time_point now);
+  void handle_stream_found(const std::string& host, const wire::StreamFoundT& reply);
+  void end_search_at(const std::string& host);
+  void expire_searches(time_point now);
+  void update_leader_time(time_point now);
 
   link_settings settings_;
   std::set<std::string> members_;
@@ -159,6 +176,13 @@
     std::function<void(bool)> done;
   };
   std::map<std::uint64_t, pending_forward> forwards_; // by token
+  struct stream_search {
+    std::set<std::string> hosts; // that have not replied yet
+    time_point deadline{};
+    std::function<void(std::optional<std::string>)> done;
+  };
+  std::map<std::uint64_t, stream_search> searches_; // by token
+  std::optional<time_point> leader_known_since_;
   std::uint64_t next_token_ = 1;
   time_point newer_known_since_{}; // when a process first offered a newer version
   bool has_initial_servers_ = false;
--- /dev/null
+++ b/src/io/control_link_streams.cpp
@@ -0,0 +1,128 @@
+// Records of the software versions that began streams, kept by control processes.
+#include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/control_links.h"
+
+#include <algorithm>
+
+namespace marigoldstep::io {
+
+namespace {
+
+// A record survives the loss of the gateway that sent it together with one control
+// process.
+constexpr std::size_t record_copies = 2;
+constexpr auto record_timeout = milliseconds(1000);
+// A reply takes one round trip. The caller waits, and is refused without one.
+constexpr auto search_timeout = milliseconds(250);
+
+} // namespace
+
+// The stream's hash decides which control processes get it, which spreads the records.
+void control_links::record_stream(std::uint64_t stream, const std::string& version,
+                                  milliseconds keep, std::function<void(bool)> done) {
+  std::vector<std::pair<std::uint64_t, link*>> targets;
+  for (auto& [host, it] : links_) {
+    if (it.is_open && it.keeps_streams) {
+      targets.emplace_back(stable_hash(host, stream), &it);
+    }
+  }
+  if (targets.empty()) {
+    done(false);
+    return;
+  }
+  std::sort(targets.begin(), targets.end());
+  targets.resize(std::min(targets.size(), record_copies));
+  wire::RecordStreamT message;
+  message.token = next_token_++;
+  message.stream = stream;
+  message.version = version;
+  message.keep_ms = static_cast<std::uint32_t>(keep.count());
+  forwards_[message.token] = {io::now() + record_timeout, std::move(done)};
+  const auto buf = wire::encode_link(std::move(message));
+  for (const auto& [score, it] : targets) {
+    it->connection->send(buf);
+  }
+}
+
+void control_links::find_stream(std::uint64_t stream,
+                                std::function<void(std::optional<std::string>)> done) {
+  wire::FindStreamT message;
+  message.token = next_token_++;
+  message.stream = stream;
+  stream_search search;
+  search.deadline = io::now() + search_timeout;
+  search.done = std::move(done);
+  const auto buf = wire::encode_link(message);
+  for (auto& [host, it] : links_) {
+    if (it.is_open && it.keeps_streams) {
+      search.hosts.insert(host);
+      it.connection->send(buf);
+    }
+  }
+  if (search.hosts.empty()) {
+    search.done(std::nullopt);
+    return;
+  }
+  searches_[message.token] = std::move(search);
+}
+
+void control_links::handle_stream_found(const std::string& host,
+                                        const wire::StreamFoundT& reply) {
+  const auto it = searches_.find(reply.token);
+  if (it == searches_.end()) {
+    return;
+  }
+  it->second.hosts.erase(host);
+  if (!reply.found && !it->second.hosts.empty()) {
+    return;
+  }
+  const auto done = std::move(it->second.done);
+  searches_.erase(it);
+  done(reply.found ? std::optional(reply.version) : std::nullopt);
+}
+
+// A link that was lost brings no reply.
+void control_links::end_search_at(const std::string& host) {
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [token, it] : searches_) {
+    if (it.hosts.contains(host)) {
+      waiting.push_back(token);
+    }
+  }
+  for (const auto token : waiting) {
+    wire::StreamFoundT reply;
+    reply.token = token;
+    handle_stream_found(host, reply);
+  }
+}
+
+void control_links::expire_searches(time_point now) {
+  std::vector<std::function<void(std::optional<std::string>)>> ended;
+  std::erase_if(searches_, [&](auto& it) {
+    if (now < it.second.deadline) {
+      return false;
+    }
+    ended.push_back(std::move(it.second.done));
+    return true;
+  });
+  for (const auto& done : ended) {
+    done(std::nullopt);
+  }
+}
+
+void control_links::update_leader_time(time_point now) {
+  const bool knows_leader = std::any_of(links_.begin(), links_.end(), [](const auto& it) {
+    return it.second.is_open && it.second.has_leader;
+  });
+  if (!knows_leader) {
+    leader_known_since_.reset();
+  } else if (!leader_known_since_) {
+    leader_known_since_ = now;
+  }
+}
+
+bool control_links::has_leader_since(milliseconds age) const {
+  return leader_known_since_ && io::now() - *leader_known_since_ >= age;
+}
+
+} // namespace marigoldstep::io
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -125,6 +125,7 @@
   it.connection->deleteLater();
   it = {};
   it.retry_at = io::now() + retry_delay;
+  end_search_at(host);
 }
 
 void control_links::tick() {
@@ -147,6 +148,8 @@
   }
   expire_confirmations(now);
   expire_forwards(now);
+  expire_searches(now);
+  update_leader_time(now);
   fetch_newer();
 }
 
@@ -205,6 +208,10 @@
     complete_forward(result->token, result->settled);
   } else if (const auto* stored = frame->body.AsRoutingSettled()) {
     complete_forward(stored->token, stored->settled);
+  } else if (const auto* recorded = frame->body.AsStreamRecorded()) {
+    complete_forward(recorded->token, true);
+  } else if (const auto* found = frame->body.AsStreamFound()) {
+    handle_stream_found(host, *found);
   } else if (auto* text = frame->body.AsRoutingText()) {
     forward_to_routers(*text);
     handle_routing(*text);
@@ -320,6 +327,7 @@
   auto& it = links_.at(host);
   it.is_leader = status.leads;
   it.has_leader = status.has_leader;
+  it.keeps_streams = status.keeps_streams;
   if (status.leads && on_leader_status) {
     on_leader_status(status.routers, milliseconds(status.load_interval_ms));
   }
--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -54,6 +54,11 @@
   // Announces all servers but the first as silent, so that the gateway tries the first
   // one first. Among servers that are not silent it chooses at random.
   bool others_silent = true;
+  // Versions that began streams, by stream_key(), and whether they are recorded and
+  // found.
+  std::map<std::uint64_t, std::string> streams;
+  bool confirms_streams = true;
+  bool finds_streams = true;
 
   [[nodiscard]] std::uint16_t first_port() const {
     return static_cast<std::uint16_t>(listener_.port() -
@@ -94,13 +99,35 @@
       text.version = version;
       text.packed_text = io::compress_text(routing_text(version));
       to.send(wire::encode_link(std::move(text)));
+    } else if (const auto* record = frame->body.AsRecordStream()) {
+      streams[record->stream] = record->version;
+      if (confirms_streams) {
+        wire::StreamRecordedT reply;
+        reply.token = record->token;
+        to.send(wire::encode_link(reply));
+      }
+    } else if (const auto* search = frame->body.AsFindStream()) {
+      send_stream(to, *search);
+    }
+  }
+
+  void send_stream(io::framed_connection& to, const wire::FindStreamT& search) {
+    if (!finds_streams) {
+      return;
     }
+    const auto it = streams.find(search.stream);
+    wire::StreamFoundT reply;
+    reply.token = search.token;
+    reply.found = it != streams.end();
+    reply.version = reply.found ? it->second : "";
+    to.send(wire::encode_link(std::move(reply)));
   }
 
   void send_status(io::framed_connection& to) {
     wire::GroupStatusT status;
     status.control_hosts = {"127.0.0.1"};
     status.leads = status.has_leader = status.confirmed = true;
+    status.keeps_streams = true;
     status.routing_version = version;
     // Without a router count the gateway may not use its share of the fleet's retry
     // budget.
--- a/tests/programs/gateway_stream_test.cpp
+++ b/tests/programs/gateway_stream_test.cpp
@@ -60,12 +60,13 @@
       GENERATE("i", "id", "id: ", "id: 4", "id: 4\n", "id: 4\nda", "id: 4\ndata: e4",
                "id: 4\ndata: e4\n", ": note", "\n");
   const std::string before = GENERATE("", "id: 3\ndata: e3\n\n");
-  const std::string fields = GENERATE("", "Last-Event-Id: 3\r\n");
+  const std::string fields = GENERATE("", "Last-Event-Id: 3\r\nResumes: r0\r\n");
   CAPTURE(cut, before, fields);
   gateway_fixture it(
       {{{write_text(stream_head() + chunk(before + cut)), pause_script(50),
          reset_connection()}},
        {{write_text(stream_head() + chunk(event(4) + event(5)) + last_chunk)}}});
+  it.control.streams[stream_key("s", "r0")] = "";
   const auto result = read_stream(it, "/resume/", fields);
   CHECK(result.is_complete);
   const bool has_third = !before.empty() && fields.empty();
--- a/tests/programs/gateway_version_test.cpp
+++ b/tests/programs/gateway_version_test.cpp
@@ -11,16 +11,17 @@
 
 const std::string last_chunk = "0\r\n\r\n";
 
-// Announces the servers with these versions, all of them as reporting.
+// Announces a new start of each server with these versions, all of them as reporting.
 void announce_versions(gateway_fixture& it, const std::vector<std::string>& versions) {
   for (std::size_t i = 0; i < versions.size(); ++i) {
     it.control.servers[i].version = versions[i];
-    it.control.servers[i].sequence = 2;
+    ++it.control.servers[i].started;
   }
   it.control.broadcast_servers();
   REQUIRE(wait_until([&] {
     const auto& entries = it.subject->directory.entries;
-    return entries.at(it.control.servers.back().id).server.version == versions.back();
+    const auto& last = it.control.servers.back();
+    return entries.at(last.id).server.started == last.started;
   }));
 }
 
@@ -46,6 +47,14 @@
   return caller.received;
 }
 
+// Waits a second, with heartbeats of control.
+void wait_in_touch(gateway_fixture& it) {
+  for (int i = 0; i < 4; ++i) {
+    run_event_loop(std::chrono::milliseconds(250));
+    it.control.broadcast_status();
+  }
+}
+
 bool has(const std::string& text, const std::string& part) {
   return text.find(part) != std::string::npos;
 }
@@ -68,8 +77,7 @@
   CHECK(response.ends_with("\r\n" + last_chunk) == other_is_left);
 }
 
-TEST_CASE("a resume of an unknown stream is refused while two versions serve",
-          "[.known-red]") {
+TEST_CASE("a resume of an unknown stream is refused while two versions serve") {
   gateway_fixture it({{whole_stream(event(2))}, {whole_stream(event(2))}});
   announce_versions(it, {"v1", "v2"});
   const auto fields = GENERATE(resume_fields("r0"), std::string("Last-Event-Id: 1\r\n"));
@@ -79,3 +87,71 @@
   CHECK(it.servers[0]->requests.empty());
   CHECK(it.servers[1]->requests.empty());
 }
+
+TEST_CASE("a caller resumes a stream only at the version that began it") {
+  const std::string version = GENERATE("v1", "v2", "v3");
+  gateway_fixture it({{whole_stream(event(2))}, {whole_stream(event(2))}});
+  announce_versions(it, {"v1", "v2"});
+  it.control.streams[stream_key("s", "r0")] = version;
+  const auto response = read_stream(it, "r1", resume_fields("r0"));
+  CHECK(response.starts_with(version == "v3" ? "HTTP/1.1 503 " : "HTTP/1.1 200 "));
+  CHECK(it.servers[0]->requests.size() == (version == "v1" ? 1 : 0));
+  CHECK(it.servers[1]->requests.size() == (version == "v2" ? 1 : 0));
+}
+
+TEST_CASE("a stream that began at this gateway resumes without control") {
+  gateway_fixture it({{cut_stream(event(1)), whole_stream(event(2))}, {}, {}});
+  announce_versions(it, {"v1", "v2", "v2"});
+  CHECK(has(read_stream(it, "r0"), event(1)));
+  it.control.finds_streams = false;
+  CHECK(has(read_stream(it, "r1", resume_fields("r0")), event(2)));
+  CHECK(it.servers[1]->requests.size() + it.servers[2]->requests.size() == 0);
+}
+
+TEST_CASE("control has the version of a stream before its caller gets an event") {
+  gateway_fixture it({{whole_stream(event(1))}});
+  announce_versions(it, {"v1"});
+  it.control.confirms_streams = GENERATE(true, false);
+  test_caller caller(it.address);
+  caller.send(request_text("POST", "/resume/", "r0"));
+  REQUIRE(caller.wait_for(event(1)));
+  CHECK(it.control.streams.at(stream_key("s", "r0")) == "v1");
+}
+
+TEST_CASE("a first event waits for a record that isn't confirmed for a short time only") {
+  gateway_fixture it({{{write_text(stream_head() + chunk(event(1))), pause_script(400),
+                        write_text(chunk(event(2)) + last_chunk)}}});
+  announce_versions(it, {"v1"});
+  it.control.confirms_streams = false;
+  test_caller caller(it.address);
+  caller.send(request_text("POST", "/resume/", "r0"));
+  const auto sent_at = io::now();
+  REQUIRE(caller.wait_for(event(1)));
+  CHECK(io::now() - sent_at < milliseconds(200));
+  CHECK(caller.wait_for(event(2)));
+}
+
+TEST_CASE("events that wait for their record are forwarded when the stream breaks") {
+  gateway_fixture it({{cut_stream(event(1))}, {}});
+  announce_versions(it, {"v1", "v2"});
+  it.control.confirms_streams = false;
+  const auto response = read_stream(it, "r0");
+  CHECK(has(response, event(1)));
+  CHECK_FALSE(response.ends_with("\r\n" + last_chunk));
+  CHECK(it.servers[1]->requests.empty());
+}
+
+TEST_CASE("an unknown stream goes on where one version alone has served for long") {
+  gateway_fixture it({{whole_stream(event(2))}, {}});
+  const bool other_version_served = GENERATE(false, true);
+  announce_versions(it, {"v1", "v1"});
+  // Together more than twice the timeout of the route.
+  wait_in_touch(it);
+  if (other_version_served) {
+    announce_versions(it, {"v1", "v2"});
+    announce_versions(it, {"v1", "v1"});
+  }
+  wait_in_touch(it);
+  const auto response = read_stream(it, "r1", resume_fields("r0"));
+  CHECK(response.starts_with(other_version_served ? "HTTP/1.1 503 " : "HTTP/1.1 200 "));
+}
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -166,6 +166,10 @@
     handle_unchanged_reports(connection, heard->servers);
   } else if (const auto* report = frame->body.AsReportServer()) {
     handle_router_report(connection, *report);
+  } else if (const auto* record = frame->body.AsRecordStream()) {
+    handle_stream_record(connection, *record);
+  } else if (const auto* search = frame->body.AsFindStream()) {
+    handle_stream_search(connection, *search);
   }
 }
 
@@ -215,6 +219,7 @@
     status.control_hosts = std::move(hosts);
   }
   status.leads = group_.is_leader();
+  status.keeps_streams = true;
   status.routing_version = group_.state().routing_version;
   status.confirmed = to.confirmed;
   status.routers = static_cast<std::uint32_t>(routers_.size());
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -6,6 +6,7 @@
 #include "marigoldstep/io/control_links.h"
 #include "marigoldstep/io/framed_connection.h"
 #include "marigoldstep/server_directory.h"
+#include "marigoldstep/stream_origins.h"
 
 #include <QTimer>
 
@@ -25,7 +26,8 @@
 };
 
 // Publishes the routing configuration, the announced backend servers and the load of
-// the fleet to gateways, and the announced servers to the other control processes. Here,
+// the fleet to gateways, and the announced servers to the other control processes. Keeps
+// in memory which software version began each stream that callers may resume. Here,
 // router means a gateway; agents and the routers in front of them connect to service.h.
 class link_service : public QObject {
 public:
@@ -140,6 +142,10 @@
   void handle_peer_unchanged_reports(const std::vector<std::uint32_t>& servers);
   void handle_router_report(io::framed_connection* connection,
                             const wire::ReportServerT& report);
+  void handle_stream_record(io::framed_connection* connection,
+                            const wire::RecordStreamT& record);
+  void handle_stream_search(io::framed_connection* connection,
+                            const wire::FindStreamT& search);
   void index_server(const std::string& id);
   // Sends a message to subscribers. Large messages go to some routers, which forward
   // them, to save bandwidth of this process's link. Returns the bytes sent.
@@ -164,6 +170,7 @@
   std::uint16_t reports_port_; // port for reports on routers
   link_limits limits_;
   server_directory directory_;
+  stream_origins origins_;
   std::map<io::framed_connection*, subscriber> subscribers_;
   change_feed reported_;
   change_feed repeated_;
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -145,6 +145,9 @@
     if (links_.is_server_reporting(io::server_hash(id))) {
       entry.last_seen = now;
     }
+    if (entry.server.state != announced_state::gone) {
+      record_version(versions_, entry.server, now);
+    }
   }
 }
 
@@ -267,8 +270,9 @@
                    {"version", server.version},
                    {"started", std::to_string(server.started)},
                    {"sequence", std::to_string(server.sequence)}});
+    const auto& known = directory.entries.at(server.id).server;
+    record_version(versions_, known, now);
     if (server.state != announced_state::ready) {
-      const auto& known = directory.entries.at(server.id).server;
       pool.close_idle({known.host, known.port});
     }
   }
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "marigoldstep/io/http_connection.h"
 #include "marigoldstep/retry_share.h"
 #include "marigoldstep/routing.h"
+#include "marigoldstep/stream_origins.h"
 
 #include <QObject>
 #include <QPointer>
@@ -50,6 +51,18 @@
   [[nodiscard]] bool may_start_request(milliseconds timeout) const;
 
   dispatch_choice choose_backend(const dispatch_request& request);
+  // Records which version began the stream of a request, here and at control. Calls done
+  // once control has it, or when it can't be recorded there.
+  void record_stream(const std::string& service, const std::string& request_id,
+                     const std::string& version, milliseconds keep,
+                     std::function<void(bool)> done);
+  // Calls done with the version that began the stream of a request: as recorded here or
+  // at control, or the only one that the service's servers have had since the stream may
+  // have begun. Without a version if neither is known. window: how long a stream may be
+  // resumed.
+  void find_stream(const std::string& service, const std::string& request_id,
+                   milliseconds window,
+                   std::function<void(std::optional<std::string>)> done);
   // Number of idle connections to keep to a server of the service.
   [[nodiscard]] std::size_t idle_connections(const std::string& service,
                                              const std::string& server) const;
@@ -68,6 +81,8 @@
   void tick();
   void send_load();
   void refresh_last_seen();
+  [[nodiscard]] std::optional<std::string> find_sole_version(const std::string& service,
+                                                             milliseconds window) const;
   void remove_silent_servers();
   void update_readiness();
   void check_stop();
@@ -88,6 +103,8 @@
   time_point fleet_load_received_at_{};
   bool has_fleet_load_ = false;
   std::vector<std::pair<time_point, std::uint32_t>> router_counts_;
+  stream_origins origins_; // of streams that began here
+  version_history versions_;
   std::function<void()> on_stopped_;
   time_point stop_deadline_{};
   time_point stop_started_at_{};
--- a/tools/gateway/metrics.cpp
+++ b/tools/gateway/metrics.cpp
@@ -41,6 +41,10 @@
                        .Name("marigoldstep_gateway_stream_parts_total")
                        .Help("Parts of streams from one server by where they ended")
                        .Register(registry)),
+      stream_resumes(prometheus::BuildCounter()
+                         .Name("marigoldstep_gateway_stream_resumes_total")
+                         .Help("Streams resumed by callers by how their version is known")
+                         .Register(registry)),
       first_byte_seconds(histogram(registry, "first_byte_seconds",
                                    "From the request to the answer's first byte")),
       total_seconds(
@@ -61,4 +65,8 @@
   return stream_parts.Add({{"end", state}});
 }
 
+prometheus::Counter& gateway_metrics::stream_resumed(const std::string& origin) {
+  return stream_resumes.Add({{"origin", origin}});
+}
+
 } // namespace marigoldstep::gateway
--- a/tools/gateway/metrics.h
+++ b/tools/gateway/metrics.h
@@ -22,9 +22,14 @@
   // part ended: "complete", "between_events" or "inside_event".
   prometheus::Counter& stream_part_ended(const std::string& state);
 
+  // Counter of streams that callers wanted to resume, by what is known of the version
+  // that began them: "recorded", "sole" (the service had no other) or "unknown".
+  prometheus::Counter& stream_resumed(const std::string& origin);
+
   prometheus::Family<prometheus::Counter>& requests;
   prometheus::Family<prometheus::Counter>& attempts;
   prometheus::Family<prometheus::Counter>& stream_parts;
+  prometheus::Family<prometheus::Counter>& stream_resumes;
   prometheus::Histogram& first_byte_seconds;
   prometheus::Histogram& total_seconds;
   prometheus::Gauge& routing_version;
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -56,6 +56,10 @@
   void handle_done();
   void handle_failure(io::exchange_failure why);
   void forward_body(std::string_view piece);
+  [[nodiscard]] bool resumes_stream() const;
+  void find_version();
+  void record_origin();
+  void forward_held_events(std::string_view problem);
   void begin_response();
   void finish_response();
   void end_attempt(attempt_end end);
@@ -97,6 +101,14 @@
   std::optional<std::uint64_t> last_event_;
   // Software version of the servers that may continue the stream; unset until it began.
   std::optional<std::string> version_;
+  // Events that wait until control has recorded the version of the stream that they
+  // begin.
+  enum class origin_record {
+    none,
+    pending,
+    settled
+  } origin_record_ = origin_record::none;
+  std::string held_events_;
   QTimer deadline_timer_;
   time_point started_at_{};
   bool waits_for_gateway_ = false;
--- a/tools/gateway/relay_end.cpp
+++ b/tools/gateway/relay_end.cpp
@@ -63,6 +63,7 @@
     return;
   }
   record_response(owner_.dispatch, attempt_->server.id, false, io::now());
+  forward_held_events("the stream ended");
   finish_response();
 }
 
@@ -192,6 +193,7 @@
   if (!attempt_) {
     return;
   }
+  forward_held_events("the attempt ended");
   record_stream_part();
   record_finished(owner_.dispatch, attempt_->server.id, attempt_->tokens);
   if (reusable && !attempt_->metadata.leaving) {
