Let a resume go on at a service's only version after a restart

Control keeps servers that left for longer than a stream lasts, so contact for a second is enough, if a control process has just replied that it has no record. No reply at all means that this gateway may have missed a version; then the resume is refused.

--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -31,6 +31,12 @@
   std::vector<std::string> seeds; // hosts
 };
 
+// What control processes know of the version that began a stream.
+struct stream_version {
+  bool is_answered = false; // by one of them at least
+  std::optional<std::string> version;
+};
+
 // Connections to every control process: first to the seeds, then also to the members
 // that the control group reports. Updates from all of them are merged, so losing some
 // connections loses no information. A connection that times out is reopened. The
@@ -83,8 +89,7 @@
                      std::function<void(bool)> done);
   // Asks every control process for the version that began a stream. Calls done once, with
   // the first version found, or without one when none knows it or replies in time.
-  void find_stream(std::uint64_t stream,
-                   std::function<void(std::optional<std::string>)> done);
+  void find_stream(std::uint64_t stream, std::function<void(stream_version)> done);
   // Whether a link to a control process that knows a leader has been open, without a gap,
   // for so long.
   [[nodiscard]] bool has_leader_since(milliseconds age) const;
@@ -149,7 +154,8 @@
   void complete_forward(std::uint64_t token, bool settled);
   void expire_forwards(time_point now);
   void handle_stream_found(const std::string& host, const wire::StreamFoundT& reply);
-  void end_search_at(const std::string& host);
+  void end_search(std::uint64_t token);
+  void end_searches_at(const std::string& host);
   void expire_searches(time_point now);
   void update_leader_time(time_point now);
 
@@ -178,8 +184,9 @@
   std::map<std::uint64_t, pending_forward> forwards_; // by token
   struct stream_search {
     std::set<std::string> hosts; // that have not replied yet
+    bool is_answered = false;
     time_point deadline{};
-    std::function<void(std::optional<std::string>)> done;
+    std::function<void(stream_version)> done;
   };
   std::map<std::uint64_t, stream_search> searches_; // by token
   std::optional<time_point> leader_known_since_;
--- a/src/io/control_link_streams.cpp
+++ b/src/io/control_link_streams.cpp
@@ -45,7 +45,7 @@
 }
 
 void control_links::find_stream(std::uint64_t stream,
-                                std::function<void(std::optional<std::string>)> done) {
+                                std::function<void(stream_version)> done) {
   wire::FindStreamT message;
   message.token = next_token_++;
   message.stream = stream;
@@ -60,7 +60,7 @@
     }
   }
   if (search.hosts.empty()) {
-    search.done(std::nullopt);
+    search.done({});
     return;
   }
   searches_[message.token] = std::move(search);
@@ -72,42 +72,43 @@
   if (it == searches_.end()) {
     return;
   }
-  it->second.hosts.erase(host);
-  if (!reply.found && !it->second.hosts.empty()) {
+  auto& search = it->second;
+  search.is_answered = true;
+  search.hosts.erase(host);
+  if (!reply.found && !search.hosts.empty()) {
     return;
   }
-  const auto done = std::move(it->second.done);
+  const auto done = std::move(search.done);
   searches_.erase(it);
-  done(reply.found ? std::optional(reply.version) : std::nullopt);
+  done({true, reply.found ? std::optional(reply.version) : std::nullopt});
+}
+
+// Ends a search without a version.
+void control_links::end_search(std::uint64_t token) {
+  const auto search = std::move(searches_.at(token));
+  searches_.erase(token);
+  search.done({search.is_answered, std::nullopt});
 }
 
 // A link that was lost brings no reply.
-void control_links::end_search_at(const std::string& host) {
-  std::vector<std::uint64_t> waiting;
-  for (const auto& [token, it] : searches_) {
-    if (it.hosts.contains(host)) {
-      waiting.push_back(token);
+void control_links::end_searches_at(const std::string& host) {
+  std::vector<std::uint64_t> ended;
+  for (auto& [token, it] : searches_) {
+    if (it.hosts.erase(host) > 0 && it.hosts.empty()) {
+      ended.push_back(token);
     }
   }
-  for (const auto token : waiting) {
-    wire::StreamFoundT reply;
-    reply.token = token;
-    handle_stream_found(host, reply);
-  }
+  std::for_each(ended.begin(), ended.end(), [this](auto token) { end_search(token); });
 }
 
 void control_links::expire_searches(time_point now) {
-  std::vector<std::function<void(std::optional<std::string>)>> ended;
-  std::erase_if(searches_, [&](auto& it) {
-    if (now < it.second.deadline) {
-      return false;
+  std::vector<std::uint64_t> ended;
+  for (const auto& [token, it] : searches_) {
+    if (now >= it.deadline) {
+      ended.push_back(token);
     }
-    ended.push_back(std::move(it.second.done));
-    return true;
-  });
-  for (const auto& done : ended) {
-    done(std::nullopt);
   }
+  std::for_each(ended.begin(), ended.end(), [this](auto token) { end_search(token); });
 }
 
 void control_links::update_leader_time(time_point now) {
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -125,7 +125,7 @@
   it.connection->deleteLater();
   it = {};
   it.retry_at = io::now() + retry_delay;
-  end_search_at(host);
+  end_searches_at(host);
 }
 
 void control_links::tick() {
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -58,8 +58,8 @@
                      std::function<void(bool)> done);
   // Calls done with the version that began the stream of a request: as recorded here or
   // at control, or the only one that the service's servers have had since the stream may
-  // have begun. Without a version if neither is known. window: how long a stream may be
-  // resumed.
+  // have begun. Without a version if neither is known. request_id: empty if the caller
+  // doesn't name the request. window: how long a stream may be resumed.
   void find_stream(const std::string& service, const std::string& request_id,
                    milliseconds window,
                    std::function<void(std::optional<std::string>)> done);
--- a/tools/gateway/streams.cpp
+++ b/tools/gateway/streams.cpp
@@ -5,6 +5,14 @@
 
 namespace marigoldstep::gateway {
 
+namespace {
+
+// A new link brings all servers within some round trips, or after a message was lost and
+// sent again. Control keeps servers that left for longer than a stream lasts.
+constexpr auto directory_settle_time = milliseconds(1000);
+
+} // namespace
+
 void gateway::record_stream(const std::string& service, const std::string& request_id,
                             const std::string& version, milliseconds keep,
                             std::function<void(bool)> done) {
@@ -18,34 +26,37 @@
                           milliseconds window,
                           std::function<void(std::optional<std::string>)> done) {
   const auto stream = stream_key(service, request_id);
-  auto finish = [this, service, request_id, window,
-                 done = std::move(done)](std::optional<std::string> version) {
-    const bool is_recorded = version.has_value();
-    if (!is_recorded) {
-      version = find_sole_version(service, window);
-    }
-    const std::string origin = is_recorded ? "recorded" : version ? "sole" : "unknown";
-    metrics.stream_resumed(origin).Increment();
+  const auto finish = [this, service, request_id, done = std::move(done)](
+                          std::string_view origin, std::optional<std::string> version) {
+    metrics.stream_resumed(std::string(origin)).Increment();
     io::log_event(io::log_level::info, "stream_resumed",
                   {{"resumes", request_id},
                    {"service", service},
-                   {"origin", origin},
+                   {"origin", std::string(origin)},
                    {"version", version.value_or("")}});
-    done(version);
+    done(std::move(version));
   };
-  auto own = find_origin(origins_, stream, io::now());
-  if (own || request_id.empty()) {
-    finish(std::move(own));
+  if (auto own = find_origin(origins_, stream, io::now())) {
+    finish("recorded", std::move(own));
     return;
   }
-  links_.find_stream(stream, std::move(finish));
+  // A reply also proves that this gateway is in touch with control.
+  links_.find_stream(
+      stream, [this, service, window, finish](const io::stream_version& found) {
+        if (found.version) {
+          finish("recorded", found.version);
+          return;
+        }
+        auto sole = found.is_answered ? find_sole_version(service, window) : std::nullopt;
+        finish(sole ? "sole" : "unknown", std::move(sole));
+      });
 }
 
-// Streams that began elsewhere may have begun at servers that this gateway hasn't heard
-// of, unless it has been in contact with control for as long as they may last.
+// The servers of other versions that a stream may have begun at are known here, unless
+// contact with control has only just begun.
 std::optional<std::string> gateway::find_sole_version(const std::string& service,
                                                       milliseconds window) const {
-  return links_.has_leader_since(window)
+  return links_.has_leader_since(directory_settle_time)
              ? sole_version(versions_, service, io::now() - window)
              : std::nullopt;
 }
