Let the soak's backend servers respond twice, also late

The soak only had "extra": the same 200 twice in one write.

Streams get errors too, the body of an error names its request, and callers check it. The soak's 421 lacked the request id, which the protocol says servers echo.

--- a/tests/soak/soak_callers.py
+++ b/tests/soak/soak_callers.py
@@ -162,9 +162,11 @@
 
     def check_body(self, call, text, size):
         """A response that is cut, which its caller sees, is the beginning of a whole one."""
-        if call.status != 200:
+        if call.status == 500:
+            bodies = [f"error of {call.request}".encode()]
+        elif call.status != 200:
             return
-        if call.kind == "large":
+        elif call.kind == "large":
             bodies = [make_large_body(it, size) for it in self.fleet.find_runs(call.request)]
         else:
             bodies = [f"answer to {call.request}".encode()]
--- a/tests/soak/soak_servers.py
+++ b/tests/soak/soak_servers.py
@@ -4,12 +4,14 @@
 import random
 import time
 
-from soak_streams import SETTLE_S, Sender, Stream, reset_connection
+from soak_streams import MAX_PAUSE_S, SETTLE_S, Sender, Stream, reset_connection
 
 REPORT_INTERVAL_S = 0.5
 SLOTS = 16
 # Gateways buffer smaller responses in whole.
 BUFFERED_BYTES = 256 << 10
+# Short enough that gateways keep most connections open meanwhile.
+MAX_IDLE_S = 0.1
 
 
 async def read_message(reader):
@@ -93,6 +95,20 @@
     return (text * (size // len(text) + 1))[:size].encode()
 
 
+class Recorder:
+    """A connection's writer that keeps what was written since the last request."""
+
+    def __init__(self, writer):
+        self.writer, self.sent = writer, b""
+
+    def write(self, data):
+        self.sent += data
+        self.writer.write(data)
+
+    def __getattr__(self, name):
+        return getattr(self.writer, name)
+
+
 class Server:
     """A backend server that counts runs by request id and injects faults into its responses."""
 
@@ -150,9 +166,11 @@
             self.next_report_address = None
 
     async def serve(self, reader, writer):
+        writer = Recorder(writer)
         try:
             while True:
-                line, headers, body = await read_message(reader)
+                line, headers, _ = await self.read_request(reader, writer)
+                writer.sent = b""
                 if not await self.respond(line, headers, writer):
                     return
         except (asyncio.IncompleteReadError, OSError):
@@ -160,6 +178,28 @@
         finally:
             writer.close()
 
+    async def read_request(self, reader, writer):
+        """Reads the next request. May respond again to the last one: at once, after a
+        pause, or where the next response is expected."""
+        request = asyncio.ensure_future(read_message(reader))
+        if writer.sent and self.random.random() < self.fleet.repeat_rate:
+            # Retrieved in case of an error before it is awaited.
+            request.add_done_callback(lambda it: it.cancelled() or it.exception())
+            limit_s = self.random.choice([0, self.random.uniform(0, MAX_IDLE_S), None])
+            await asyncio.wait({request}, timeout=limit_s)
+            if not reader.at_eof():
+                await self.respond_again(writer, "next" if request.done() else "idle" if limit_s else "at_once")
+        return await request
+
+    async def respond_again(self, writer, moment):
+        self.fleet.counts["second_" + moment] += 1
+        response = writer.sent
+        split = self.random.choice([0, self.random.randrange(len(response))])
+        for it in filter(None, (response[:split], response[split:])):
+            writer.write(it)
+            await writer.drain()
+            await asyncio.sleep(self.random.choice([0, self.random.uniform(0, MAX_PAUSE_S)]))
+
     def record_backoff(self, request):
         call = self.fleet.callers.calls.get(request)
         now = time.monotonic()
@@ -190,7 +230,8 @@
         path = line.split(" ")[1]
         head = f"Marigoldstep-Request-Id: {request}\r\nMarigoldstep-Response-Seal: {self.name}\r\n"
         if headers.get("marigoldstep-target-instance") != self.name:
-            writer.write(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+            writer.write(("HTTP/1.1 421 Misdirected Request\r\n"
+                          f"Marigoldstep-Request-Id: {request}\r\nContent-Length: 0\r\n\r\n").encode())
             return True
         self.check_notices(request)
         if self.leaving:
@@ -201,12 +242,17 @@
                          f"Retry-After: {self.backoff_s:.3f}\r\nContent-Length: 0\r\n\r\n".encode())
             return True
         is_faulty = self.random.random() < self.fault_rate
-        kind = self.random.choice(["refuse", "lose", "truncate", "garbage", "extra", "error", "slow"])
+        kind = self.random.choice(["refuse", "lose", "truncate", "garbage", "error", "slow"])
         if is_faulty and kind == "refuse":
             writer.write(("HTTP/1.1 503 Service Unavailable\r\nMarigoldstep-Not-Executed: 1\r\n"
                           f"Marigoldstep-Request-Id: {request}\r\nContent-Length: 0\r\n\r\n").encode())
             return True
         run = self.fleet.record_run(request, self, int(headers.get("last-event-id", 0)))
+        if is_faulty and kind == "error":
+            text = f"error of {request}"
+            writer.write(("HTTP/1.1 500 Internal Server Error\r\n"
+                          f"{head}Content-Length: {len(text)}\r\n\r\n{text}").encode())
+            return True
         is_cut = is_faulty or self.random.random() < self.fleet.cut_rate
         if path.startswith(("/stream/", "/resume/")):
             return await self.send_stream(run, Stream(path.split("/")[2]), head, writer, is_cut)
@@ -218,9 +264,7 @@
         if is_faulty and kind in ("lose", "truncate", "garbage"):
             writer.write({"lose": b"", "truncate": response[:-3], "garbage": b"\x00\x01 what\r\n\r\n"}[kind])
             return False
-        if is_faulty and kind == "error":
-            response = (f"HTTP/1.1 500 Internal Server Error\r\n{head}Content-Length: 3\r\n\r\nbad").encode()
-        writer.write(response + (response if is_faulty and kind == "extra" else b""))
+        writer.write(response)
         await writer.drain()
         return True
 
