Show that late frames of an attempt don't reach another request to its agent

The existing case sends late frames of a refused attempt to the same request's next attempt. Not covered were frames of an earlier request on the same agent link while another request runs there: after the first was completed, refused or left by its caller, a second head, data and end of it arrive before, between and after the frames of the next one, on a new or the same caller connection.

--- a/tests/programs/router_resume_test.cpp
+++ b/tests/programs/router_resume_test.cpp
@@ -148,3 +148,62 @@
   CHECK(caller.contains("HTTP/1.1 201"));
   CHECK(caller.body() == "ok");
 }
+
+TEST_CASE("late frames of an attempt do not reach another request to its agent") {
+  enum class end { completed, refused, caller_left };
+  const auto how = GENERATE(end::completed, end::refused, end::caller_left);
+  const bool stream = GENERATE(true, false);
+  const bool shares_connection = GENERATE(true, false);
+  CAPTURE(how, stream, shares_connection);
+  fleet_fixture fleet;
+  auto& agent = fleet.agent_a;
+  const auto send_first = [&agent](std::uint16_t status) {
+    const auto& id = *agent.starts[0].attempt_id;
+    agent.send_head(id, status);
+    agent.send_data(id, 0, "first");
+    agent.send_end(id, completed(), 5);
+  };
+  agent.on_start = [&](const wire::StartAttemptT& start) {
+    const auto& id = *start.attempt_id;
+    if (agent.starts.size() == 1) {
+      if (how == end::completed) {
+        send_first(200);
+      } else if (how == end::refused) {
+        agent.send_end(id, not_run(errc::deadline_exceeded), 0);
+      }
+      return;
+    }
+    send_first(201);
+    agent.send_head(id);
+    send_first(201);
+    agent.send_data(id, 0, "sec");
+    send_first(201);
+    agent.send_data(id, 3, "ond");
+    agent.send_end(*agent.starts[0].attempt_id, completed(), 6);
+    agent.send_end(id, completed(), 6);
+    send_first(201);
+  };
+  fleet.start({fleet.server(agent, "pool")});
+  fake_caller before(fleet.daemon->port());
+  before.send_chat(stream);
+  if (how == end::caller_left) {
+    REQUIRE(wait_for([&] { return agent.starts.size() == 1; }));
+    before.socket.abort();
+    REQUIRE(wait_for([&] { return agent.cancel_count == 1; }));
+  } else {
+    REQUIRE(wait_for([&] { return before.is_complete(); }));
+  }
+  const auto* link = agent.connection;
+  fake_caller other(fleet.daemon->port());
+  auto& caller = shares_connection && how != end::caller_left ? before : other;
+  caller.input.clear();
+  const auto first_input = before.input;
+  caller.send_chat(stream, "c2");
+  REQUIRE(wait_for([&] { return caller.is_complete(); }));
+  wait_for([] { return false; }, 30);
+  CHECK(caller.contains("HTTP/1.1 200"));
+  CHECK((stream ? caller.chunked_body() : caller.body()) == "second");
+  CHECK((&caller == &before || before.input == first_input));
+  CHECK(agent.starts.size() == 2);
+  CHECK(agent.connection == link);
+}
