Forward no bytes of an event stream after its end marker

What callers of a router got: their whole stream, then bytes that belong to no request, up to a whole second response with its head, reported as completed.

Cause: an event stream without length and chunks ends with its connection, and the agent took it for whole if its last line was the end marker. A second response in the same connection ends with that line too. Its bytes were forwarded as they came. A stream now ends with the empty line of the first event whose only data is "[DONE]"; later bytes are dropped. An event with other data beside that line no longer counts as the end marker (it did if it came last).

Evidence: "bytes after a response do not belong to it" with streams that end with their connection. A stream cut at any byte is still never reported as completed.

--- a/tests/programs/agent_cut_test.cpp
+++ b/tests/programs/agent_cut_test.cpp
@@ -68,7 +68,14 @@
   patient_fixture fixture;
   auto& node = fixture.start();
   fake_router router(node.port());
-  CHECK(run_attempt(fixture, router, events + "\r\ndata: say data: [DONE]\n\n") ==
+  const QByteArray event =
+      GENERATE("data: say data: [DONE]\n\n", "data: 1\ndata: [DONE]\n\n",
+               "data: [DONE]\r\ndata: 1\r\n\r\n", "data: [DONE]x\n\n", "database: 1\n\n");
+  const bool is_delimited = GENERATE(true, false);
+  const auto length = "Content-Length: " + QByteArray::number(event.size()) + "\r\n";
+  CAPTURE(event.toStdString(), is_delimited);
+  CHECK(run_attempt(fixture, router,
+                    events + (is_delimited ? length : "") + "\r\n" + event) ==
         "may_have_run/answer_truncated");
 }
 
--- a/tests/programs/agent_repeat_test.cpp
+++ b/tests/programs/agent_repeat_test.cpp
@@ -8,12 +8,14 @@
 
 const QByteArray events = "Content-Type: text/event-stream\r\n";
 
-enum class framing { length, chunks, event_chunks, error };
+enum class framing { length, chunks, event_chunks, event_close, error };
 enum class moment { at_once, idle, before_next, within_next };
 
 QByteArray make_body(framing how, int n) {
   const auto text = "answer " + QByteArray::number(n);
-  return how == framing::event_chunks ? "data: " + text + "\n\ndata: [DONE]\n\n" : text;
+  return how == framing::event_chunks || how == framing::event_close
+             ? "data: " + text + "\n\ndata: [DONE]\n\n"
+             : text;
 }
 
 QByteArray make_response(framing how, int n) {
@@ -30,6 +32,8 @@
     return ok + chunks;
   case framing::event_chunks:
     return ok + events + chunks;
+  case framing::event_close:
+    return ok + events + "\r\n" + body;
   case framing::error:
     break;
   }
@@ -146,11 +150,11 @@
 }
 
 TEST_CASE("bytes after a response do not belong to it") {
-  const auto how =
-      GENERATE(framing::length, framing::chunks, framing::event_chunks, framing::error);
-  const QByteArray extra =
-      GENERATE_COPY(QByteArray("x"), QByteArray("\r\n\r\n"),
-                    make_response(framing::length, 2), make_response(how, 1));
+  const auto how = GENERATE(framing::length, framing::chunks, framing::event_chunks,
+                            framing::event_close, framing::error);
+  const QByteArray extra = GENERATE_COPY(
+      QByteArray("x"), QByteArray("\r\n\r\n"), make_response(framing::length, 2),
+      make_response(framing::event_close, 1), make_response(how, 1));
   const bool is_late = GENERATE(true, false);
   CAPTURE(how, extra.toStdString(), is_late);
   agent_fixture fixture;
--- a/tools/agent/backend_call.cpp
+++ b/tools/agent/backend_call.cpp
@@ -14,9 +14,6 @@
 // Each call has its own connection, which Qt's manager keeps for two minutes. A new
 // manager after this many calls limits the number of kept connections.
 constexpr std::uint64_t calls_per_manager = 64;
-constexpr std::string_view stream_end_marker = "data: [DONE]";
-// Enough for the end marker and the blank lines that may follow it.
-constexpr std::size_t tail_bytes = 32;
 
 constexpr std::array<std::string_view, 12> hop_by_hop_headers = {
     "connection", "keep-alive",     "proxy-authenticate", "proxy-authorization",
@@ -78,22 +75,6 @@
   return content || server;
 }
 
-// Whether the last line of a stream that ends with tail is the end marker. The event may
-// lack its empty line only if the body is delimited: otherwise more could have followed.
-bool ends_with_marker(std::string_view tail, bool is_delimited) {
-  const auto size = tail.find_last_not_of("\r\n") + 1;
-  const auto text = tail.substr(0, size);
-  const auto line_ends = tail.substr(size);
-  if (!text.ends_with(stream_end_marker)) {
-    return false;
-  }
-  const auto before = text.substr(0, size - stream_end_marker.size());
-  const bool is_line = before.empty() || before.back() == '\n';
-  const bool is_event =
-      line_ends.starts_with("\n\n") || line_ends.starts_with("\r\n\r\n");
-  return is_line && (is_event || is_delimited);
-}
-
 QNetworkRequest make_request(const io::endpoint& backend, const backend_request& from) {
   const auto url = "http://" + backend.host + ":" + std::to_string(backend.port);
   QNetworkRequest out(QUrl::fromEncoded(QByteArray::fromStdString(url + from.path)));
@@ -201,13 +182,13 @@
     return;
   }
   idle_timer_.start();
-  received_bytes_ += static_cast<std::uint64_t>(chunk.size());
+  auto size = static_cast<std::size_t>(chunk.size());
+  received_bytes_ += size;
   if (is_event_stream_) {
-    tail_.append(chunk.constData(), static_cast<std::size_t>(chunk.size()));
-    tail_.erase(0, tail_.size() - std::min(tail_.size(), tail_bytes));
+    size = read_piece(stream_end_, {chunk.constData(), size});
   }
-  if (on_data) {
-    on_data(as_bytes({chunk.constData(), static_cast<std::size_t>(chunk.size())}));
+  if (on_data && size > 0) {
+    on_data(as_bytes({chunk.constData(), size}));
   }
 }
 
@@ -222,7 +203,7 @@
     const auto announced = length.toULongLong(&ok);
     is_delimited = ok && announced == received_bytes_;
   }
-  return is_event_stream_ ? ends_with_marker(tail_, is_delimited) : is_delimited;
+  return is_event_stream_ ? is_whole_stream(stream_end_, is_delimited) : is_delimited;
 }
 
 // A refused connection proves that the call did not run only at the first connection
--- a/tools/agent/backend_call.h
+++ b/tools/agent/backend_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent/stream_end.h"
 #include "marigoldstep/io/control_client.h"
 #include "marigoldstep/wire.h"
 
@@ -71,7 +72,7 @@
   bool request_sent_ = false;
   bool is_event_stream_ = false;
   std::uint64_t received_bytes_ = 0;
-  std::string tail_; // last bytes of an event stream
+  stream_end stream_end_;
 };
 
 // Makes calls to one backend server, each on its own connection.
