Let three in ten of the soak's second responses lack the request id

A response that names no request can't be told from the response to the request in progress, so a gateway has to give up its connection and the attempt, and no caller may get it. Three in ten second responses now lack the line with the id; they come at the same moments as the others. What a server sends on such a connection afterwards isn't forwarded, so it isn't expected to arrive either (the check for lost events skips these runs).

--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -82,7 +82,7 @@
         self.problems = []
         self.counts = {"asked": 0, "answered": 0, "refused": 0, "failed": 0, "faults": 0, "versions": 0,
                        "handed_over": 0, "leaving": 0, "backoffs": 0, "cut": 0, "resumed": 0,
-                       "second_at_once": 0, "second_idle": 0, "second_next": 0}
+                       "second_at_once": 0, "second_idle": 0, "second_next": 0, "second_nameless": 0}
         self.confirmed = []  # (time, version)
         self.version = 0
         self.stopping = False
--- a/tests/soak/soak_servers.py
+++ b/tests/soak/soak_servers.py
@@ -2,6 +2,7 @@
 import asyncio
 import json
 import random
+import re
 import time
 
 from soak_streams import MAX_PAUSE_S, SETTLE_S, Sender, Stream, reset_connection
@@ -12,6 +13,8 @@
 BUFFERED_BYTES = 256 << 10
 # Short enough that gateways keep most connections open meanwhile.
 MAX_IDLE_S = 0.1
+# Fraction of second responses that lack the request id.
+NAMELESS_RATE = 0.3
 
 
 async def read_message(reader):
@@ -100,6 +103,8 @@
 
     def __init__(self, writer):
         self.writer, self.sent = writer, b""
+        # After a response without a request id, a gateway has to give up the connection.
+        self.is_spoiled = False
 
     def write(self, data):
         self.sent += data
@@ -194,6 +199,10 @@
     async def respond_again(self, writer, moment):
         self.fleet.counts["second_" + moment] += 1
         response = writer.sent
+        if self.random.random() < NAMELESS_RATE:
+            response = re.sub(rb"Marigoldstep-Request-Id: [^\r]*\r\n", b"", response, count=1)
+            writer.is_spoiled = True
+            self.fleet.counts["second_nameless"] += 1
         split = self.random.choice([0, self.random.randrange(len(response))])
         for it in filter(None, (response[:split], response[split:])):
             writer.write(it)
--- a/tests/soak/soak_streams.py
+++ b/tests/soak/soak_streams.py
@@ -28,7 +28,8 @@
     server: object
     last_event: int  # events after this one were asked for
     plan: str = ""
-    # Last event sent in whole before an orderly end; absent after a reset.
+    # Last event sent in whole before an orderly end; absent after a reset or a response
+    # without a request id.
     sent_event: int | None = None
 
     def __str__(self):
@@ -144,7 +145,7 @@
             await asyncio.sleep(self.rng.choice([0, SETTLE_S]))
             reset_connection(self.writer)
             return False
-        if self.fault:
+        if self.fault and not self.writer.is_spoiled:
             self.run.sent_event = max([event for (event, _), end in zip(self.blocks, self.ends[1:], strict=True)
                                        if end <= self.cut], default=self.run.last_event)
         if self.is_framed and self.fault != "close":
