--- /dev/null
+++ b/tests/soak/soak_processes.py
@@ -0,0 +1,44 @@
+"""Daemons of the soak test: their settings files, starts and signals."""
+import asyncio
+import json
+import subprocess
+import time
+
+UNDISTURBED_S = 3.0
+
+
+class Process:
+    """A daemon with its settings file; only the soak test restarts it."""
+
+    def __init__(self, fleet, kind, host, settings):
+        self.fleet, self.kind, self.host, self.settings = fleet, kind, host, settings
+        self.name = f"{kind}-{host}"
+        self.last_disturbed = time.monotonic()
+        self.child = None
+        self.lock = asyncio.Lock()  # held between the end of one child and the start of the next
+
+    def start(self):
+        path = self.fleet.folder / f"{self.name}.yaml"
+        path.write_text("\n".join(f"{key}: {json.dumps(value)}" for key, value in self.settings.items()))
+        log = open(self.fleet.folder / f"{self.name}.log", "ab")
+        self.child = subprocess.Popen([f"{self.fleet.bin}/mstep-{self.kind}", "--config", str(path)],
+                                      stdout=log, stderr=subprocess.STDOUT,
+                                      # SIGXFSZ stays ignored: a write beyond the file size
+                                      # limit fails and does not kill the process.
+                                      restore_signals=False)
+        log.close()
+        self.started_at = self.last_disturbed = time.monotonic()
+
+    def signal(self, number):
+        self.last_disturbed = time.monotonic()
+        if self.child.poll() is None:
+            self.child.send_signal(number)
+
+    async def wait_for_exit(self, limit_s):
+        until = time.monotonic() + limit_s
+        while self.child.poll() is None and time.monotonic() < until:
+            await asyncio.sleep(0.05)
+        return self.child.poll() is not None
+
+    def is_undisturbed(self):
+        return self.child.poll() is None and time.monotonic() - self.last_disturbed > UNDISTURBED_S
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -9,11 +9,11 @@
 import shutil
 import signal
 import socket
-import subprocess
 import tempfile
 import time
 
 from soak_callers import KEY, Callers
+from soak_processes import UNDISTURBED_S, Process
 from soak_servers import Proxy, Server, read_message
 from soak_streams import Run
 
@@ -21,7 +21,6 @@
 # Required by the users: a confirmed configuration is in force within this time on
 # undisturbed gateways, and later reads never return an older one.
 MAX_APPLY_S = 2.0
-UNDISTURBED_S = 3.0
 STOP_TIME_S = 4
 # Uses up the retry budget at times, so that callers resume their streams themselves.
 CUT_RATE = 0.25
@@ -33,43 +32,6 @@
 SLOW_LINK_MBPS = 0.2
 
 
-class Process:
-    """A daemon with its settings file; only the soak test restarts it."""
-
-    def __init__(self, fleet, kind, host, settings):
-        self.fleet, self.kind, self.host, self.settings = fleet, kind, host, settings
-        self.name = f"{kind}-{host}"
-        self.last_disturbed = time.monotonic()
-        self.child = None
-        self.lock = asyncio.Lock()  # held between the end of one child and the start of the next
-
-    def start(self):
-        path = self.fleet.folder / f"{self.name}.yaml"
-        path.write_text("\n".join(f"{key}: {json.dumps(value)}" for key, value in self.settings.items()))
-        log = open(self.fleet.folder / f"{self.name}.log", "ab")
-        self.child = subprocess.Popen([f"{self.fleet.bin}/mstep-{self.kind}", "--config", str(path)],
-                                      stdout=log, stderr=subprocess.STDOUT,
-                                      # SIGXFSZ stays ignored: a write beyond the file size
-                                      # limit fails and does not kill the process.
-                                      restore_signals=False)
-        log.close()
-        self.started_at = self.last_disturbed = time.monotonic()
-
-    def signal(self, number):
-        self.last_disturbed = time.monotonic()
-        if self.child.poll() is None:
-            self.child.send_signal(number)
-
-    async def wait_for_exit(self, limit_s):
-        until = time.monotonic() + limit_s
-        while self.child.poll() is None and time.monotonic() < until:
-            await asyncio.sleep(0.05)
-        return self.child.poll() is not None
-
-    def is_undisturbed(self):
-        return self.child.poll() is None and time.monotonic() - self.last_disturbed > UNDISTURBED_S
-
-
 class Fleet:
     def __init__(self, seed, seconds, bin_folder):
         self.seed, self.seconds, self.bin = seed, seconds, bin_folder
