--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -25,6 +25,7 @@
 # Uses up the retry budget at times, so that callers resume their streams themselves.
 CUT_RATE = 0.25
 REPEAT_RATE = 0.25
+STATUS_RATE = 0.1
 LINKS_PORT = 2  # offset from the first port
 FIRST_PORT, PORT_COUNT, MAX_PORT_ATTEMPTS = 10000, 20000, 200
 # Low enough that gateways forward a message of 300 bytes to three gateways, and that the
@@ -41,6 +42,7 @@
         self.run_count = 0
         self.cut_rate = 0.0  # fraction of streams and large responses that break off
         self.repeat_rate = 0.0  # fraction of responses that are sent twice
+        self.status_rate = 0.0  # fraction of requests that servers refuse or fail
         self.problems = []
         self.counts = {"asked": 0, "answered": 0, "refused": 0, "failed": 0, "faults": 0, "versions": 0,
                        "handed_over": 0, "leaving": 0, "backoffs": 0, "cut": 0, "resumed": 0,
@@ -204,14 +206,14 @@
                   self.announce_leaving, self.ask_for_silence, self.silence_service]
         tasks = []
         until = time.monotonic() + self.seconds
-        self.cut_rate, self.repeat_rate = CUT_RATE, REPEAT_RATE
+        self.cut_rate, self.repeat_rate, self.status_rate = CUT_RATE, REPEAT_RATE, STATUS_RATE
         while time.monotonic() < until:
             fault = self.random.choice(faults)
             self.counts["faults"] += 1
             tasks.append(asyncio.create_task(fault()))
             await asyncio.sleep(self.random.expovariate(2.0))
         await asyncio.gather(*tasks)
-        self.cut_rate = self.repeat_rate = 0.0
+        self.cut_rate = self.repeat_rate = self.status_rate = 0.0
 
     async def restart(self, process):
         await process.wait_for_exit(5)
--- a/tests/soak/soak_servers.py
+++ b/tests/soak/soak_servers.py
@@ -252,6 +252,8 @@
             return True
         is_faulty = self.random.random() < self.fault_rate
         kind = self.random.choice(["refuse", "lose", "truncate", "garbage", "error", "slow"])
+        if self.random.random() < self.fleet.status_rate:
+            is_faulty, kind = True, self.random.choice(["refuse", "error"])
         if is_faulty and kind == "refuse":
             writer.write(("HTTP/1.1 503 Service Unavailable\r\nMarigoldstep-Not-Executed: 1\r\n"
                           f"Marigoldstep-Request-Id: {request}\r\nContent-Length: 0\r\n\r\n").encode())
