--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -9,11 +9,11 @@
 import shutil
 import signal
 import socket
-import subprocess
 import tempfile
 import time
 
 from soak_callers import KEY, Callers
+from soak_processes import UNDISTURBED_S, Process
 from soak_servers import Proxy, Server, read_message
 from soak_streams import Run
 
@@ -21,10 +21,11 @@
 # Required by the users: a confirmed configuration is in force within this time on
 # undisturbed gateways, and later reads never return an older one.
 MAX_APPLY_S = 2.0
-UNDISTURBED_S = 3.0
 STOP_TIME_S = 4
 # Uses up the retry budget at times, so that callers resume their streams themselves.
 CUT_RATE = 0.25
+REPEAT_RATE = 0.25
+STATUS_RATE = 0.1
 LINKS_PORT = 2  # offset from the first port
 FIRST_PORT, PORT_COUNT, MAX_PORT_ATTEMPTS = 10000, 20000, 200
 # Low enough that gateways forward a message of 300 bytes to three gateways, and that the
@@ -32,43 +33,6 @@
 SLOW_LINK_MBPS = 0.2
 
 
-class Process:
-    """A daemon with its settings file; only the soak test restarts it."""
-
-    def __init__(self, fleet, kind, host, settings):
-        self.fleet, self.kind, self.host, self.settings = fleet, kind, host, settings
-        self.name = f"{kind}-{host}"
-        self.last_disturbed = time.monotonic()
-        self.child = None
-        self.lock = asyncio.Lock()  # held between the end of one child and the start of the next
-
-    def start(self):
-        path = self.fleet.folder / f"{self.name}.yaml"
-        path.write_text("\n".join(f"{key}: {json.dumps(value)}" for key, value in self.settings.items()))
-        log = open(self.fleet.folder / f"{self.name}.log", "ab")
-        self.child = subprocess.Popen([f"{self.fleet.bin}/mstep-{self.kind}", "--config", str(path)],
-                                      stdout=log, stderr=subprocess.STDOUT,
-                                      # SIGXFSZ stays ignored: a write beyond the file size
-                                      # limit fails and does not kill the process.
-                                      restore_signals=False)
-        log.close()
-        self.started_at = self.last_disturbed = time.monotonic()
-
-    def signal(self, number):
-        self.last_disturbed = time.monotonic()
-        if self.child.poll() is None:
-            self.child.send_signal(number)
-
-    async def wait_for_exit(self, limit_s):
-        until = time.monotonic() + limit_s
-        while self.child.poll() is None and time.monotonic() < until:
-            await asyncio.sleep(0.05)
-        return self.child.poll() is not None
-
-    def is_undisturbed(self):
-        return self.child.poll() is None and time.monotonic() - self.last_disturbed > UNDISTURBED_S
-
-
 class Fleet:
     def __init__(self, seed, seconds, bin_folder):
         self.seed, self.seconds, self.bin = seed, seconds, bin_folder
@@ -77,9 +41,12 @@
         self.runs = {}  # by request id
         self.run_count = 0
         self.cut_rate = 0.0  # fraction of streams and large responses that break off
+        self.repeat_rate = 0.0  # fraction of responses that are sent twice
+        self.status_rate = 0.0  # fraction of requests that servers refuse or fail
         self.problems = []
         self.counts = {"asked": 0, "answered": 0, "refused": 0, "failed": 0, "faults": 0, "versions": 0,
-                       "handed_over": 0, "leaving": 0, "backoffs": 0, "cut": 0, "resumed": 0}
+                       "handed_over": 0, "leaving": 0, "backoffs": 0, "cut": 0, "resumed": 0,
+                       "second_at_once": 0, "second_idle": 0, "second_next": 0, "second_nameless": 0}
         self.confirmed = []  # (time, version)
         self.version = 0
         self.stopping = False
@@ -239,14 +206,14 @@
                   self.announce_leaving, self.ask_for_silence, self.silence_service]
         tasks = []
         until = time.monotonic() + self.seconds
-        self.cut_rate = CUT_RATE
+        self.cut_rate, self.repeat_rate, self.status_rate = CUT_RATE, REPEAT_RATE, STATUS_RATE
         while time.monotonic() < until:
             fault = self.random.choice(faults)
             self.counts["faults"] += 1
             tasks.append(asyncio.create_task(fault()))
             await asyncio.sleep(self.random.expovariate(2.0))
         await asyncio.gather(*tasks)
-        self.cut_rate = 0.0
+        self.cut_rate = self.repeat_rate = self.status_rate = 0.0
 
     async def restart(self, process):
         await process.wait_for_exit(5)
