--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -14,10 +14,11 @@
 import time
 
 from soak_callers import KEY, Callers
-from soak_servers import Proxy, Server, read_message
+from soak_server_faults import ServerFaults
+from soak_servers import Proxy, read_message
 from soak_streams import Run
 
-CONTROL, GATEWAYS, SERVERS = 3, 3, 6
+CONTROL, GATEWAYS = 3, 3
 # Required by the users: a confirmed configuration is in force within this time on
 # undisturbed gateways, and later reads never return an older one.
 MAX_APPLY_S = 2.0
@@ -69,7 +70,7 @@
         return self.child.poll() is None and time.monotonic() - self.last_disturbed > UNDISTURBED_S
 
 
-class Fleet:
+class Fleet(ServerFaults):
     def __init__(self, seed, seconds, bin_folder):
         self.seed, self.seconds, self.bin = seed, seconds, bin_folder
         self.random = random.Random(seed)
@@ -359,15 +360,6 @@
         process.start()
         await self.release_control(process)
 
-    async def inject_server_faults(self):
-        server = self.random.choice(self.servers)
-        server.fault_rate = 0.4
-        await asyncio.sleep(self.random.uniform(0.5, 3.0))
-        server.fault_rate = 0.0
-
-    async def inject_server_link_fault(self):
-        await self.random.choice(self.servers).proxy.inject_fault(self.random)
-
     async def inject_control_link_faults(self):
         """Injects faults into some or all connections to one control process."""
         index = self.random.randrange(CONTROL)
@@ -380,58 +372,6 @@
         self.control[index].last_disturbed = time.monotonic()
         await self.release_control(self.control[index])
 
-    async def crash_server(self):
-        index = self.random.randrange(SERVERS)
-        old = self.servers[index]
-        await old.crash()
-        await asyncio.sleep(self.random.uniform(0.1, 1.0))
-        self.servers[index] = await self.new_server(index)
-
-    async def drain_server(self):
-        index = self.random.randrange(SERVERS)
-        old = self.servers[index]
-        old.state = "draining"
-        await old.report()
-        await asyncio.sleep(3)
-        await old.crash()
-        if self.servers[index] is old:
-            self.servers[index] = await self.new_server(index)
-
-    async def announce_leaving(self):
-        """A server says in its responses that it leaves, before or without reporting it."""
-        index = self.random.randrange(SERVERS)
-        old = self.servers[index]
-        old.leaving = True
-        await asyncio.sleep(self.random.uniform(0.5, 2.5))
-        if self.random.random() < 0.5:
-            old.state = "draining"
-            await old.report()
-        await asyncio.sleep(self.random.uniform(0.5, 1.5))
-        await old.crash()
-        if self.servers[index] is old:
-            self.servers[index] = await self.new_server(index)
-
-    async def ask_for_silence(self, servers=None):
-        """Servers refuse all requests for a while and ask for none meanwhile."""
-        servers = servers or [self.random.choice(self.servers)]
-        backoff_s = self.random.uniform(0.6, 2.0)
-        self.counts["backoffs"] += len(servers)
-        for it in servers:
-            it.backoff_s = backoff_s
-        await asyncio.sleep(self.random.uniform(0.2, 2.0))
-        for it in servers:
-            it.backoff_s = 0.0
-
-    async def silence_service(self):
-        await self.ask_for_silence([it for it in self.servers if it.service == "web"])
-
-    async def new_server(self, index):
-        n = self.callers.next_number()
-        server = Server(self, f"i-{index}-{n}", "web" if index % 2 == 0 else "engine", self.seed * 1000 + n)
-        await server.start()
-        self.started_servers.append(server)
-        return server
-
     async def settle_and_check(self):
         """Checks that after the faults requests are served and no confirmed version is lost."""
         await asyncio.sleep(6)
@@ -463,7 +403,7 @@
         await self.start_proxies()
         for it in self.control + self.gateways:
             it.start()
-        self.servers = [await self.new_server(i) for i in range(SERVERS)]
+        await self.start_servers()
         try:
             await self.run_load()
         finally:
--- /dev/null
+++ b/tests/soak/soak_server_faults.py
@@ -0,0 +1,74 @@
+"""Faults and planned work on the backend servers of the soak test."""
+import asyncio
+
+from soak_servers import Server
+
+SERVERS = 6
+
+
+class ServerFaults:
+    """The part of the fleet that starts and disturbs its backend servers."""
+
+    async def inject_server_faults(self):
+        server = self.random.choice(self.servers)
+        server.fault_rate = 0.4
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        server.fault_rate = 0.0
+
+    async def inject_server_link_fault(self):
+        await self.random.choice(self.servers).proxy.inject_fault(self.random)
+
+    async def crash_server(self):
+        index = self.random.randrange(SERVERS)
+        old = self.servers[index]
+        await old.crash()
+        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        self.servers[index] = await self.new_server(index)
+
+    async def drain_server(self):
+        index = self.random.randrange(SERVERS)
+        old = self.servers[index]
+        old.state = "draining"
+        await old.report()
+        await asyncio.sleep(3)
+        await old.crash()
+        if self.servers[index] is old:
+            self.servers[index] = await self.new_server(index)
+
+    async def announce_leaving(self):
+        """A server says in its responses that it leaves, before or without reporting it."""
+        index = self.random.randrange(SERVERS)
+        old = self.servers[index]
+        old.leaving = True
+        await asyncio.sleep(self.random.uniform(0.5, 2.5))
+        if self.random.random() < 0.5:
+            old.state = "draining"
+            await old.report()
+        await asyncio.sleep(self.random.uniform(0.5, 1.5))
+        await old.crash()
+        if self.servers[index] is old:
+            self.servers[index] = await self.new_server(index)
+
+    async def ask_for_silence(self, servers=None):
+        """Servers refuse all requests for a while and ask for none meanwhile."""
+        servers = servers or [self.random.choice(self.servers)]
+        backoff_s = self.random.uniform(0.6, 2.0)
+        self.counts["backoffs"] += len(servers)
+        for it in servers:
+            it.backoff_s = backoff_s
+        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        for it in servers:
+            it.backoff_s = 0.0
+
+    async def silence_service(self):
+        await self.ask_for_silence([it for it in self.servers if it.service == "web"])
+
+    async def start_servers(self):
+        self.servers = [await self.new_server(i) for i in range(SERVERS)]
+
+    async def new_server(self, index):
+        n = self.callers.next_number()
+        server = Server(self, f"i-{index}-{n}", "web" if index % 2 == 0 else "engine", self.seed * 1000 + n)
+        await server.start()
+        self.started_servers.append(server)
+        return server
