Let the soak's servers have several versions, and check resumed streams

All servers of the soak reported the same version, callers named no attempt in Resumes, and no check knew which server's version an event came from.

Callers also leave in the middle of streams and come back at another gateway, some of them seconds later. Checked: a stream holds events of one version only, in one response and over all attempts (ORDER); of 12 or more resumes at undisturbed gateways with two servers of the version, the share that goes on is at least half the share of new streams that begin (LOST); a resume is refused with 503 and within a second.

A caller that has left can't miss an event, so the check for lost events skips it.

--- a/tests/soak/soak_callers.py
+++ b/tests/soak/soak_callers.py
@@ -16,6 +16,9 @@
 # An orderly end of a stream this long before the deadline leaves time to forward it.
 MIN_TIME_LEFT_S = 0.5
 MAX_RESUMES = 3
+LEAVE_RATE = 0.3
+# At times callers come back when the servers of the stream's version may have been replaced.
+MAX_ABSENCE_S, LONG_ABSENCE_S = 0.2, 3.0
 
 
 @dataclasses.dataclass
@@ -28,11 +31,18 @@
     sent_at: float
     stream: Stream | None = None
     last_event: int = 0  # what the caller has of the stream
+    first_attempt: str = ""  # that brought the stream's first event
+    versions: list = dataclasses.field(default_factory=list)  # of the servers of its events, over all attempts
     status: int = 0  # 0 without a response head
     server: str | None = None  # whose headers the caller got
     received: Received = dataclasses.field(default_factory=Received)
     done_at: float = 0.0
 
+    @property
+    def version(self):
+        """Of the server that began the stream."""
+        return self.versions[0] if self.versions else None
+
     def is_undisturbed(self, quiet_s):
         """Whether the gateway had no fault from quiet_s before the request until now."""
         return (self.gateway.child is self.child and self.child.poll() is None
@@ -84,9 +94,11 @@
 
     async def resume(self, last):
         """Comes back for the rest of a stream at another gateway, as a new request."""
-        await asyncio.sleep(self.fleet.random.uniform(0.0, 0.2))
+        is_long = self.fleet.random.random() < 0.1
+        await asyncio.sleep(self.fleet.random.uniform(0.0, LONG_ABSENCE_S if is_long else MAX_ABSENCE_S))
         gateway = self.fleet.random.choice([it for it in self.fleet.gateways if it is not last.gateway])
-        call = self.new_call("resume", gateway, stream=last.stream, last_event=last.last_event)
+        call = self.new_call("resume", gateway, stream=last.stream, last_event=last.last_event,
+                             first_attempt=last.first_attempt, versions=last.versions)
         self.fleet.counts["resumed"] += 1
         await self.send(call)
         return call
@@ -94,16 +106,22 @@
     async def send(self, call):
         """Returns the status of the response; 0 without a complete one."""
         status = 0
+        observed, last_event = self.fleet.versions.observe(call), call.last_event
+        if call.kind == "resume" and not self.fleet.stopping and self.fleet.random.random() < LEAVE_RATE:
+            call.received.max_bytes = self.fleet.random.randrange(1, 200 + 2 * sum(call.stream.sizes.values()))
         try:
             status = await self.exchange(call)
         except (OSError, asyncio.IncompleteReadError):
             pass
         except (ValueError, LookupError, asyncio.LimitOverrunError) as problem:
             self.fleet.report_problem(f"{call.request} ({call.kind}) got a malformed response: {problem!r}")
-        self.fleet.counts["failed"] += status == 0
+        self.fleet.counts["left"] += call.received.has_left
+        self.fleet.counts["failed"] += status == 0 and not call.received.has_left
         call.done_at = time.monotonic()
         if call.stream:
             self.check_stream(call)
+        if call.kind == "resume":
+            self.fleet.versions.record_outcome(call, last_event, observed)
         return status
 
     async def exchange(self, call):
@@ -134,7 +152,7 @@
             target = f"/{call.kind}/{call.stream.name}"
         elif call.kind == "large":
             target = "/safe/large"
-        resume = f"Last-Event-Id: {call.last_event}\r\n" if call.last_event else ""
+        resume = f"Last-Event-Id: {call.last_event}\r\nResumes: {call.first_attempt}\r\n" if call.last_event else ""
         return (f"POST {target} HTTP/1.1\r\nHost: h\r\nMarigoldstep-Request-Id: {call.request}\r\n"
                 f"Marigoldstep-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Bearer {KEY}\r\n{resume}"
                 "Content-Length: 4\r\n\r\nbody").encode()
@@ -175,8 +193,12 @@
     def check_stream(self, call):
         runs = self.fleet.find_runs(call.request)
         verdict = check_stream(call.stream, runs, call.last_event, call.received, call.kind == "resume")
+        if verdict.last_event > 0:
+            call.first_attempt = call.first_attempt or call.request
         call.last_event = verdict.last_event
-        self.fleet.counts["cut"] += call.status == 200 and not call.received.is_complete
+        self.fleet.versions.check_order(call, verdict.versions)
+        is_whole = call.received.is_complete or call.received.has_left
+        self.fleet.counts["cut"] += call.status == 200 and not is_whole
         problem = verdict.problem
         if not problem and verdict.first_server not in (None, call.server):
             problem = f"of {verdict.first_server} has the headers of {call.server}"
@@ -189,7 +211,8 @@
 
     def find_lost_event(self, call, runs):
         """An event that arrived before the end of its connection and wasn't forwarded."""
-        if not call.is_undisturbed(0) or call.done_at > call.sent_at + DEADLINE_MS / 1000 - MIN_TIME_LEFT_S:
+        is_late = call.done_at > call.sent_at + DEADLINE_MS / 1000 - MIN_TIME_LEFT_S
+        if call.received.has_left or is_late or not call.is_undisturbed(0):
             return None
         for it in runs:
             if it.sent_event and it.sent_event > call.last_event and it.server.proxy.last_fault_at < call.sent_at - 1:
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -17,6 +17,7 @@
 from soak_server_faults import ServerFaults
 from soak_servers import Proxy, read_message
 from soak_streams import Run
+from soak_versions import Versions
 
 CONTROL, GATEWAYS = 3, 3
 # Required by the users: a confirmed configuration is in force within this time on
@@ -80,7 +81,7 @@
         self.cut_rate = 0.0  # fraction of streams and large responses that break off
         self.problems = []
         self.counts = {"asked": 0, "answered": 0, "refused": 0, "failed": 0, "faults": 0, "versions": 0,
-                       "handed_over": 0, "leaving": 0, "backoffs": 0, "cut": 0, "resumed": 0}
+                       "handed_over": 0, "leaving": 0, "backoffs": 0, "cut": 0, "left": 0, "resumed": 0}
         self.confirmed = []  # (time, version)
         self.version = 0
         self.stopping = False
@@ -88,6 +89,7 @@
         self.drain_s = 0.5
         self.faulty_control = set()
         self.callers = Callers(self)
+        self.versions = Versions(self)
         self.started_servers = []  # those that have ended included
 
     def record_run(self, request, server, last_event):
@@ -237,7 +239,8 @@
                   self.inject_server_faults, self.inject_server_faults, self.inject_server_link_fault,
                   self.inject_server_link_fault, self.inject_control_link_faults,
                   self.inject_control_link_faults, self.crash_server, self.drain_server,
-                  self.announce_leaving, self.ask_for_silence, self.silence_service]
+                  self.announce_leaving, self.ask_for_silence, self.silence_service,
+                  self.release_servers, self.release_servers]
         tasks = []
         until = time.monotonic() + self.seconds
         self.cut_rate = CUT_RATE
@@ -390,6 +393,7 @@
             if it.child.poll() is not None:
                 self.report_problem(f"{it.name} exited unexpectedly with status {it.child.returncode}")
         self.callers.check_runs()
+        self.versions.check_lost()
 
     def record_exception(self, _loop, context):
         """Tasks are cancelled at the end; any other exception is an error of the soak test."""
--- a/tests/soak/soak_server_faults.py
+++ b/tests/soak/soak_server_faults.py
@@ -3,7 +3,7 @@
 
 from soak_servers import Server
 
-SERVERS = 6
+SERVERS = 9
 
 
 class ServerFaults:
@@ -23,7 +23,8 @@
         old = self.servers[index]
         await old.crash()
         await asyncio.sleep(self.random.uniform(0.1, 1.0))
-        self.servers[index] = await self.new_server(index)
+        if self.servers[index] is old:
+            self.servers[index] = await self.new_server(index, old.version)
 
     async def drain_server(self):
         index = self.random.randrange(SERVERS)
@@ -33,7 +34,30 @@
         await asyncio.sleep(3)
         await old.crash()
         if self.servers[index] is old:
-            self.servers[index] = await self.new_server(index)
+            self.servers[index] = await self.new_server(index, old.version)
+
+    async def release_servers(self):
+        """Replaces servers of one version by servers of another one, each of which starts first."""
+        old = self.random.choice(self.servers).version
+        new = self.random.choice([it for it in self.versions.names if it != old] or [old])
+        indices = [i for i, it in enumerate(self.servers) if it.version == old]
+        self.counts["releases"] += 1
+        ends = []
+        for i in indices[:self.random.randint(1, len(indices))]:
+            replaced = self.servers[i]
+            self.servers[i] = await self.new_server(i, new)
+            ends.append(asyncio.create_task(self.end_server(replaced)))
+            await asyncio.sleep(self.random.uniform(0.0, 0.5))
+        await asyncio.gather(*ends)
+
+    async def end_server(self, server):
+        if self.random.random() < 0.7:
+            server.state = "draining"
+            await server.report()
+            await asyncio.sleep(self.random.uniform(0.5, 2.0))
+        await server.deregister()
+        await asyncio.sleep(self.random.uniform(self.drain_s, 2.0))
+        await server.crash()
 
     async def announce_leaving(self):
         """A server says in its responses that it leaves, before or without reporting it."""
@@ -47,7 +71,7 @@
         await asyncio.sleep(self.random.uniform(0.5, 1.5))
         await old.crash()
         if self.servers[index] is old:
-            self.servers[index] = await self.new_server(index)
+            self.servers[index] = await self.new_server(index, old.version)
 
     async def ask_for_silence(self, servers=None):
         """Servers refuse all requests for a while and ask for none meanwhile."""
@@ -66,9 +90,11 @@
     async def start_servers(self):
         self.servers = [await self.new_server(i) for i in range(SERVERS)]
 
-    async def new_server(self, index):
+    async def new_server(self, index, version=None):
         n = self.callers.next_number()
-        server = Server(self, f"i-{index}-{n}", "web" if index % 2 == 0 else "engine", self.seed * 1000 + n)
+        version = version or self.versions.names[index // 3 % len(self.versions.names)]
+        service = "web" if index % 3 == 0 else "engine"
+        server = Server(self, f"i-{index}-{n}", service, version, self.seed * 1000 + n)
         await server.start()
         self.started_servers.append(server)
         return server
--- a/tests/soak/soak_servers.py
+++ b/tests/soak/soak_servers.py
@@ -96,8 +96,8 @@
 class Server:
     """A backend server that counts runs by request id and injects faults into its responses."""
 
-    def __init__(self, fleet, name, service, seed):
-        self.fleet, self.name, self.service = fleet, name, service
+    def __init__(self, fleet, name, service, version, seed):
+        self.fleet, self.name, self.service, self.version = fleet, name, service, version
         self.random = random.Random(seed)
         self.started = int(time.time() * 1000)
         self.sequence = 0
@@ -107,6 +107,7 @@
         self.backoff_s = 0.0  # refuses every request and asks for none for so long
         self.backoffs = []  # of this server, as dictionaries
         self.alive = True
+        self.has_deregistered = False
         self.next_report_address = None  # (host, port) named by the last confirmation
 
     async def start(self):
@@ -116,14 +117,14 @@
         self.reporter = asyncio.create_task(self.run_reporter())
 
     async def run_reporter(self):
-        while self.alive:
+        while self.alive and not self.has_deregistered:
             await self.report()
             await asyncio.sleep(REPORT_INTERVAL_S)
 
     async def report(self):
         self.sequence += 1
         body = json.dumps({
-            "service": self.service, "address": self.address, "zone": "z", "version": "v1",
+            "service": self.service, "address": self.address, "zone": "z", "version": self.version,
             "slots": SLOTS, "state": self.state, "warmup_left_ms": 0, "seq": self.sequence,
             "born": self.started})
         hosts = self.random.sample(self.fleet.control_hosts, len(self.fleet.control_hosts))
@@ -139,6 +140,15 @@
             self.next_report_address = None
         return False
 
+    async def deregister(self):
+        self.has_deregistered, self.state = True, "draining"
+        self.sequence += 1
+        body = json.dumps({"seq": self.sequence, "born": self.started})
+        for host in self.random.sample(self.fleet.control_hosts, len(self.fleet.control_hosts)):
+            status, _ = await self.fleet.call(host, "POST", f"/v1/Replicas.Deregister/{self.name}", body, limit_s=1)
+            if status == 200:
+                return
+
     def record_confirmation(self, text, address):
         """Sets the address for the next report; it stays valid until a report to it fails."""
         named = json.loads(text).get("heartbeat_addr")
--- a/tests/soak/soak_streams.py
+++ b/tests/soak/soak_streams.py
@@ -32,7 +32,8 @@
     sent_event: int | None = None
 
     def __str__(self):
-        return f"[run {self.number} at {self.server.name} after event {self.last_event}: {self.plan}]"
+        server = f"{self.server.name} ({self.server.version})"
+        return f"[run {self.number} at {server} after event {self.last_event}: {self.plan}]"
 
 
 class Stream:
@@ -161,6 +162,8 @@
         self.data = b""
         self.partial_chunk_bytes = 0  # at the end of data, of a chunk that was cut
         self.is_complete = False
+        self.max_bytes = None  # the caller leaves with so many
+        self.has_left = False
 
     async def read(self, reader):
         while size := await self.read_chunk_size(reader):
@@ -172,6 +175,9 @@
                 left -= len(piece)
                 self.data += piece
                 self.partial_chunk_bytes = size - left if left else 0
+                if self.max_bytes and len(self.data) >= self.max_bytes:
+                    self.has_left = True
+                    raise ConnectionAbortedError("the caller left")
             await reader.readexactly(2)
         self.is_complete = True
 
@@ -188,6 +194,7 @@
     last_event: int
     first_server: str | None = None
     problem: str | None = None
+    versions: list = dataclasses.field(default_factory=list)  # of the servers of its events, in order
 
 
 def check_stream(stream, runs, last_event, received, is_resumable):
@@ -202,6 +209,8 @@
             if taken == 0 and run.last_event != out.last_event:
                 out.problem = f"continues after event {run.last_event}, its caller has {out.last_event}"
                 return out
+            if blocks[taken][0] > out.last_event and run.server.version not in out.versions:
+                out.versions.append(run.server.version)
             rest = rest[len(blocks[taken][1]):]
             out.last_event = blocks[taken][0]
             taken += 1
