Don't continue a stream with a large response of another kind

Callers could see: a stream that goes on with the bytes of a response that isn't one, and ends as complete. Cause: check the kind of a response at its end, but a signed response above 256 kB began to be forwarded before. Before, the test got the first event and 400 kB of the other response; the case with 2 bytes passed.

--- a/tests/programs/gateway_stream_test.cpp
+++ b/tests/programs/gateway_stream_test.cpp
@@ -202,6 +202,18 @@
   CHECK(it.servers[1]->requests.empty());
 }
 
+TEST_CASE("a stream is not continued with a response of another kind of any size") {
+  const std::string other(GENERATE(2, 400'000), 'b');
+  auto response = response_text(other);
+  response.insert(response.find("Content-Length"), "Content-Type: application/json\r\n");
+  gateway_fixture it({{{write_text(stream_head() + chunk(event(1))), pause_script(20),
+                        reset_connection()}},
+                      {{write_text(response)}}});
+  const auto result = read_stream(it, "/resume/");
+  CHECK_FALSE(result.is_complete);
+  CHECK(result.body == event(1));
+}
+
 TEST_CASE("a caller's reset at the end of its stream does not end the request twice") {
   gateway_fixture it({{{write_text(stream_head() + chunk(event(1)))}}});
   QTcpSocket caller;
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -327,6 +327,9 @@
     forward_body(piece);
     return;
   }
+  if (state_.response_started) {
+    return; // the body of another kind of response can't continue it
+  }
   it.body += piece;
   if (it.body.size() > max_buffered_response_bytes && is_forwardable_response() &&
       has_caller()) {
