Send the body of an error after a response without one

Callers could see: a 400, 431 or 408 that announces a body and lacks it, when the request before on their connection was a HEAD request or got a 204. Cause: that the response in progress has no body was reset only by the next valid request. Gateways, control and the receiver of reports share this code.

--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -190,6 +190,7 @@
 
 void http_connection::end_response() {
   begun_ = false;
+  has_no_body_ = false;
   phase_since_ = io::now();
   if (close_after_) {
     linger();
--- a/tests/programs/gateway_test.cpp
+++ b/tests/programs/gateway_test.cpp
@@ -401,6 +401,23 @@
   CHECK(it.servers[0]->requests.empty());
 }
 
+TEST_CASE("an error response after one without a body has its body") {
+  const auto head_only = response_text("12345").substr(0, response_text("").size());
+  gateway_fixture it({{{write_text(head_only)}}});
+  test_caller caller(it.address);
+  caller.send(request_text("HEAD", "/safe/", "r1"));
+  REQUIRE(caller.wait_for("\r\n\r\n"));
+  caller.received.clear();
+  caller.send("malformed\r\n\r\n");
+  caller.wait_closed();
+  const auto head_end = caller.received.find("\r\n\r\n");
+  REQUIRE(head_end != std::string::npos);
+  const auto size = caller.received.size() - head_end - 4;
+  CHECK(size > 0);
+  CHECK(caller.received.find("Content-Length: " + std::to_string(size) + "\r\n") !=
+        std::string::npos);
+}
+
 TEST_CASE("a stopping gateway serves requests that arrive, then closes connections") {
   gateway_fixture it({{{pause_script(300), write_text(response_text("slow"))},
                        {write_text(response_text("late"))}}});
