Forward all bytes of a delimited stream through an agent

Callers could see: a stream without the comments that its server sent after the end marker. Cause: the fix of streams without a length drops bytes after the marker, which belong to no request there, but did so also where the framing tells the end.

--- a/tests/programs/agent_repeat_test.cpp
+++ b/tests/programs/agent_repeat_test.cpp
@@ -176,3 +176,21 @@
   CHECK(router.last_result() == "completed/ok");
   CHECK(router.body == make_body(how, 1).toStdString());
 }
+
+TEST_CASE("bytes of a delimited stream after its end marker reach the caller") {
+  const QByteArray body = "data: 1\n\ndata: [DONE]\n\n: later\n\n";
+  agent_fixture fixture;
+  auto& node = fixture.start();
+  fixture.backend->on_call = [&](fake_backend::call& call) {
+    fake_backend::write(call,
+                        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                        "Content-Length: " +
+                            QByteArray::number(body.size()) + "\r\n\r\n" + body,
+                        true);
+  };
+  fake_router router(node.port());
+  start_call(router, true);
+  REQUIRE(router.wait_for_end());
+  CHECK(router.last_result() == "completed/ok");
+  CHECK(router.body == body.toStdString());
+}
--- a/tools/agent/backend_call.cpp
+++ b/tools/agent/backend_call.cpp
@@ -172,6 +172,12 @@
   }
 }
 
+// Whether the response's framing tells where its body ends.
+bool backend_call::has_delimited_body() const {
+  return !reply_->rawHeader("Content-Length").isEmpty() ||
+         reply_->rawHeader("Transfer-Encoding").toLower().contains("chunked");
+}
+
 void backend_call::read_data() {
   read_head();
   if (reply_ == nullptr) {
@@ -185,7 +191,8 @@
   auto size = static_cast<std::size_t>(chunk.size());
   received_bytes_ += size;
   if (is_event_stream_) {
-    size = read_piece(stream_end_, {chunk.constData(), size});
+    const auto n = read_piece(stream_end_, {chunk.constData(), size});
+    size = has_delimited_body() ? size : n;
   }
   if (on_data && size > 0) {
     on_data(as_bytes({chunk.constData(), size}));
--- a/tools/agent/backend_call.h
+++ b/tools/agent/backend_call.h
@@ -59,6 +59,7 @@
   void read_data();
   void finish();
   void end(backend_result result, const std::string& detail);
+  [[nodiscard]] bool has_delimited_body() const;
   [[nodiscard]] bool is_complete() const;
   [[nodiscard]] bool connection_failed_before_send() const;
 
--- a/tools/agent/stream_end.h
+++ b/tools/agent/stream_end.h
@@ -14,8 +14,8 @@
   bool has_ended = false;
 };
 
-// Returns how many bytes of the next piece belong to the stream. Those after the end
-// marker's empty line belong to no request.
+// Returns how many bytes of the next piece come before the end of the stream. Where only
+// the end marker tells that end, later bytes belong to no request.
 std::size_t read_piece(stream_end& state, std::string_view piece);
 
 // Whether the body ends with the end marker. Its event may lack its empty line only if
