End an agent's call at the end marker of a stream without a length

Callers saw: a stream that they have in whole counted as broken. Cause: after the end marker the agent waited for the connection to end, and a connection that ended otherwise than in order made the response truncated.

--- a/tools/agent/backend_call.cpp
+++ b/tools/agent/backend_call.cpp
@@ -197,6 +197,10 @@
   if (on_data && size > 0) {
     on_data(as_bytes({chunk.constData(), size}));
   }
+  // Neither later bytes nor how the connection ends matters after the end marker.
+  if (reply_ != nullptr && stream_end_.has_ended && !has_delimited_body()) {
+    end(backend_result::complete, {});
+  }
 }
 
 bool backend_call::is_complete() const {
