Copy cached prompts only from servers of the same software version

Callers could see: a response that a server generates from another version's memory. What servers of two versions write doesn't fit together, and a copied prompt is such. Cause: the source of a copy was chosen by where the prompt had been sent, whatever version that server has. The first request for a part at a new version reads it again.

--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -266,7 +266,8 @@
   void consider(const detail::indexed_server& it) {
     const auto score = mix(it.id_hash, key_);
     const bool may_hold = score > min_score_ || it.entry->known_since < older_than_;
-    if (may_hold && score > best_score_ && &it != chosen_ &&
+    const bool fits = it.entry->server.version == chosen_->entry->server.version;
+    if (may_hold && fits && score > best_score_ && &it != chosen_ &&
         can_serve_copy(it, limits_, now_)) {
       best_ = &it;
       best_score_ = score;
@@ -292,7 +293,7 @@
 // sent a prompt with the same largest shared part. For a part that this router has not
 // sent, it is the home if that is another server, the previous home if that drains or
 // has closed itself to requests, or the home before the chosen server joined. Null if it
-// is the chosen server or cannot serve a copy.
+// is the chosen server, has another software version or cannot serve a copy.
 const announced_server* find_copy_source(const server_directory& directory,
                                          const dispatch_state& state,
                                          const dispatch_request& request,
@@ -302,9 +303,11 @@
   const auto location = state.prefix_locations.find(key);
   if (location != state.prefix_locations.end() &&
       now - location->second.sent_at <= detail::prefix_location_ttl) {
-    return location->second.server == chosen.server().id
-               ? nullptr
-               : find_holder(directory, state, location->second.server, limits, now);
+    const auto* holder =
+        find_holder(directory, state, location->second.server, limits, now);
+    const bool fits = holder != nullptr && holder->id != chosen.server().id &&
+                      holder->version == chosen.server().version;
+    return fits ? holder : nullptr;
   }
   holder_search search(key, chosen, limits, now);
   for (const auto* services : {&state.index.services, &state.index.draining}) {
--- a/tests/dispatch_version_test.cpp
+++ b/tests/dispatch_version_test.cpp
@@ -89,3 +89,26 @@
   CHECK(choice.server == nullptr);
   CHECK(choice.reason == dispatch_reason::no_version);
 }
+
+TEST_CASE("cached prompts are not copied from a server of another version") {
+  auto it = make_fleet();
+  const bool is_known_location = GENERATE(true, false);
+  std::size_t copies = 0;
+  for (std::uint64_t part = 1; part <= 40; ++part) {
+    auto request = request_at("v1", part);
+    if (is_known_location) {
+      record_prompt_sent(it.state, request, part % 2 == 0 ? "c" : "a", start);
+    }
+    // A full home, so that another server is chosen.
+    const auto home = choose(it, request).server->id;
+    it.state.stats[home].local_load.requests = 60;
+    const auto choice = choose(it, request);
+    it.state.stats[home].local_load.requests = 0;
+    REQUIRE(choice.server != nullptr);
+    if (choice.copy_from != nullptr) {
+      CHECK(choice.copy_from->version == choice.server->version);
+      ++copies;
+    }
+  }
+  CHECK(copies > 0);
+}
