--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -57,6 +57,7 @@
   // Versions that began streams, by stream_key(), and whether they are recorded and
   // found.
   std::map<std::uint64_t, std::string> streams;
+  bool keeps_streams = true; // false: a process of an older build
   bool confirms_streams = true;
   bool finds_streams = true;
 
@@ -127,7 +128,7 @@
     wire::GroupStatusT status;
     status.control_hosts = {"127.0.0.1"};
     status.leads = status.has_leader = status.confirmed = true;
-    status.keeps_streams = true;
+    status.keeps_streams = keeps_streams;
     status.routing_version = version;
     // Without a router count the gateway may not use its share of the fleet's retry
     // budget.
--- a/tests/programs/gateway_version_test.cpp
+++ b/tests/programs/gateway_version_test.cpp
@@ -155,3 +155,13 @@
   const auto response = read_stream(it, "r1", resume_fields("r0"));
   CHECK(response.starts_with(other_version_served ? "HTTP/1.1 503 " : "HTTP/1.1 200 "));
 }
+
+TEST_CASE("control of an older build gets no records, which it would not understand") {
+  gateway_fixture it({{whole_stream(event(1))}, {}});
+  it.control.keeps_streams = false;
+  it.control.broadcast_status();
+  announce_versions(it, {"v1", "v1"});
+  CHECK(has(read_stream(it, "r0"), event(1)));
+  CHECK(read_stream(it, "r2", resume_fields("other")).starts_with("HTTP/1.1 503 "));
+  CHECK(it.control.streams.empty());
+}
