Give each gateway test process an address of its own for fleet ports

Seen: gateway_stream_test failed once in scripts/test, since a gateway couldn't listen. All processes took their fleet ports on one address, at offsets from the port of their stand-in for control, so ports of four gateway tests that run at once could collide.

--- a/tests/loopback_address.h
+++ b/tests/loopback_address.h
@@ -9,9 +9,10 @@
 
 // A loopback address that no other process uses. On 127.0.0.1 the kernel may give a port
 // that was free a moment ago to an outgoing connection or a listener of another test.
-inline std::string own_loopback_host() {
+// first_octet tells several addresses of a process apart: the tests' fixed ones are below
+// 100, and process ids take 64 values of the octet.
+inline std::string own_loopback_host(unsigned first_octet = 100) {
   const auto pid = static_cast<unsigned>(::getpid());
-  constexpr unsigned first_octet = 100; // the tests' fixed addresses are below
   constexpr unsigned octet_values = 256;
   return "127." + std::to_string(first_octet + pid / octet_values / octet_values % 100) +
          "." + std::to_string(pid / octet_values % octet_values) + "." +
--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -231,7 +231,7 @@
     gateway_settings settings;
     settings.node_id = "g";
     settings.zone = "near";
-    settings.host = "127.0.0.2";
+    settings.host = own_loopback_host(180);
     settings.listen = free_address();
     settings.listen_ready = free_address();
     settings.first_port = control.first_port();
