Log and measure the links between members, and why a read is refused

Now member_link_opened, member_link_lost and member_link_refused tell of each link, a gauge per link has the time since the latest bytes from its member, routing_read_refused names the reason together with role, term, leader, membership and the silence of each link, and without_leader does so every two seconds while no leader is known. The reason of a lost connection is no longer always "Connection refused".

--- a/include/marigoldstep/io/control_client.h
+++ b/include/marigoldstep/io/control_client.h
@@ -21,6 +21,9 @@
 // Parses "host:port". For malformed text the host is empty and the port 0.
 endpoint parse_endpoint(std::string_view text);
 
+// "host:port", as in log lines.
+std::string to_string(const endpoint& address);
+
 // Outcome of a request to the control group. may_have_arrived is false only when no
 // byte of the request was written to a connection, so it certainly had no effect.
 struct control_result {
--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -100,6 +100,8 @@
   void acknowledge_version();
 
   [[nodiscard]] std::size_t open_links() const;
+  // Whether a link to a process that leads the group is open.
+  [[nodiscard]] bool has_leader_link() const;
   // Whether every connected control process had sent its servers at some time since the
   // start.
   [[nodiscard]] bool has_initial_servers() const { return has_initial_servers_; }
--- a/src/io/control_client.cpp
+++ b/src/io/control_client.cpp
@@ -34,6 +34,10 @@
   return out;
 }
 
+std::string to_string(const endpoint& address) {
+  return address.host + ":" + std::to_string(address.port);
+}
+
 control_client::control_client(std::vector<endpoint> endpoints, QObject* parent)
     : QObject(parent), endpoints_(std::move(endpoints)) {
   // Starts at a random endpoint, to spread the nodes over the control processes.
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -410,6 +410,12 @@
   acknowledge_version();
 }
 
+bool control_links::has_leader_link() const {
+  return std::any_of(links_.begin(), links_.end(), [](const auto& it) {
+    return it.second.is_open && it.second.is_leader;
+  });
+}
+
 std::size_t control_links::open_links() const {
   std::size_t n = 0;
   for (const auto& [host, it] : links_) {
--- a/src/io/framed_connection.cpp
+++ b/src/io/framed_connection.cpp
@@ -26,6 +26,19 @@
   }
 };
 
+std::errc to_errc(QAbstractSocket::SocketError error) {
+  switch (error) {
+  case QAbstractSocket::ConnectionRefusedError:
+    return std::errc::connection_refused;
+  case QAbstractSocket::RemoteHostClosedError:
+    return std::errc::connection_reset;
+  case QAbstractSocket::SocketTimeoutError:
+    return std::errc::timed_out;
+  default:
+    return std::errc::io_error;
+  }
+}
+
 QTcpServer* make_server(QObject* parent) {
   if (!tls_enabled()) {
     return new QTcpServer(parent);
@@ -76,8 +89,8 @@
   connect(socket_, &QTcpSocket::disconnected, this,
           [this] { fail(std::make_error_code(std::errc::connection_reset)); });
   connect(socket_, &QTcpSocket::errorOccurred, this,
-          [this](QAbstractSocket::SocketError) {
-            fail(std::make_error_code(std::errc::connection_refused));
+          [this](QAbstractSocket::SocketError it) {
+            fail(std::make_error_code(to_errc(it)));
           });
 }
 
--- a/tools/control/api.cpp
+++ b/tools/control/api.cpp
@@ -238,15 +238,18 @@
       return;
     }
   }
-  links_.when_state_is_newest([this, from](std::error_code ec) {
+  links_.check_version([this, from](const version_check& check) {
+    const bool is_empty = !check.error && group_.state().routing_version == 0;
     io::log_event(io::log_level::info, "routing_read",
                   {{"version", std::to_string(group_.state().routing_version)},
                    {"leads", group_.is_leader() ? "true" : "false"},
                    {"connected", from ? "true" : "false"},
-                   {"result", ec ? ec.message() : "newest"}});
-    if (ec || group_.state().routing_version == 0) {
+                   {"result", check.error ? check.error.message() : "newest"}});
+    if (check.error || is_empty) {
+      group_.log_status("routing_read_refused",
+                        is_empty ? "nothing is stored" : check.problem);
       respond_error(from, io::http_status::unavailable,
-                    ec ? ec.message() : "none stored yet");
+                    is_empty ? "none stored yet" : check.error.message());
     } else {
       respond_json(from, io::http_status::ok,
                    io::decompress_text(group_.state().routing_packed_text));
--- a/tools/control/link_routing.cpp
+++ b/tools/control/link_routing.cpp
@@ -61,15 +61,28 @@
   return hosts.empty() ? std::string() : hosts[next_reader_++ % hosts.size()];
 }
 
-void link_service::when_state_is_newest(std::function<void(std::error_code)> done) {
+void link_service::check_version(std::function<void(const version_check&)> done) {
   if (group_.is_leader()) {
-    group_.confirm(std::move(done));
+    group_.confirm([done = std::move(done)](std::error_code ec) {
+      done({ec, ec ? "no quorum confirmed this leader" : ""});
+    });
     return;
   }
-  peers_.confirm_version([this, done = std::move(done)](std::uint64_t version) {
-    const bool newest = version != 0 && group_.state().routing_version >= version;
-    done(newest ? std::error_code() : make_error_code(errc::control_unavailable));
-  });
+  const auto unavailable = make_error_code(errc::control_unavailable);
+  if (!peers_.has_leader_link()) {
+    done({unavailable, "no link to a leader"});
+    return;
+  }
+  peers_.confirm_version(
+      [this, unavailable, done = std::move(done)](std::uint64_t newest) {
+        if (newest == 0) {
+          done({unavailable, "the leader confirmed no version in time"});
+        } else if (group_.state().routing_version < newest) {
+          done({unavailable, "an older version is held"});
+        } else {
+          done({});
+        }
+      });
 }
 
 void link_service::when_version_applied(std::uint64_t version,
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -20,6 +20,13 @@
 
 namespace marigoldstep::control {
 
+// Whether this process holds the routing version that a quorum confirms as the newest.
+struct version_check {
+  std::error_code error;    // errc::not_leader on the leader, errc::control_unavailable
+                            // elsewhere
+  std::string_view problem; // for the log; empty without an error
+};
+
 struct link_limits {
   double link_bytes_per_ms = 0;       // bandwidth of this VM's network link; 0: no limit
   milliseconds silence_timeout{4000}; // a server without a report for longer is silent
@@ -71,10 +78,8 @@
   // Host of another connected control process that holds the newest version known here;
   // empty if there is none. Takes turns among them.
   [[nodiscard]] std::string find_reader();
-  // Calls done when this process holds the routing version that a quorum confirms as
-  // the newest, or with an error: errc::not_leader on the leader and
-  // errc::control_unavailable elsewhere.
-  void when_state_is_newest(std::function<void(std::error_code)> done);
+  // Calls done with the result once the leader has replied, or after a timeout.
+  void check_version(std::function<void(const version_check&)> done);
   // To be called after each change of the replicated state or the leader.
   void handle_state_changed();
 
--- a/tools/control/metrics.cpp
+++ b/tools/control/metrics.cpp
@@ -1,5 +1,7 @@
 #include "control/metrics.h"
 
+#include "marigoldstep/io/clock.h"
+
 namespace marigoldstep::control {
 
 namespace {
@@ -30,7 +32,11 @@
       bytes_received_(gauge("received_bytes", "Bytes received from nodes and operators")),
       peer_bytes_sent_(gauge("peer_sent_bytes", "Bytes sent to members")),
       peer_bytes_received_(gauge("peer_received_bytes", "Bytes received from members")),
-      sync_seconds_(sync_histogram(admin.registry())) {
+      sync_seconds_(sync_histogram(admin.registry())),
+      link_silence_(prometheus::BuildGauge()
+                        .Name("marigoldstep_control_member_link_silence_seconds")
+                        .Help("Time since the latest bytes on an open link to a member")
+                        .Register(admin.registry())) {
   admin_.before_collect = [this] { collect(); };
   admin_.is_ready = [this] { return group_.is_ready(); };
   group_.on_sync_time = [this](double seconds) { sync_seconds_.Observe(seconds); };
@@ -57,6 +63,22 @@
   bytes_received_.Set(static_cast<double>(nodes_.bytes_received()));
   peer_bytes_sent_.Set(static_cast<double>(group_.network().bytes_sent()));
   peer_bytes_received_.Set(static_cast<double>(group_.network().bytes_received()));
+  collect_links();
+}
+
+// Exports only open links: the absence of a member's gauge says that its link is closed.
+void control_metrics::collect_links() {
+  for (auto* it : link_silences_) {
+    link_silence_.Remove(it);
+  }
+  link_silences_.clear();
+  for (const auto& it : group_.network().links(io::now())) {
+    if (it.is_open) {
+      auto& silence = link_silence_.Add({{"peer", to_string(it.peer)}});
+      silence.Set(std::chrono::duration<double>(it.silence).count());
+      link_silences_.push_back(&silence);
+    }
+  }
 }
 
 } // namespace marigoldstep::control
--- a/tools/control/metrics.h
+++ b/tools/control/metrics.h
@@ -7,6 +7,8 @@
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 
+#include <vector>
+
 namespace marigoldstep::control {
 
 // Provides /metrics and /readyz of a control process.
@@ -17,6 +19,7 @@
 private:
   void collect();
   prometheus::Gauge& gauge(const std::string& name, const std::string& help);
+  void collect_links();
 
   io::admin_server& admin_;
   replica& group_;
@@ -32,6 +35,9 @@
   prometheus::Gauge& peer_bytes_sent_;
   prometheus::Gauge& peer_bytes_received_;
   prometheus::Histogram& sync_seconds_;
+  // One gauge per link, which carries the peer's address as a label.
+  prometheus::Family<prometheus::Gauge>& link_silence_;
+  std::vector<prometheus::Gauge*> link_silences_;
 };
 
 } // namespace marigoldstep::control
--- a/tools/control/peers.cpp
+++ b/tools/control/peers.cpp
@@ -56,20 +56,38 @@
   it.connection =
       new io::framed_connection(QString::fromStdString(target.host), target.port, this);
   auto* connection = it.connection;
-  connection->on_open = [this, connection] { send_hello(connection); };
+  connection->on_open = [this, target] { handle_open(target); };
   connection->on_frame = [this, connection](byte_view buf) {
     handle_frame(connection, buf, false);
   };
-  connection->on_closed = [this, target](std::error_code) {
-    const auto known = outgoing_.find(target);
-    if (known != outgoing_.end()) {
-      close_outgoing(known->second, io::now() + reconnect_delay);
-    }
+  connection->on_closed = [this, target](std::error_code ec) {
+    handle_closed(target, ec);
   };
 }
 
+void peer_network::handle_open(const io::endpoint& target) {
+  auto& it = outgoing_.at(target);
+  it.bytes_received = 0;
+  it.heard_at = io::now();
+  io::log_event(io::log_level::info, "member_link_opened", {{"peer", to_string(target)}});
+  send_hello(it.connection);
+}
+
+void peer_network::handle_closed(const io::endpoint& target, std::error_code ec) {
+  const auto known = outgoing_.find(target);
+  if (known == outgoing_.end()) {
+    return;
+  }
+  if (known->second.heard_at != time_point{}) {
+    io::log_event(io::log_level::warning, "member_link_lost",
+                  {{"peer", to_string(target)}, {"reason", ec.message()}});
+  }
+  close_outgoing(known->second, io::now() + reconnect_delay);
+}
+
 void peer_network::close_outgoing(outgoing& it, time_point retry_at) {
   it.retry_at = retry_at;
+  it.heard_at = {};
   if (it.connection == nullptr) {
     return;
   }
@@ -83,6 +101,8 @@
 
 void peer_network::accept(io::framed_connection* connection) {
   if (incoming_.size() >= max_incoming_connections) {
+    io::log_event(io::log_level::warning, "member_link_refused",
+                  {{"open", std::to_string(incoming_.size())}});
     connection->close();
     connection->deleteLater();
     return;
@@ -176,6 +196,10 @@
   }
   for (auto& [target, it] : outgoing_) {
     const bool open = it.connection != nullptr && it.connection->is_open();
+    if (open && it.connection->bytes_received() != it.bytes_received) {
+      it.bytes_received = it.connection->bytes_received();
+      it.heard_at = now;
+    }
     if (open && hello_due) {
       send_hello(it.connection);
     } else if (!open && now >= it.retry_at) {
@@ -201,4 +225,22 @@
   return it == peers_.end() ? nullptr : &it->second;
 }
 
+std::vector<member_link> peer_network::links(time_point now) const {
+  std::vector<member_link> out;
+  for (const auto& [target, it] : outgoing_) {
+    const bool open = it.connection != nullptr && it.connection->is_open();
+    out.push_back({target, open, open ? now - it.heard_at : milliseconds(0)});
+  }
+  return out;
+}
+
+std::string describe(const std::vector<member_link>& links) {
+  std::string out;
+  for (const auto& it : links) {
+    out += (out.empty() ? "" : ", ") + to_string(it.peer) + " ";
+    out += it.is_open ? "silent " + std::to_string(it.silence.count()) + " ms" : "closed";
+  }
+  return out;
+}
+
 } // namespace marigoldstep::control
--- a/tools/control/peers.h
+++ b/tools/control/peers.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace marigoldstep::control {
 
@@ -20,6 +21,13 @@
   bool has_group = false;
 };
 
+// State of the connection that this process opened to another one.
+struct member_link {
+  io::endpoint peer;
+  bool is_open = false;
+  milliseconds silence{0}; // since the latest bytes from the peer, or since it opened
+};
+
 // Connections between control processes. Each process sends on the connections that it
 // opened and receives on those that it accepted. Lost frames are not resent here; Raft
 // recovers from them.
@@ -46,6 +54,7 @@
   [[nodiscard]] const peer_info* find(member_id id) const;
   // Process at an address; null when it sent no PeerHello.
   [[nodiscard]] const peer_info* find(const io::endpoint& peer) const;
+  [[nodiscard]] std::vector<member_link> links(time_point now) const;
   [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
   [[nodiscard]] std::uint64_t bytes_received() const { return bytes_received_; }
 
@@ -53,10 +62,14 @@
   struct outgoing {
     io::framed_connection* connection = nullptr;
     time_point retry_at{};
+    std::uint64_t bytes_received = 0; // when it was last looked at
+    time_point heard_at{};            // when the latest bytes arrived
   };
 
   void connect_to(const io::endpoint& target, outgoing& it);
   void close_outgoing(outgoing& it, time_point retry_at);
+  void handle_open(const io::endpoint& target);
+  void handle_closed(const io::endpoint& target, std::error_code ec);
   void accept(io::framed_connection* connection);
   void handle_frame(io::framed_connection* connection, byte_view buf, bool reply);
   void send_hello(io::framed_connection* connection);
@@ -72,4 +85,7 @@
   std::uint64_t bytes_received_ = 0;
 };
 
+// Writes links as "host:port open 0.2 s, host:port closed".
+std::string describe(const std::vector<member_link>& links);
+
 } // namespace marigoldstep::control
--- a/tools/control/replica.cpp
+++ b/tools/control/replica.cpp
@@ -11,6 +11,8 @@
 
 // Space on a full disk is often freed within seconds.
 constexpr auto storage_retry_interval = milliseconds(1000);
+// Several elections take less.
+constexpr auto missing_leader_log_interval = milliseconds(2000);
 // Short compared to the heartbeat interval of 75 ms.
 constexpr auto tick_interval = milliseconds(15);
 
@@ -106,6 +108,7 @@
 void replica::tick() {
   const auto now = io::now();
   network_.tick(now);
+  log_missing_leader();
   if (out_of_service_) {
     if (now >= next_storage_retry_) {
       return_to_service();
@@ -119,6 +122,32 @@
   repair_group();
 }
 
+void replica::log_status(std::string_view event, std::string_view problem) const {
+  const auto& node = *node_;
+  const bool is_member = find_member(members(node), node.identity.id) != nullptr;
+  io::log_event(io::log_level::warning, event,
+                {{"problem", std::string(problem)},
+                 {"role", std::string(name(node.role))},
+                 {"term", std::to_string(node.state.term)},
+                 {"leader", std::to_string(node.leader)},
+                 {"member", is_member ? "true" : "false"},
+                 {"voters", std::to_string(voter_count(members(node)))},
+                 {"commit_index", std::to_string(node.commit_index)},
+                 {"routing_version", std::to_string(state_.routing_version)},
+                 {"in_service", out_of_service_ ? "false" : "true"},
+                 {"member_links", describe(network_.links(io::now()))}});
+}
+
+void replica::log_missing_leader() {
+  const auto now = io::now();
+  if (is_ready() || without_leader_since_ == time_point{}) {
+    without_leader_since_ = is_ready() ? time_point{} : now;
+  } else if (now - without_leader_since_ >= missing_leader_log_interval) {
+    without_leader_since_ = now;
+    log_status("without_leader", "no leader is known");
+  }
+}
+
 void replica::process(raft_output out) {
   if (!out.records.empty()) {
     log_->store(out.sync_id, std::move(out.records));
--- a/tools/control/replica.h
+++ b/tools/control/replica.h
@@ -60,6 +60,8 @@
   // Voters that the group needs to tolerate the losses given in the settings.
   [[nodiscard]] std::size_t required_voters() const;
 
+  // Logs a warning with what this process knows of its group, and with its links.
+  void log_status(std::string_view event, std::string_view problem) const;
   // Whether this process belongs to a group with a known leader.
   [[nodiscard]] bool is_ready() const;
   [[nodiscard]] std::uint64_t term() const { return node_ ? node_->state.term : 0; }
@@ -112,6 +114,7 @@
   void try_to_form_group();
   void bootstrap();
   void repair_group();
+  void log_missing_leader();
   void go_out_of_service(const std::string& detail);
   std::unique_ptr<io::raft_storage> make_log();
   void return_to_service();
@@ -139,6 +142,7 @@
   std::uint64_t next_token_ = 1;
   repair_view repair_;
   time_point next_repair_{};
+  time_point without_leader_since_{};  // unset while a leader is known
   std::set<std::string> member_hosts_; // as received over the links
   time_point next_storage_retry_{};    // when the storage is tried again after a failure
 };
