Show that silent connections between members make configurations unreadable

Callers (the operator) saw no process return what was confirmed. A loopback proxy in front of each member's port makes open connections silent, without closing them, while new ones work. The 64 incoming connections of a member can all be dead ones (member_link_refused open=64).

--- /dev/null
+++ b/tests/programs/member_links_test.cpp
@@ -0,0 +1,101 @@
+#include <catch2/catch.hpp>
+
+#include "control_group.h"
+#include "marigoldstep/io/clock.h"
+
+// Guards against members that keep using dead connections, so that no quorum forms and no
+// process returns the configuration that it confirmed.
+
+using namespace marigoldstep;
+using namespace control::test;
+using direction = loopback_proxy::direction;
+
+namespace {
+
+// The operator reads for at least so long once the fleet is calm.
+constexpr auto stable_window = std::chrono::milliseconds(3000);
+
+struct proxied_group : control_group {
+  proxied_group() {
+    test_application();
+    has_proxies = true;
+    start_all(3);
+    REQUIRE(wait_until([&] { return starts_with_status(store(1, 5), "200"); }));
+    REQUIRE(wait_until([&] { return all_return(5); }));
+  }
+
+  void silence_members(direction lost) {
+    for (const auto& [i, it] : processes) {
+      it.member_proxy->silence(lost);
+    }
+  }
+
+  void silence_new_members(bool lost) {
+    for (const auto& [i, it] : processes) {
+      it.member_proxy->silence_new(lost);
+    }
+  }
+
+  // The process loses its disk, and starts again at its address.
+  void lose_disk(int i) {
+    kill(i);
+    const int seed = i == 1 ? 2 : 1;
+    start(i, seed);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a configuration is readable soon after all member connections fall silent",
+          "[.known-red]") {
+  proxied_group it;
+  const auto lost = GENERATE(direction::both, direction::to_target, direction::to_client);
+  it.silence_members(lost);
+  CHECK(wait_until([&] { return it.all_return(5); }, stable_window));
+  CHECK(wait_until([&] { return starts_with_status(it.store(2, 6), "200"); }));
+}
+
+TEST_CASE("a change that follows the silence of one member's connections is readable",
+          "[.known-red]") {
+  proxied_group it;
+  const auto lost = GENERATE(direction::both, direction::to_target, direction::to_client);
+  const int silent = GENERATE(1, 2);
+  it.processes.at(silent).member_proxy->silence(lost);
+  REQUIRE(wait_until([&] { return starts_with_status(it.store(3, 6), "200"); }));
+  CHECK(wait_until([&] { return it.all_return(6); }, stable_window));
+}
+
+TEST_CASE("connections that stay silent after a partition ended don't delay reads",
+          "[.known-red]") {
+  proxied_group it;
+  it.silence_members(direction::both);
+  it.silence_new_members(true);
+  run_event_loop(std::chrono::milliseconds(4000));
+  it.silence_new_members(false);
+  CHECK(wait_until([&] { return it.all_return(5); }, stable_window));
+}
+
+TEST_CASE("a lost disk beside another member's silent connections loses no change",
+          "[.known-red]") {
+  proxied_group it;
+  it.processes.at(2).member_proxy->silence(direction::both);
+  REQUIRE(wait_until([&] { return starts_with_status(it.store(1, 6), "200"); }));
+  it.lose_disk(3);
+  CHECK(wait_until([&] { return it.all_return(6); }, 2 * stable_window));
+}
+
+TEST_CASE("silent incoming connections don't keep a member out", "[.known-red]") {
+  proxied_group it;
+  it.kill(3);
+  std::vector<std::unique_ptr<QTcpSocket>> silent_peers;
+  constexpr std::size_t more_than_accepted = 80;
+  while (silent_peers.size() < more_than_accepted) {
+    silent_peers.push_back(std::make_unique<QTcpSocket>());
+    silent_peers.back()->connectToHost(
+        QString::fromStdString(control_group::inner_host(1)), it.peer_port);
+    run_event_loop(std::chrono::milliseconds(5));
+  }
+  it.start(3, 1);
+  REQUIRE(wait_until([&] { return it.is_voter(3); }));
+  CHECK(wait_until([&] { return it.all_return(5); }, 2 * stable_window));
+}
--- a/tests/programs/platform_control_test.cpp
+++ b/tests/programs/platform_control_test.cpp
@@ -1,28 +1,15 @@
 #include <catch2/catch.hpp>
 
-#include "control/api.h"
-#include "control/link_service.h"
-#include "event_loop.h"
-#include "gateway_fixture.h"
+#include "control_group.h"
 #include "marigoldstep/io/clock.h"
 
-#include <QTemporaryDir>
-
 using namespace marigoldstep;
 using gateway::test::routing_text;
 using gateway::test::test_caller;
+using namespace control::test;
 
 namespace {
 
-std::string call_api(const io::endpoint& api, const std::string& method,
-                     const std::string& target, const std::string& body = {}) {
-  test_caller caller(api);
-  caller.send(method + " " + target + " HTTP/1.1\r\nHost: c\r\nConnection: close\r\n" +
-              "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-  caller.wait_closed();
-  return caller.received;
-}
-
 // One control process that forms a group of one.
 struct control_fixture {
   QTemporaryDir folder;
@@ -85,10 +72,6 @@
   std::string read_config() const { return call("GET", "/v1/Config.Read"); }
 };
 
-bool starts_with_status(const std::string& response, const std::string& status) {
-  return response.starts_with("HTTP/1.1 " + status + " ");
-}
-
 std::string report_body(const std::string& state, int sequence) {
   return R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v","slots":4,)"
          R"("state":")" +
@@ -142,79 +125,6 @@
   }
 };
 
-// Several control processes on loopback addresses with equal ports, as on separate VMs.
-struct control_group {
-  control::link_limits limits; // of processes that start later
-  struct process {
-    std::unique_ptr<QTemporaryDir> folder = std::make_unique<QTemporaryDir>();
-    std::unique_ptr<control::replica> group;
-    std::unique_ptr<control::link_service> links;
-    std::unique_ptr<control::api> api;
-  };
-
-  std::uint16_t api_port = gateway::test::gateway_fixture::free_address().port;
-  std::uint16_t peer_port = gateway::test::gateway_fixture::free_address().port;
-  std::uint16_t link_port = gateway::test::gateway_fixture::free_address().port;
-  std::map<int, process> processes;
-
-  static std::string host(int i) { return "127.66.0." + std::to_string(i); }
-
-  void start(int i, int seed) {
-    control::control_settings settings;
-    auto& it = processes[i];
-    settings.data_dir = it.folder->path().toStdString();
-    settings.listen_peer = settings.advertise_peer = {host(i), peer_port};
-    settings.may_form_group = i == seed;
-    settings.repair = repair_settings{1, milliseconds(2500), milliseconds(1500)};
-    if (i != seed) {
-      settings.peers = {{host(seed), peer_port}};
-    }
-    it.group = std::make_unique<control::replica>(settings, nullptr);
-    it.links = std::make_unique<control::link_service>(
-        *it.group,
-        io::link_settings{host(i), false, host(i), link_port, "z", {host(seed)}}, limits,
-        nullptr);
-    auto* group = it.group.get();
-    it.links->on_members = [group](const std::set<std::string>& hosts) {
-      group->set_member_hosts(hosts);
-    };
-    it.api = std::make_unique<control::api>(*it.group, *it.links, nullptr);
-    auto* links = it.links.get();
-    it.group->on_changed = [links] { links->handle_state_changed(); };
-    REQUIRE_FALSE(it.api->listen({host(i), api_port}));
-    std::error_code ec;
-    std::string detail;
-    it.group->start({host(i), link_port}, ec, detail);
-    REQUIRE_FALSE(ec);
-    REQUIRE_FALSE(it.links->listen({host(i), link_port}));
-    REQUIRE_FALSE(it.links->start());
-  }
-
-  void kill(int i) {
-    processes[i].group->stop();
-    processes.erase(i);
-  }
-
-  int leader() const {
-    for (const auto& [i, it] : processes) {
-      if (it.group->is_leader()) {
-        return i;
-      }
-    }
-    return 0;
-  }
-
-  bool is_voter(int i) const {
-    const auto at = leader();
-    if (at == 0) {
-      return false;
-    }
-    const auto& node = *processes.at(at).group->node();
-    return marigoldstep::is_voter(members(node),
-                                  processes.at(i).group->node()->identity.id);
-  }
-};
-
 } // namespace
 
 TEST_CASE("a process joins the group through a seed that is not the leader") {
