Connect a control process to the members that its own log names

What the operator saw: a control process that had started again answered every read with 503 although it followed a leader. Cause: its links, over which it asks the leader for the newest version and receives the servers that others know, went to the seeds and to members that another process had named over such a link. With seeds that are gone, or that name only itself, it had no link, while its own log named every member. Class: a service that depends on one way of learning addresses although a better one is at hand.

Now each change of the group's members, and each new leader, sets the targets of the links, while a leader is known and this process is a member itself.

--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -68,6 +68,8 @@
   // returns an error when it cannot listen.
   std::error_code start();
   void set_seeds(std::vector<std::string> seeds);
+  // Sets the hosts of the group's members, where this process knows them itself.
+  void set_members(const std::set<std::string>& hosts);
   // Sends the load in flight at this router to the leader; dropped when there is none.
   void send_load(wire::RouterLoadT load);
   // Asks the leader which routing version a quorum confirms. Calls done with 0 when
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -57,6 +57,13 @@
   update_targets();
 }
 
+void control_links::set_members(const std::set<std::string>& hosts) {
+  if (hosts != members_) {
+    members_ = hosts;
+    update_targets();
+  }
+}
+
 // Seeds remain targets besides the members, to find the group again after every known
 // member was replaced.
 void control_links::update_targets() {
@@ -340,8 +347,7 @@
   const std::set<std::string> members(status.control_hosts.begin(),
                                       status.control_hosts.end());
   if (status.has_leader && !members.empty() && members != members_) {
-    members_ = members;
-    update_targets();
+    set_members(members);
     if (on_members) {
       on_members(members_);
     }
--- a/tests/programs/control_group.h
+++ b/tests/programs/control_group.h
@@ -94,6 +94,15 @@
     processes.erase(i);
   }
 
+  // Starts the process again with its files, once the others have a leader.
+  void restart(int i, int seed) {
+    auto folder = std::move(processes.at(i).folder);
+    kill(i);
+    REQUIRE(wait_until([&] { return leader() != 0; }));
+    processes[i].folder = std::move(folder);
+    start(i, seed);
+  }
+
   int leader() const {
     for (const auto& [i, it] : processes) {
       if (it.group->is_leader()) {
--- a/tests/programs/platform_control_test.cpp
+++ b/tests/programs/platform_control_test.cpp
@@ -143,6 +143,20 @@
   CHECK(wait_until([&] { return it.is_voter(4); }));
 }
 
+// Guards against a process that serves nothing after a restart because its links depend
+// on seeds, although it follows a leader.
+TEST_CASE("a follower whose seeds are gone returns the configuration") {
+  test_application();
+  control_group it;
+  it.start_all(3);
+  REQUIRE(wait_until([&] { return starts_with_status(it.store(1, 5), "200"); }));
+  it.restart(1, 1);
+  REQUIRE(wait_until([&] { return it.processes.at(1).group->is_ready(); }));
+  REQUIRE(it.leader() != 1);
+  CHECK(wait_until([&] { return it.read(1).ends_with(routing_text(5)); },
+                   std::chrono::milliseconds(3000)));
+}
+
 TEST_CASE("a change that reaches a follower is not sent again to the leader") {
   test_application();
   control_group it;
--- a/tools/control/link_routing.cpp
+++ b/tools/control/link_routing.cpp
@@ -130,6 +130,7 @@
 }
 
 void link_service::handle_state_changed() {
+  connect_to_members();
   const auto version = group_.state().routing_version;
   if (version != observed_version_) {
     observed_version_ = version;
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -203,17 +203,30 @@
   }
 }
 
+// Hosts of the group's members; empty without a leader, when the list may be out of date.
+std::vector<std::string> link_service::member_hosts() const {
+  std::vector<std::string> out;
+  if (group_.is_ready()) {
+    for (const auto& it : members(*group_.node())) {
+      out.push_back(it.host);
+    }
+  }
+  return out;
+}
+
+// Seeds may be gone by the time that this process starts again.
+void link_service::connect_to_members() {
+  const auto hosts = member_hosts();
+  if (std::find(hosts.begin(), hosts.end(), own_host_) != hosts.end()) {
+    peers_.set_members({hosts.begin(), hosts.end()});
+  }
+}
+
 void link_service::send_status(io::framed_connection* connection) {
   auto& to = subscribers_.at(connection);
   wire::GroupStatusT status;
   status.has_leader = group_.is_ready();
-  // Without a leader the member list may be out of date.
-  std::vector<std::string> hosts;
-  if (status.has_leader) {
-    for (const auto& it : members(*group_.node())) {
-      hosts.push_back(it.host);
-    }
-  }
+  auto hosts = member_hosts();
   if (hosts != to.sent_hosts) {
     to.sent_hosts = hosts;
     status.control_hosts = std::move(hosts);
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -132,6 +132,8 @@
   void handle_forwarded_routing(io::framed_connection* connection,
                                 wire::ForwardRoutingT& request);
   void send_status(io::framed_connection* connection);
+  [[nodiscard]] std::vector<std::string> member_hosts() const;
+  void connect_to_members();
   [[nodiscard]] feed_progress& progress(subscriber& it, feed which) const;
   [[nodiscard]] bool receives(const subscriber& it, feed which) const;
   [[nodiscard]] change_feed& changes(feed which);
