Keep a connection's callbacks alive while one of them runs

What callers saw: a gateway ended with SIGSEGV and cut off every request on it. Cause: control_links::close_link() cleared the callbacks of the connection, on_closed or on_frame among them, while it was called by one of them, which destroyed the callback with the host name that it captured. The same name was then passed to end_searches_at(), which compared freed memory with the hosts that a search for the origin of a stream waits for. So a gateway died when a link to control was lost, or sent a malformed frame, while a caller resumed a stream. Class: use of freed memory in a callback that destroys itself.

framed_connection::discard() aborts, after which no callback is called, and deletes the connection from the event loop, callbacks included. control_links, link_service and peer_network use it instead of clearing the callbacks.

--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -125,11 +125,7 @@
     log_event(log_level::warning, "control_link_lost",
               {{"host", host}, {"reason", std::string(why)}});
   }
-  it.connection->on_open = nullptr;
-  it.connection->on_frame = nullptr;
-  it.connection->on_closed = nullptr;
-  it.connection->abort();
-  it.connection->deleteLater();
+  it.connection->discard();
   it = {};
   it.retry_at = io::now() + retry_delay;
   end_searches_at(host);
--- a/src/io/framed_connection.cpp
+++ b/src/io/framed_connection.cpp
@@ -164,6 +164,11 @@
   socket_->abort();
 }
 
+void framed_connection::discard() {
+  abort();
+  deleteLater();
+}
+
 void framed_connection::fail(std::error_code ec) {
   if (closed_) {
     return;
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -120,10 +120,7 @@
   }
   subscribers_.erase(it);
   std::erase(text_requests_, connection);
-  connection->on_frame = nullptr;
-  connection->on_closed = nullptr;
-  connection->abort();
-  connection->deleteLater();
+  connection->discard();
   complete_waiting();
 }
 
--- a/tools/control/peers.cpp
+++ b/tools/control/peers.cpp
@@ -25,14 +25,10 @@
 // Bounds the map, which keeps the ids of replaced members for a while.
 constexpr std::size_t max_known_peers = 256;
 
-// Closes a connection, which calls nothing any more; nothing happens for null. Its
-// callbacks stay until it is deleted, since one of them may be running.
 void discard(io::framed_connection* connection) {
-  if (connection == nullptr) {
-    return;
+  if (connection != nullptr) {
+    connection->discard();
   }
-  connection->abort();
-  connection->deleteLater();
 }
 
 } // namespace
