Read large configurations from a gateway where control's link is too slow

Cause: the operator moves on about a second after its request, however much of the response has arrived. In the trace of the untouched code (CONFIG at 38.11 s) followers confirm the last three reads as newest and answer them at 34.78, 35.80 and 37.13 s, and each time the operator turns to another process about a second later. The reads in the trace follow each other; none shares a process with another.

A read that would take more than 0.85 s of a control process's link is now redirected (307) to a gateway that holds the newest version known there and whose link, which it announces when it subscribes, transmits the text in that time. The gateway answers at the port for server reports, only after the leader has named the version that a quorum confirms and if it holds that one, else 503. It serves one read at a time, from the compressed text (44 kB). Without such a gateway control answers itself as before; gateways without link_mbps serve no reads.

The test reads 200 kB over 0.1 kB/ms from three processes, with a second for each call. On the code before (the line that sets the gateway's bandwidth left out) 4 of 5 cases fail: "read_as_operator(...).ends_with(...)" is false at each of the three processes, and the gateway answers no read. Now 5 pass, in 8 of 8 runs beside a load of 16 to 22 on 8 cores.

While 589 kB are uploaded the leader's link is full, and some reads get 503 for up to 2 s ("no leader confirmed a version in time"), as before.

--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -29,6 +29,9 @@
   std::uint16_t port = 0; // of control links, the same on every control VM
   std::string zone;
   std::vector<std::string> seeds; // hosts
+  // Bandwidth for reads of the routing text that control redirects to this router; 0: it
+  // answers none.
+  std::uint32_t link_bytes_per_ms = 0;
 };
 
 // What control processes know of the version that began a stream.
@@ -59,7 +62,7 @@
   // Hashes of servers from send_unchanged_reports() that the control process does not
   // know.
   std::function<void(const std::vector<std::uint32_t>&)> on_unknown_servers;
-  // Whether this router accepts reports from servers.
+  // Whether this router accepts reports from servers and reads of the routing text.
   std::function<bool()> takes_reports;
   // The routing version that this process has applied.
   std::function<std::uint64_t()> routing_version;
@@ -99,6 +102,9 @@
   // Acknowledges an applied version without waiting for the next heartbeat.
   void acknowledge_version();
 
+  // The routing configuration that this router has applied, compressed; empty before the
+  // first one.
+  [[nodiscard]] const bytes& packed_routing_text() const { return packed_text_; }
   [[nodiscard]] std::size_t open_links() const;
   // Whether a link to a process that leads the group is open.
   [[nodiscard]] bool has_leader_link() const;
@@ -172,6 +178,7 @@
   // The newest version that a leader confirmed by a quorum has named; older ones are
   // rejected.
   std::uint64_t confirmed_version_ = 0;
+  bytes packed_text_; // of the applied version
   struct confirmation {
     time_point deadline{};
     std::function<void(std::uint64_t)> done;
--- a/include/marigoldstep/io/text_compression.h
+++ b/include/marigoldstep/io/text_compression.h
@@ -14,4 +14,7 @@
 // Reverses compress_text(). Returns an empty text when the bytes are not valid.
 std::string decompress_text(byte_view compressed);
 
+// Length of the text that compress_text() compressed; 0 when the bytes are too short.
+std::size_t decompressed_size(byte_view compressed);
+
 } // namespace marigoldstep::io
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -98,6 +98,7 @@
     subscription.routing_version = routing_version ? routing_version() : 0;
     subscription.host = settings_.own_host;
     subscription.zone = settings_.zone;
+    subscription.link_bytes_per_ms = settings_.link_bytes_per_ms;
     subscription.reported = to_wire(origins_[host].reported.at);
     subscription.repeated = to_wire(origins_[host].repeated.at);
     opened.connection->send(wire::encode_link(std::move(subscription)));
@@ -407,6 +408,9 @@
     return;
   }
   on_routing(text.version, decompress_text(text.packed_text));
+  if (routing_version && routing_version() == text.version) {
+    packed_text_ = text.packed_text;
+  }
   acknowledge_version();
 }
 
--- a/src/io/text_compression.cpp
+++ b/src/io/text_compression.cpp
@@ -1,6 +1,7 @@
 #include "marigoldstep/io/text_compression.h"
 
 #include <QByteArray>
+#include <QtEndian>
 
 namespace marigoldstep::io {
 
@@ -15,4 +16,9 @@
       .toStdString();
 }
 
+std::size_t decompressed_size(byte_view compressed) {
+  return compressed.size() < sizeof(quint32) ? 0
+                                             : qFromBigEndian<quint32>(compressed.data());
+}
+
 } // namespace marigoldstep::io
--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -60,6 +60,7 @@
   bool keeps_streams = true; // false: a process of an older build
   bool confirms_streams = true;
   bool finds_streams = true;
+  bool confirms_versions = true;
 
   [[nodiscard]] std::uint16_t first_port() const {
     return static_cast<std::uint16_t>(listener_.port() -
@@ -100,6 +101,13 @@
       text.version = version;
       text.packed_text = io::compress_text(routing_text(version));
       to.send(wire::encode_link(std::move(text)));
+    } else if (const auto* request = frame->body.AsConfirmVersion()) {
+      if (confirms_versions) {
+        wire::VersionConfirmedT reply;
+        reply.token = request->token;
+        reply.version = version;
+        to.send(wire::encode_link(reply));
+      }
     } else if (const auto* record = frame->body.AsRecordStream()) {
       streams[record->stream] = record->version;
       if (confirms_streams) {
--- a/tools/control/api.cpp
+++ b/tools/control/api.cpp
@@ -12,6 +12,9 @@
 
 // A quarter of the interval between heartbeats of a link.
 constexpr double max_leader_read_ms = 100;
+// Operators wait a second for the whole response; the rest is for connecting and for the
+// confirmation of the version.
+constexpr auto max_read_time = milliseconds(850);
 
 // A configuration of hundreds of routes takes a few hundred kilobytes.
 constexpr std::uint64_t max_body_bytes = 8U << 20U;
@@ -122,15 +125,15 @@
     respond_error(from, io::http_status::unavailable, "no leader");
     return;
   }
-  redirect_to(from, leader.host, target);
+  redirect_to(from, {leader.host, port_}, target);
 }
 
-void api::redirect_to(const connection& from, const std::string& host,
+void api::redirect_to(const connection& from, const io::endpoint& to,
                       const std::string& target) {
   if (from) {
-    from->respond(io::http_status::temporary_redirect,
-                  {{"Location", "http://" + host + ":" + std::to_string(port_) + target}},
-                  "");
+    from->respond(
+        io::http_status::temporary_redirect,
+        {{"Location", "http://" + to.host + ":" + std::to_string(to.port) + target}}, "");
   }
 }
 
@@ -222,21 +225,37 @@
       });
 }
 
-// Large texts are read from followers where possible: the group's heartbeats, commits and
-// confirmations pass over the leader's link.
+// Redirects a read that would take too long here: to a router when this process's link
+// can't transmit the text while the operator waits, otherwise from the leader to a
+// follower, since the group's heartbeats, commits and confirmations pass over the
+// leader's link.
+bool api::redirect_read(const connection& from, const std::string& target) {
+  const auto version = group_.state().routing_version;
+  const auto size = io::decompressed_size(group_.state().routing_packed_text);
+  const auto send_time = links_.send_time_ms(size);
+  std::optional<io::endpoint> to;
+  if (version != 0 && send_time > static_cast<double>(max_read_time.count())) {
+    to = links_.find_router_reader(size, max_read_time);
+  }
+  if (!to && version != 0 && group_.is_leader() && send_time > max_leader_read_ms) {
+    const auto host = links_.find_reader();
+    to = host.empty() ? std::nullopt : std::optional(io::endpoint{host, port_});
+  }
+  if (!to) {
+    return false;
+  }
+  io::log_event(io::log_level::info, "routing_read",
+                {{"version", std::to_string(version)},
+                 {"bytes", std::to_string(size)},
+                 {"leads", group_.is_leader() ? "true" : "false"},
+                 {"result", "redirected to " + to->host}});
+  redirect_to(from, *to, target);
+  return true;
+}
+
 void api::handle_read(const connection& from, const std::string& target) {
-  if (group_.is_leader() && group_.state().routing_version != 0) {
-    const auto text = io::decompress_text(group_.state().routing_packed_text);
-    const auto host =
-        links_.send_time_ms(text.size()) > max_leader_read_ms ? links_.find_reader() : "";
-    if (!host.empty()) {
-      io::log_event(io::log_level::info, "routing_read",
-                    {{"version", std::to_string(group_.state().routing_version)},
-                     {"leads", "true"},
-                     {"result", "redirected to " + host}});
-      redirect_to(from, host, target);
-      return;
-    }
+  if (redirect_read(from, target)) {
+    return;
   }
   links_.check_version([this, from](const version_check& check) {
     const bool is_empty = !check.error && group_.state().routing_version == 0;
--- a/tools/control/api.h
+++ b/tools/control/api.h
@@ -32,8 +32,9 @@
   void handle_read(const connection& from, const std::string& target);
   void complete_when_applied(std::uint64_t version, store_callback done);
   void redirect(const connection& from, const std::string& target);
-  void redirect_to(const connection& from, const std::string& host,
+  void redirect_to(const connection& from, const io::endpoint& to,
                    const std::string& target);
+  bool redirect_read(const connection& from, const std::string& target);
   [[nodiscard]] bool tolerates_losses() const;
 
   replica& group_;
--- a/tools/control/link_routing.cpp
+++ b/tools/control/link_routing.cpp
@@ -61,6 +61,25 @@
   return hosts.empty() ? std::string() : hosts[next_reader_++ % hosts.size()];
 }
 
+std::optional<io::endpoint> link_service::find_router_reader(std::size_t bytes,
+                                                             milliseconds time) {
+  const auto min_bytes_per_ms =
+      static_cast<double>(bytes) / static_cast<double>(time.count());
+  std::vector<std::string> hosts;
+  for (const auto& [connection, it] : subscribers_) {
+    if (it.is_router && it.takes_reports &&
+        it.version >= group_.state().routing_version &&
+        it.link_bytes_per_ms >= min_bytes_per_ms) {
+      hosts.push_back(it.host);
+    }
+  }
+  std::sort(hosts.begin(), hosts.end());
+  if (hosts.empty()) {
+    return std::nullopt;
+  }
+  return io::endpoint{hosts[next_reader_++ % hosts.size()], reports_port_};
+}
+
 void link_service::check_version(std::function<void(const version_check&)> done) {
   if (group_.is_leader()) {
     group_.confirm([done = std::move(done)](std::error_code ec) {
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -59,7 +59,7 @@
       reports_port_(static_cast<std::uint16_t>(
           settings.port + static_cast<std::uint16_t>(io::fleet_port::reports) -
           static_cast<std::uint16_t>(io::fleet_port::links))),
-      limits_(limits) {
+      limits_(limits), next_reader_(io::random_engine()()) {
   if (limits_.link_bytes_per_ms <= 0) {
     limits_.link_bytes_per_ms = unlimited_bytes_per_ms;
   }
@@ -179,6 +179,7 @@
   it.node_id = hello.node_id;
   it.host = hello.host;
   it.zone = hello.zone;
+  it.link_bytes_per_ms = hello.link_bytes_per_ms;
   it.is_router = hello.router;
   it.version = hello.routing_version;
   it.reported.acked = io::from_wire(hello.reported);
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -78,6 +78,11 @@
   // Host of another connected control process that holds the newest version known here;
   // empty if there is none. Takes turns among them.
   [[nodiscard]] std::string find_reader();
+  // Address of a connected router that holds the newest version known here and whose link
+  // transmits so many bytes within the time; none without such a router. Takes turns
+  // among them.
+  [[nodiscard]] std::optional<io::endpoint> find_router_reader(std::size_t bytes,
+                                                               milliseconds time);
   // Calls done with the result once the leader has replied, or after a timeout.
   void check_version(std::function<void(const version_check&)> done);
   // To be called after each change of the replicated state or the leader.
@@ -101,6 +106,7 @@
     std::string host;    // address for other routers and servers
     std::string zone;
     bool takes_reports = false;
+    std::uint32_t link_bytes_per_ms = 0; // 0: answers no reads
     bool is_router = false;
     bool is_primary = false;   // this process sends it the repeated feed
     bool confirmed = false;    // a quorum confirmed this leader since the subscription
@@ -172,7 +178,7 @@
   io::control_links peers_;
   QTimer timer_;
   std::string own_host_;
-  std::uint16_t reports_port_; // port for reports on routers
+  std::uint16_t reports_port_; // port for reports and reads on routers
   link_limits limits_;
   server_directory directory_;
   stream_origins origins_;
@@ -191,7 +197,7 @@
   time_point budgets_refilled_at_{};
   std::map<std::string, time_point> routers_; // time of the last frame by node id
   std::uint64_t observed_version_ = 0;
-  std::size_t next_reader_ = 0;
+  std::size_t next_reader_; // starts at random, so that processes choose different ones
   time_point version_stored_at_{}; // when this process learned of observed_version_
   time_point next_primary_choice_{};
   std::uint64_t fleet_load_number_ = 0;
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -46,9 +46,10 @@
     : QObject(parent), pool(this), metrics(registry), settings_(std::move(settings)),
       links_({settings_.node_id, true, settings_.host,
               io::port_of(settings_.first_port, io::fleet_port::links), settings_.zone,
-              io::hosts_of(settings_.seeds)},
+              io::hosts_of(settings_.seeds), settings_.link_bytes_per_ms},
              this),
-      caller_listener_(this), readiness_listener_(this), report_receiver_(links_, this) {
+      caller_listener_(this), readiness_listener_(this), report_receiver_(links_, this),
+      routing_reader_(links_) {
   retries.limits = settings_.retries;
   links_.routing_version = [this] { return table_ ? table_->config.version : 0; };
   links_.on_routing = [this](std::uint64_t version, const std::string& text) {
@@ -65,6 +66,9 @@
   links_.on_unknown_servers = [this](const std::vector<std::uint32_t>& servers) {
     report_receiver_.forget_confirmed(servers);
   };
+  report_receiver_.on_read = [this](io::http_connection& from) {
+    routing_reader_.handle_read(from);
+  };
   links_.takes_reports = [this] { return !stopping_; };
   caller_listener_.on_request = [this](io::http_connection& from,
                                        io::http_request request) {
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "gateway/metrics.h"
 #include "gateway/report_receiver.h"
+#include "gateway/routing_reader.h"
 #include "gateway/settings.h"
 #include "marigoldstep/dispatch.h"
 #include "marigoldstep/io/backend_pool.h"
@@ -26,7 +27,7 @@
   gateway(gateway_settings settings, prometheus::Registry& registry, QObject* parent);
   ~gateway() override;
 
-  // Listens for callers, readiness checks and reports, and connects to control.
+  // Listens for callers, readiness checks, reports and reads, and connects to control.
   std::error_code start();
   // Fails readiness checks, keeps serving requests, and calls done when no caller
   // connection is left or stop_time minus its reserve has passed.
@@ -93,6 +94,7 @@
   io::http_listener caller_listener_;
   io::http_listener readiness_listener_;
   report_receiver report_receiver_;
+  routing_reader routing_reader_;
   QTimer tick_timer_;
   QTimer stop_timer_;
   // By server hash: as last sent to the leader.
--- a/tools/gateway/report_receiver.cpp
+++ b/tools/gateway/report_receiver.cpp
@@ -66,6 +66,8 @@
                  "the report describes no usable server\n");
   } else if (call.operation == control_operation::deregister) {
     handle_report(from, platform::parse_deregistration(call.server_id, request.body));
+  } else if (call.operation == control_operation::read_routing && on_read) {
+    on_read(from);
   } else {
     from.respond(io::http_status::not_found, {}, "no such call\n");
   }
--- a/tools/gateway/report_receiver.h
+++ b/tools/gateway/report_receiver.h
@@ -19,6 +19,9 @@
 public:
   report_receiver(io::control_links& links, QObject* parent);
 
+  // A read of the routing configuration arrived, which shares the port with the reports.
+  std::function<void(io::http_connection&)> on_read;
+
   std::error_code listen(const std::string& host, std::uint16_t port);
   // Stops accepting reports, so that servers report to control again.
   void stop();
--- a/tools/gateway/settings.cpp
+++ b/tools/gateway/settings.cpp
@@ -32,6 +32,8 @@
   // Load counts are up to half a second old, so the bound leaves a part of the allowed
   // factor unused.
   constexpr double load_factor_fraction = 0.85;
+  constexpr double max_mbps = 1e6;
+  constexpr double bytes_per_ms_per_mbps = 125; // of one Mbit/s
   gateway_settings out;
   out.node_id = read_string(map, "node_id");
   out.zone = read_string(map, "zone", "");
@@ -53,6 +55,8 @@
   out.memory_bytes =
       bytes_per_mb *
       static_cast<std::size_t>(read_integer(map, "memory_mb", 0, 0, max_memory_mb));
+  out.link_bytes_per_ms = static_cast<std::uint32_t>(
+      bytes_per_ms_per_mbps * read_number(map, "link_mbps", 0, 0, max_mbps));
   out.log_level = io::parse_log_level(
       read_choice(map, "log_level", "info", {"debug", "info", "warning", "error"}));
   return out;
@@ -72,6 +76,7 @@
   compare("listen", before.listen == after.listen);
   compare("listen_ready", before.listen_ready == after.listen_ready);
   compare("ports", before.first_port == after.first_port);
+  compare("link_mbps", before.link_bytes_per_ms == after.link_bytes_per_ms);
   compare("log_level", before.log_level == after.log_level);
   return out;
 }
