--- a/src/io/frame_forwarder.cpp
+++ b/src/io/frame_forwarder.cpp
@@ -26,14 +26,6 @@
 // Limits the file descriptors that other routers can use up.
 constexpr std::size_t max_incoming_connections = 512;
 
-void discard(framed_connection* connection) {
-  connection->on_open = nullptr;
-  connection->on_frame = nullptr;
-  connection->on_closed = nullptr;
-  connection->abort();
-  connection->deleteLater();
-}
-
 } // namespace
 
 frame_forwarder::frame_forwarder(std::uint16_t port, QObject* parent)
@@ -51,14 +43,14 @@
   if (incoming_.size() >= max_incoming_connections) {
     log_event(log_level::warning, "forwarder_refused",
               {{"open", std::to_string(incoming_.size())}});
-    discard(connection);
+    connection->discard();
     return;
   }
   incoming_[connection].last_bytes_at = io::now();
   connection->on_frame = [this](byte_view buf) { on_frame(buf); };
   connection->on_closed = [this, connection](std::error_code) {
     incoming_.erase(connection);
-    discard(connection);
+    connection->discard();
   };
 }
 
@@ -87,7 +79,7 @@
   auto* connection = it->second.connection;
   outgoing_.erase(it);
   if (connection != nullptr) {
-    discard(connection);
+    connection->discard();
   }
 }
 
@@ -95,7 +87,7 @@
   auto* connection = std::exchange(it.connection, nullptr);
   it.unanswered_since.reset();
   if (!connection->is_open() || connection->queued_bytes() == 0) {
-    discard(connection); // the kernel still sends what it has
+    connection->discard(); // the kernel still sends what it has
     return;
   }
   connection->on_closed = [this, host](std::error_code) { discard_flushing(host); };
@@ -108,7 +100,7 @@
   if (it != flushing_.end()) {
     auto* connection = it->second.connection;
     flushing_.erase(it);
-    discard(connection);
+    connection->discard();
   }
 }
 
@@ -200,7 +192,7 @@
   }
   for (auto* it : silent) {
     incoming_.erase(it);
-    discard(it);
+    it->discard();
   }
 }
 
