Elect a leader while disks are slow

What callers see: every control process answers reads with 503 for as long as a sync of the log takes 300 ms or more, once the group has no leader; with a leader in place nothing shows. Cause: a candidate's requests wait until its vote for itself is durable, and each voter's reply until that vote is, but the candidate's election timeout of 300 to 600 ms ran from the beginning. It passed before the votes came, which discarded them; the next campaign had a new term, which all disks had to take again. Class: a timeout that includes the time of one's own disk.

Now a candidate's timeout begins when its requests can be sent, and allows twice the time that its own sync took; a voter's begins when its vote can be sent. A member whose term isn't durable doesn't campaign. Each campaign without a leader doubles the timeout, up to eight times its length, since the other voters' disks may be slower than the candidate's.

--- a/include/marigoldstep/raft.h
+++ b/include/marigoldstep/raft.h
@@ -128,6 +128,8 @@
   term_number durable_term = 0;
   time_point last_leader_contact{};
   time_point election_deadline{};
+  time_point campaign_began_at{}; // unset once this member's vote for itself is durable
+  unsigned campaigns = 0;         // since a leader was known
   time_point heartbeat_due{};
   std::mt19937_64 random;
 };
@@ -218,6 +220,9 @@
 // not it is committed.
 const group_members& members(const raft_node& node);
 
+// Whether the member's term is on its disk. Until then it neither votes nor campaigns.
+bool is_term_durable(const raft_node& node);
+
 // Whether a member lags by at most caught_up_entries, replied within
 // caught_up_max_silence and acknowledged the round or a later one. Meaningful
 // only on the leader.
@@ -232,7 +237,8 @@
                      raft_output& out);
 void start_pre_vote(raft_node& node, time_point now, raft_output& out);
 // Counts a candidate's own vote once it is durable. Before that a crash could
-// lose the vote, and the member could vote again in the same term.
+// lose the vote, and the member could vote again in the same term. The other voters
+// get the candidate's requests only then, so its election timeout begins there.
 void count_own_vote(raft_node& node, time_point now, raft_output& out);
 void become_leader(raft_node& node, time_point now, raft_output& out);
 void reset_election_deadline(raft_node& node, time_point now);
--- a/src/raft.cpp
+++ b/src/raft.cpp
@@ -159,7 +159,8 @@
     if (node.role == raft_role::leader && now >= node.heartbeat_due) {
       send_heartbeats(node, now, out);
     }
-  } else if (now >= node.election_deadline && may_campaign(node)) {
+  } else if (now >= node.election_deadline && may_campaign(node) &&
+             is_term_durable(node)) {
     start_pre_vote(node, now, out);
   }
   finish(node, out);
@@ -168,11 +169,16 @@
 
 raft_output synced(raft_node& node, std::uint64_t sync_id, time_point now) {
   raft_output out;
+  const bool term_was_durable = is_term_durable(node);
   while (!node.pending_syncs.empty() && node.pending_syncs.front().id <= sync_id) {
     node.durable_index = node.pending_syncs.front().last_index;
     node.durable_term = node.pending_syncs.front().term;
     node.pending_syncs.pop_front();
   }
+  // The candidate gets this member's vote only now.
+  if (node.role == raft_role::follower && !term_was_durable && is_term_durable(node)) {
+    reset_election_deadline(node, now);
+  }
   count_own_vote(node, now, out);
   if (node.role == raft_role::leader) {
     advance_commit(node, now, out);
@@ -181,6 +187,10 @@
   return out;
 }
 
+bool is_term_durable(const raft_node& node) {
+  return node.durable_term == node.state.term;
+}
+
 raft_output propose(raft_node& node, std::vector<bytes> commands, time_point now) {
   raft_output out;
   if (node.role != raft_role::leader) {
--- a/src/raft_election.cpp
+++ b/src/raft_election.cpp
@@ -1,6 +1,8 @@
 // Leader election: pre-votes, votes and role changes.
 #include "marigoldstep/raft.h"
 
+#include <algorithm>
+
 namespace marigoldstep::detail {
 
 namespace {
@@ -15,6 +17,10 @@
   }
 }
 
+// Each campaign without a leader doubles the timeout, up to this many times: the other
+// voters' disks may be slower than this member's.
+constexpr unsigned max_timeout_doublings = 3;
+
 // Learners use longer timeouts, so that a voter wins whenever one can.
 constexpr int learner_timeout_factor = 3;
 
@@ -28,6 +34,8 @@
 
 void start_election(raft_node& node, time_point now, raft_output& out) {
   node.role = raft_role::candidate;
+  node.campaign_began_at = now;
+  ++node.campaigns;
   node.state = {node.state.term + 1, node.identity.id};
   store_state(node, out);
   // This member's own vote counts once it is durable; see count_own_vote.
@@ -38,6 +46,17 @@
   send_to_voters(node, request, out.messages);
 }
 
+// Begins a candidate's election timeout. The others' votes take a sync as long as its
+// own, or two where another write is in progress.
+void start_campaign_timeout(raft_node& node, time_point now) {
+  const auto sync_time = now - node.campaign_began_at;
+  const auto doublings = std::min(node.campaigns - 1, max_timeout_doublings);
+  reset_election_deadline(node, now);
+  node.election_deadline =
+      now + (node.election_deadline - now) * (1U << doublings) + 2 * sync_time;
+  node.campaign_began_at = {};
+}
+
 } // namespace
 
 void reset_election_deadline(raft_node& node, time_point now) {
@@ -90,6 +109,7 @@
   }
   node.role = raft_role::follower;
   node.leader = leader;
+  node.campaigns = leader == 0 ? node.campaigns : 0;
   node.votes.clear();
   reset_election_deadline(node, now);
 }
@@ -110,9 +130,12 @@
 }
 
 void count_own_vote(raft_node& node, time_point now, raft_output& out) {
-  if (node.role != raft_role::candidate || node.durable_term != node.state.term) {
+  if (node.role != raft_role::candidate || !is_term_durable(node)) {
     return;
   }
+  if (node.campaign_began_at != time_point{}) {
+    start_campaign_timeout(node, now);
+  }
   node.votes.merge(own_vote(node));
   if (node.votes.size() >= quorum_size(members(node))) {
     become_leader(node, now, out);
@@ -122,6 +145,7 @@
 void become_leader(raft_node& node, time_point now, raft_output& out) {
   node.role = raft_role::leader;
   node.leader = node.identity.id;
+  node.campaigns = 0;
   node.votes.clear();
   node.reads.clear();
   node.progress.clear();
--- a/src/raft_replication.cpp
+++ b/src/raft_replication.cpp
@@ -210,8 +210,8 @@
   reset_election_deadline(node, now);
   // A reply that acknowledges nothing new doesn't wait for the disk, so that a
   // member with a slow disk is not taken for an unreachable one.
-  const bool reply_at_once = out.records.size() == before && out.records.empty() &&
-                             node.durable_term == node.state.term;
+  const bool reply_at_once =
+      out.records.size() == before && out.records.empty() && is_term_durable(node);
   if (reply_at_once) {
     match = std::min(match, node.durable_index);
   }
