Wait longer for each replaced member connection, whatever is sent on it

What the operator sees: one control process, or two, answers reads with 503 for good. Class: a timeout derived from an assumed rate.

Now a probe without an answer for 1.5 s makes a connection silent, whatever follows it.

When all places for accepted connections are taken, one that never carried bytes goes first.

--- a/include/marigoldstep/link_liveness.h
+++ b/include/marigoldstep/link_liveness.h
@@ -2,7 +2,6 @@
 
 #include "marigoldstep/types.h"
 
-#include <cstdint>
 #include <deque>
 
 // Decides whether an open connection still carries bytes in both directions. A network
@@ -10,18 +9,26 @@
 // which the receiver answers in order.
 namespace marigoldstep {
 
+// Tolerates two lost or late answers to probes sent every 500 ms.
+inline constexpr milliseconds min_silence_timeout{1500};
+inline constexpr milliseconds max_silence_timeout{24'000};
+
+// A probe waits behind the bytes sent before it, so an answer may be late over a slow
+// network link. The timeout therefore doubles with each connection that was replaced
+// because of it, until an answer arrives within the shortest one.
 struct link_liveness {
-  std::deque<std::uint64_t> unanswered; // bytes sent up to the end of each probe
-  std::uint64_t answered = 0;           // the same for the latest probe with an answer
-  time_point answered_at{};             // or when the connection opened
+  std::deque<time_point> unanswered; // when each of these probes was sent
+  time_point answered_at{};          // latest answer, or when the connection opened
+  milliseconds timeout = min_silence_timeout;
 };
 
-// bytes_sent: since the connection opened, the probe included.
-void record_probe(link_liveness& link, std::uint64_t bytes_sent);
+void record_probe(link_liveness& link, time_point now);
 void record_answer(link_liveness& link, time_point now);
 
-// Whether an answer is overdue. A probe waits behind the bytes sent before it, so the
-// timeout grows by the time that these take over the slowest supported network link.
-bool is_silent(const link_liveness& link, std::uint64_t bytes_sent, time_point now);
+// Whether an answer is overdue.
+bool is_silent(const link_liveness& link, time_point now);
+
+// State of the connection that opened in place of a silent one.
+link_liveness replace_silent(const link_liveness& link, time_point now);
 
 } // namespace marigoldstep
--- a/src/link_liveness.cpp
+++ b/src/link_liveness.cpp
@@ -1,32 +1,33 @@
 #include "marigoldstep/link_liveness.h"
 
-namespace marigoldstep {
-
-namespace {
+#include <algorithm>
 
-// Tolerates two lost or late answers to probes sent every 500 ms.
-constexpr auto silence_timeout = milliseconds(1500);
-// 0.2 Mbit/s.
-constexpr std::uint64_t slowest_bytes_per_ms = 25;
-
-} // namespace
+namespace marigoldstep {
 
-void record_probe(link_liveness& link, std::uint64_t bytes_sent) {
-  link.unanswered.push_back(bytes_sent);
+void record_probe(link_liveness& link, time_point now) {
+  link.unanswered.push_back(now);
 }
 
 void record_answer(link_liveness& link, time_point now) {
   link.answered_at = now;
-  if (!link.unanswered.empty()) {
-    link.answered = link.unanswered.front();
-    link.unanswered.pop_front();
+  if (link.unanswered.empty()) {
+    return;
   }
+  if (now - link.unanswered.front() <= min_silence_timeout) {
+    link.timeout = min_silence_timeout;
+  }
+  link.unanswered.pop_front();
+}
+
+bool is_silent(const link_liveness& link, time_point now) {
+  return !link.unanswered.empty() && now - link.unanswered.front() > link.timeout;
 }
 
-bool is_silent(const link_liveness& link, std::uint64_t bytes_sent, time_point now) {
-  const auto transmission = milliseconds(static_cast<milliseconds::rep>(
-      (bytes_sent - link.answered) / slowest_bytes_per_ms));
-  return now - link.answered_at > silence_timeout + transmission;
+link_liveness replace_silent(const link_liveness& link, time_point now) {
+  link_liveness out;
+  out.answered_at = now;
+  out.timeout = std::min(2 * link.timeout, max_silence_timeout);
+  return out;
 }
 
 } // namespace marigoldstep
--- a/tests/programs/member_links_test.cpp
+++ b/tests/programs/member_links_test.cpp
@@ -3,12 +3,15 @@
 #include "control_group.h"
 #include "marigoldstep/io/clock.h"
 
+#include <random>
+
 // Guards against members that keep using dead connections, so that no quorum forms and no
 // process returns the configuration that it confirmed.
 
 using namespace marigoldstep;
 using namespace control::test;
 using direction = loopback_proxy::direction;
+using gateway::test::routing_text;
 
 namespace {
 
@@ -44,6 +47,24 @@
   }
 };
 
+// A text that takes about so many bytes when it is compressed.
+std::string large_text(std::uint64_t version, std::size_t packed_bytes) {
+  auto text = routing_text(version);
+  std::mt19937_64 random(version);
+  std::string more;
+  for (std::size_t i = 0; i * 10 < packed_bytes; ++i) {
+    more += R"(,{"name":"w)" + std::to_string(i) + R"(","api_keys":[")" +
+            std::to_string(random()) + R"("]})";
+  }
+  const auto end = text.rfind("]}");
+  return text.insert(end, more);
+}
+
+std::string store_text(const control_group& it, const std::string& text) {
+  return call_api({control_group::host(1), it.api_port}, "POST", "/v1/Config.Replace",
+                  text);
+}
+
 } // namespace
 
 TEST_CASE("a configuration is readable soon after all member connections fall silent") {
@@ -63,6 +84,33 @@
   CHECK(wait_until([&] { return it.all_return(6); }, stable_window));
 }
 
+TEST_CASE("large changes on a silent connection don't hide its silence") {
+  proxied_group it;
+  it.processes.at(3).member_proxy->silence(direction::both);
+  std::string text;
+  for (std::uint64_t version = 6; version < 9; ++version) {
+    text = large_text(version, 40'000);
+    REQUIRE(starts_with_status(store_text(it, text), "200"));
+  }
+  CHECK(wait_until([&] { return it.read(3).ends_with(text); }, stable_window));
+}
+
+TEST_CASE("a large change arrives over a slow connection") {
+  constexpr auto recovery_time = std::chrono::milliseconds(12'000);
+  proxied_group it;
+  // 0.1 Mbit/s.
+  it.processes.at(3).member_proxy->limit_rate(120, std::chrono::milliseconds(10));
+  const auto text = large_text(6, 40'000);
+  REQUIRE(starts_with_status(store_text(it, text), "200"));
+  CHECK(it.processes.at(1).group->state().routing_packed_text.size() > 30'000);
+  CHECK(wait_until(
+      [&] {
+        run_event_loop(std::chrono::milliseconds(50));
+        return it.read(3).ends_with(text);
+      },
+      recovery_time));
+}
+
 TEST_CASE("connections that stay silent after a partition ended don't delay reads") {
   proxied_group it;
   it.silence_members(direction::both);
--- a/tools/control/peers.cpp
+++ b/tools/control/peers.cpp
@@ -83,17 +83,20 @@
 void peer_network::handle_open(const io::endpoint& target,
                                io::framed_connection* connection) {
   auto& it = outgoing_.at(target);
+  const auto now = io::now();
   if (connection == it.replacement) {
     discard(it.connection);
     it.connection = std::exchange(it.replacement, nullptr);
+    it.liveness = replace_silent(it.liveness, now);
+  } else {
+    it.liveness = {};
+    it.liveness.answered_at = now;
   }
   it.has_opened = true;
   it.is_silent = false;
-  it.liveness = {};
-  it.liveness.answered_at = io::now();
   io::log_event(io::log_level::info, "member_link_opened", {{"peer", to_string(target)}});
   send_hello(connection);
-  record_probe(it.liveness, connection->bytes_sent());
+  record_probe(it.liveness, now);
 }
 
 void peer_network::handle_closed(const io::endpoint& target,
@@ -129,7 +132,7 @@
     }
     return;
   }
-  if (!is_silent(it.liveness, it.connection->bytes_sent(), now)) {
+  if (!is_silent(it.liveness, now)) {
     discard(std::exchange(it.replacement, nullptr));
     it.is_silent = false;
     return;
@@ -165,14 +168,15 @@
 }
 
 // Members send several times a second, so the connection that was silent for longest is
-// the one most likely dead.
+// the one most likely dead, and one that never carried bytes is no member's.
 void peer_network::make_room_for_incoming() {
   if (incoming_.size() < max_incoming_connections) {
     return;
   }
   const auto oldest =
       std::min_element(incoming_.begin(), incoming_.end(), [](auto& left, auto& right) {
-        return left.second.heard_at < right.second.heard_at;
+        return std::pair(left.second.bytes_received > 0, left.second.heard_at) <
+               std::pair(right.second.bytes_received > 0, right.second.heard_at);
       });
   io::log_event(
       io::log_level::warning, "incoming_member_link_replaced",
@@ -276,7 +280,7 @@
   for (auto& [target, it] : outgoing_) {
     if (hello_due && it.connection != nullptr && it.connection->is_open()) {
       send_hello(it.connection);
-      record_probe(it.liveness, it.connection->bytes_sent());
+      record_probe(it.liveness, now);
     }
     check_outgoing(target, it, now);
   }
