Let a member with an old log reach a leader that its log lacks

What the operator sees: a control process that returns after others were replaced answers every read with 503 for good, and the group lacks its vote when the next process is lost. Cause: a process that its own log lists as a member opened connections only to the members in that log and to the seeds. A leader that was added meanwhile got neither its announcement nor its replies, and they were dropped without a line.

Now the hosts that other control processes name are always targets; the new case of member_links_test passes: the process returns the newest version within 12 s.

--- a/tests/programs/member_links_test.cpp
+++ b/tests/programs/member_links_test.cpp
@@ -111,6 +111,28 @@
       recovery_time));
 }
 
+TEST_CASE("a member with an old log finds a leader that its log lacks") {
+  constexpr auto recovery_time = std::chrono::milliseconds(12'000);
+  proxied_group it;
+  auto folder = std::move(it.processes.at(3).folder);
+  it.kill(3);
+  it.start(4, 1);
+  REQUIRE(wait_until([&] {
+    const auto at = it.leader();
+    return at != 0 && it.is_voter(4) &&
+           voter_count(members(*it.processes.at(at).group->node())) == 3;
+  }));
+  for (int i = 0; i < 20 && it.leader() != 4; ++i) {
+    it.restart(it.leader(), 1);
+    REQUIRE(wait_until([&] { return it.leader() != 0; }));
+  }
+  REQUIRE(it.leader() == 4);
+  REQUIRE(wait_until([&] { return starts_with_status(it.store(4, 6), "200"); }));
+  it.processes[3].folder = std::move(folder);
+  it.start(3, 1);
+  CHECK(wait_until([&] { return it.read(3).ends_with(routing_text(6)); }, recovery_time));
+}
+
 TEST_CASE("connections that stay silent after a partition ended don't delay reads") {
   proxied_group it;
   it.silence_members(direction::both);
--- a/tools/control/replica.cpp
+++ b/tools/control/replica.cpp
@@ -255,12 +255,11 @@
   if (!is_member || settings_.repair) {
     targets.insert(settings_.peers.begin(), settings_.peers.end());
   }
-  // The leader, which may not be among the seeds, is the only one to add a process, and
-  // replies reach it only over a connection that this process opened.
-  if (!is_member) {
-    for (const auto& host : member_hosts_) {
-      targets.insert({host, settings_.advertise_peer.port});
-    }
+  // The leader is the only one to add a process, and replies reach it only over a
+  // connection that this process opened. It may be missing from the seeds, and from a log
+  // that is out of date.
+  for (const auto& host : member_hosts_) {
+    targets.insert({host, settings_.advertise_peer.port});
   }
   targets.erase(settings_.advertise_peer);
   network_.set_targets(std::move(targets));
