Replace a router's connection to an agent that falls silent

Requests on a router's connection that had gone silent, in either direction, waited until their deadline, and so did all later ones to that agent: the router replaced a silent connection only once control had lost the agent as well. While control heard it, the connection stayed in use for as long as the kernel kept it.

Since protocol 2 an agent repeats its Hello while bytes arrive and it has nothing else to send, at most every 250 ms, to routers of that protocol. A router with attempts at an agent of that protocol sends a Hello after 1 s without a byte, and reconnects after 2 s; running attempts resume on the new connection, as after any loss. Bytes rather than frames count, so a large request over a slow link is no silence. Agents and routers of older builds send protocol 1 and keep the behaviour they had.

--- a/include/marigoldstep/wire.h
+++ b/include/marigoldstep/wire.h
@@ -17,6 +17,10 @@
 // Largest accepted frame in bytes, length prefix included. Limits the memory that a
 // peer can make the receiver allocate before its message has been verified.
 inline constexpr std::size_t max_frame_bytes = 16U << 20U;
+// Protocol between routers and agents, and the first one in which agents acknowledge
+// that bytes arrive.
+inline constexpr std::uint32_t data_protocol = 2;
+inline constexpr std::uint32_t acknowledging_data_protocol = 2;
 
 // Size in bytes of the first frame in buf, length prefix included; 0 when buf doesn't
 // hold the whole frame yet. Sets ec to errc::message_too_large, and returns 0, for a
--- a/tests/programs/router_fixture.h
+++ b/tests/programs/router_fixture.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace marigoldstep::router::test {
@@ -102,6 +103,7 @@
 struct fake_agent {
   std::unique_ptr<io::framed_listener> listener;
   io::framed_connection* connection = nullptr;
+  const io::framed_connection* greeted = nullptr;
   std::string node_id;
   incarnation started = 1;
   std::uint16_t port = 0;
@@ -111,6 +113,8 @@
   int detach_count = 0;
   int cancel_count = 0;
   std::uint64_t config_version = 1;
+  std::uint32_t protocol = 1;
+  bool repeats_hello = true; // false: replies to the first Hello of a connection only
   // Called with each start; no response when unset.
   std::function<void(const wire::StartAttemptT&)> on_start;
   std::function<void(const wire::ResumeAttemptT&)> on_resume;
@@ -136,10 +140,13 @@
     std::error_code ec;
     auto frame = wire::decode_data(buf, ec);
     if (frame->body.AsHello() != nullptr) {
+      if (std::exchange(greeted, connection) == connection && !repeats_hello) {
+        return;
+      }
       wire::HelloT hello;
       hello.node_id = node_id;
       hello.incarnation = started;
-      hello.protocol = 1;
+      hello.protocol = protocol;
       send(std::move(hello));
     } else if (const auto* start = frame->body.AsStartAttempt()) {
       starts.push_back(*start);
--- a/tools/agent/agent.cpp
+++ b/tools/agent/agent.cpp
@@ -4,12 +4,13 @@
 #include "marigoldstep/io/logging.h"
 
 #include <cmath>
+#include <utility>
 
 namespace marigoldstep::agent {
 
 namespace {
 
-constexpr std::uint32_t protocol_version = 1;
+constexpr auto acknowledgement_interval = std::chrono::milliseconds(250);
 constexpr auto drain_check_interval = milliseconds(20);
 // Minimum time between two heartbeats while the load bound is reached. The limit of a
 // busy pool can grow only once per heartbeat, so the regular 500 ms would slow its
@@ -41,6 +42,8 @@
   mean_timer_.setSingleShot(true);
   connect(&mean_timer_, &QTimer::timeout, this, [this] { session_.send_heartbeat(); });
   connect(&summary_timer_, &QTimer::timeout, this, [this] { log_summary(); });
+  connect(&acknowledgement_timer_, &QTimer::timeout, this,
+          [this] { acknowledge_bytes(); });
   connect(&drain_timer_, &QTimer::timeout, this, [this] { check_drained(); });
 }
 
@@ -114,6 +117,7 @@
   }
   session_.start();
   summary_timer_.start(summary_interval);
+  acknowledgement_timer_.start(acknowledgement_interval);
   io::log_event(io::log_level::info, "listening",
                 {{"port", std::to_string(port())},
                  {"admin_port", std::to_string(admin_port())},
@@ -192,11 +196,7 @@
   links_[connection] = std::move(added);
   connection->on_frame = [this, link](byte_view buf) { handle_frame(*link, buf); };
   connection->on_closed = [this, link](std::error_code) { drop_link(link); };
-  wire::HelloT hello;
-  hello.node_id = settings_.node_id;
-  hello.incarnation = io::process_incarnation();
-  hello.protocol = protocol_version;
-  send(*link, std::move(hello));
+  send_hello(*link);
   if (draining_) {
     wire::ServerNoticeT notice;
     notice.draining = true;
@@ -204,6 +204,28 @@
   }
 }
 
+void agent::send_hello(router_link& link) {
+  wire::HelloT hello;
+  hello.node_id = settings_.node_id;
+  hello.incarnation = io::process_incarnation();
+  hello.protocol = wire::data_protocol;
+  send(link, std::move(hello));
+}
+
+// Bytes count rather than frames, since a large request takes long over a slow link.
+// Responses in progress acknowledge as well.
+void agent::acknowledge_bytes() {
+  for (auto& [connection, link] : links_) {
+    const auto received = connection->bytes_received();
+    const bool is_due = received != std::exchange(link->bytes_received, received) &&
+                        connection->bytes_sent() == link->bytes_sent;
+    if (is_due && link->takes_acknowledgements) {
+      send_hello(*link);
+    }
+    link->bytes_sent = connection->bytes_sent();
+  }
+}
+
 void agent::drop_link(router_link* link) {
   runner_.close_link(*link);
   auto* connection = link->connection;
@@ -237,6 +259,7 @@
 void agent::handle_body(router_link& link, wire::DataFrameT& frame) {
   if (auto* hello = frame.body.AsHello()) {
     link.node_id = hello->node_id;
+    link.takes_acknowledgements = hello->protocol >= wire::acknowledging_data_protocol;
   } else if (auto* start = frame.body.AsStartAttempt()) {
     if (is_valid(*start)) {
       runner_.start_attempt(std::move(*start), frame.config_version, link);
--- a/tools/agent/agent.h
+++ b/tools/agent/agent.h
@@ -35,6 +35,8 @@
   void handle_ack(const wire::HeartbeatAckT& ack);
   void add_link(io::framed_connection* connection);
   void drop_link(router_link* link);
+  void send_hello(router_link& link);
+  void acknowledge_bytes();
   void handle_frame(router_link& link, byte_view buf);
   void handle_body(router_link& link, wire::DataFrameT& frame);
   [[nodiscard]] frame_metadata make_frame_metadata() const;
@@ -58,6 +60,7 @@
   QTimer drain_timer_;
   QTimer mean_timer_;
   QTimer summary_timer_;
+  QTimer acknowledgement_timer_;
   double logged_prompt_tokens_ = 0;
   double logged_cached_tokens_ = 0;
 };
--- a/tools/router/agent_link.cpp
+++ b/tools/router/agent_link.cpp
@@ -1,6 +1,7 @@
 #include "router/agent_link.h"
 
 #include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/logging.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,7 +10,6 @@
 
 namespace {
 
-constexpr std::uint32_t data_protocol = 1;
 // One-way latency within a region is about 1 ms, so a connect or Hello that takes this
 // long has failed.
 constexpr auto connect_timeout = milliseconds(500);
@@ -21,6 +21,11 @@
 constexpr auto reconnect_timeout = milliseconds(2000);
 // Agents send chunks of running responses much more often than this.
 constexpr auto silence_timeout = milliseconds(1000);
+constexpr auto liveness_interval = std::chrono::milliseconds(250);
+// An agent may have nothing to send for long. After this time without a byte the router
+// sends a Hello, which the agent acknowledges within 250 ms.
+constexpr auto probe_delay = milliseconds(1000);
+constexpr auto acknowledgement_timeout = milliseconds(2000);
 
 } // namespace
 
@@ -35,6 +40,7 @@
       handle_closed();
     }
   });
+  connect(&liveness_timer_, &QTimer::timeout, this, [this] { check_liveness(); });
 }
 
 std::uint64_t agent_link::version() const {
@@ -56,6 +62,7 @@
     replaced->on_replaced();
   }
   if (ready_) {
+    watch_liveness();
     handler.on_link_ready(agent_incarnation_);
   } else if (connection_ == nullptr && !timer_.isActive()) {
     connect_now();
@@ -74,7 +81,7 @@
   auto* opened = connection_;
   connection_->on_open = [this, opened] {
     if (opened == connection_) {
-      handle_open();
+      send_hello();
     }
   };
   connection_->on_frame = [this, opened](byte_view buf) {
@@ -93,6 +100,7 @@
 
 void agent_link::drop_connection() {
   timer_.stop();
+  liveness_timer_.stop();
   ready_ = false;
   if (connection_ == nullptr) {
     return;
@@ -103,11 +111,11 @@
   dropped->deleteLater();
 }
 
-void agent_link::handle_open() {
+void agent_link::send_hello() {
   wire::HelloT hello;
   hello.node_id = router_id_;
   hello.incarnation = io::process_incarnation();
-  hello.protocol = data_protocol;
+  hello.protocol = wire::data_protocol;
   connection_->send(wire::encode(wire::data_frame(std::move(hello), version())));
 }
 
@@ -180,6 +188,9 @@
 }
 
 void agent_link::handle_hello(const wire::HelloT& hello) {
+  if (ready_) {
+    return; // acknowledges that bytes arrived
+  }
   timer_.stop();
   if (hello.node_id != address_.node_id) {
     // Another process uses the address now, so the agent no longer exists there.
@@ -190,6 +201,8 @@
   ready_ = true;
   failures_ = 0;
   agent_incarnation_ = hello.incarnation;
+  acknowledges_ = hello.protocol >= wire::acknowledging_data_protocol;
+  watch_liveness();
   for (const auto& id : attempt_ids()) {
     auto it = handlers_.find(id);
     if (it != handlers_.end()) {
@@ -198,6 +211,33 @@
   }
 }
 
+void agent_link::watch_liveness() {
+  if (acknowledges_ && !handlers_.empty() && !liveness_timer_.isActive()) {
+    heard_at_ = io::now();
+    liveness_timer_.start(liveness_interval);
+  }
+}
+
+void agent_link::check_liveness() {
+  if (!ready_ || handlers_.empty()) {
+    liveness_timer_.stop();
+    return;
+  }
+  const auto now = io::now();
+  if (connection_->bytes_received() != bytes_received_) {
+    bytes_received_ = connection_->bytes_received();
+    heard_at_ = now;
+  } else if (now - heard_at_ >= acknowledgement_timeout) {
+    io::log_event(io::log_level::warning, "agent_link_lost",
+                  {{"agent", address_.node_id},
+                   {"reason", "not acknowledged"},
+                   {"attempts", std::to_string(handlers_.size())}});
+    reconnect();
+  } else if (now - heard_at_ >= probe_delay) {
+    send_hello();
+  }
+}
+
 void agent_link::set_address(const agent_address& address) {
   if (address != address_) {
     address_ = address;
--- a/tools/router/agent_link.h
+++ b/tools/router/agent_link.h
@@ -35,7 +35,8 @@
   friend bool operator==(const agent_address&, const agent_address&) = default;
 };
 
-// Connection to one agent, shared by all requests with an attempt there.
+// Connection to one agent, shared by all requests with an attempt there. A connection
+// that falls silent while attempts are attached is replaced.
 class agent_link : public QObject {
 public:
   agent_link(agent_address address, std::string router_id, QObject* parent);
@@ -72,11 +73,14 @@
   [[nodiscard]] std::uint64_t version() const;
   void connect_now();
   void drop_connection();
-  void handle_open();
+  void send_hello();
   void handle_closed();
   void handle_frame(byte_view buf);
   void handle_hello(const wire::HelloT& hello);
   void fail_attempts(bool include_started);
+  // Starts the timer of check_liveness() if attempts wait for an agent that acknowledges.
+  void watch_liveness();
+  void check_liveness();
   std::vector<attempt_id> attempt_ids() const;
 
   agent_address address_;
@@ -84,7 +88,11 @@
   io::framed_connection* connection_ = nullptr;
   bool ready_ = false; // the agent's Hello was received
   incarnation agent_incarnation_ = 0;
+  bool acknowledges_ = false; // the agent acknowledges bytes while none are due
   QTimer timer_;
+  QTimer liveness_timer_;
+  time_point heard_at_{};            // when the latest bytes were noticed
+  std::uint64_t bytes_received_ = 0; // at that time
   time_point disconnected_at_{};
   time_point last_frame_at_{};
   unsigned failures_ = 0;
