Don't cut an HTTP response while its caller still reads it

A caller that read a large response over a slow link lost its end: with "Connection: close" 1 s after the response was written to Qt's buffer, else after the idle timeout, however much was still queued. Reads of a large configuration are such responses: 400 kB take 1.06 s over 3 Mbit/s.

Both timeouts now run from the last bytes that the kernel took. A caller that takes none is still disconnected after them.

On the code before, http_slow_reader_test fails 2 of 13 checks: 6.7 and 9.3 of 12 MB arrive at 3 MB/s with close and with an idle timeout of 1 s. Now all pass; a caller that stops reading is disconnected after 2.3 s with that timeout, the same as before.

--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -43,6 +43,9 @@
   connect(socket_, &QTcpSocket::readyRead, this, [this] { read(); });
   connect(socket_, &QTcpSocket::disconnected, this, [this] { handle_closed(); });
   connect(socket_, &QTcpSocket::bytesWritten, this, [this](qint64) {
+    if (phase_ == phase::idle || phase_ == phase::lingering) {
+      phase_since_ = io::now(); // the client still reads the last response
+    }
     if (on_drained) {
       on_drained();
     }
