Don't let silent connections use up control's limit for good

Control's port for nodes and operators kept every accepted connection until it was closed, so peers that vanished without closing, or whose closing was lost, took places out of 2,000; once none was left, every node and operator was refused, without a line in the log.

At the limit a new connection now replaces the one that has been silent longest, if for 2 s or more (nodes send two heartbeats a second); the limit is logged, at most once a second. Connections without a byte for 30 s are closed; operators wait 10 s by default and send their request again after a loss.

On the code before, with the limit made settable, service_connections_test fails 1 of 47 checks: a node is not served within 5 s. Now after 2.1 s. The case of a node whose connection to control falls silent in either direction passed before and is kept: replaced after 0.95 s, the heartbeat's timeout.

--- a/tools/control/service.cpp
+++ b/tools/control/service.cpp
@@ -3,12 +3,12 @@
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/logging.h"
 
+#include <algorithm>
+
 namespace marigoldstep::control {
 
 namespace {
 
-// 340 nodes have one connection each; the rest is headroom for reconnects.
-constexpr std::size_t max_connections = 2000;
 // An agent sends tens of requests a second at peak load.
 constexpr std::uint32_t max_requests_per_second = 2000;
 constexpr auto rate_window = milliseconds(1000);
@@ -17,6 +17,11 @@
 // A command and its envelope must fit into one frame between members.
 constexpr std::size_t max_command_bytes = 12U << 20U;
 constexpr auto failure_detection_interval = milliseconds(100);
+// A peer that vanished without closing. Longer than operators wait for a reply.
+constexpr auto idle_timeout = milliseconds(30'000);
+// Nodes send a heartbeat every 500 ms.
+constexpr auto silence_timeout = milliseconds(2000);
+constexpr auto limit_log_interval = milliseconds(1000);
 
 } // namespace
 
@@ -24,6 +29,7 @@
     : QObject(parent), group_(group), operators_(std::move(operators)), listener_(this) {
   listener_.on_connection = [this](io::framed_connection* it) { accept(it); };
   connect(&timer_, &QTimer::timeout, this, [this] {
+    close_silent_clients();
     if (group_.is_leader()) {
       handle_new_term();
       detect_failures(membership_, io::now());
@@ -50,18 +56,54 @@
 }
 
 void service::accept(io::framed_connection* connection) {
-  if (clients_.size() >= max_connections) {
+  if (clients_.size() >= max_connections && !replace_silent_client()) {
     connection->close();
     connection->deleteLater();
     return;
   }
-  clients_[connection] = {io::now(), 0};
+  clients_[connection] = {.heard_at = io::now()};
   connection->on_frame = [this, connection](byte_view buf) {
     handle_frame(connection, buf);
   };
   connection->on_closed = [this, connection](std::error_code) { close(connection); };
 }
 
+void service::close_silent_clients() {
+  const auto now = io::now();
+  std::vector<io::framed_connection*> silent;
+  for (auto& [connection, it] : clients_) {
+    // Bytes count rather than frames: a large one takes long over a slow link.
+    if (connection->bytes_received() != it.bytes_received) {
+      it.bytes_received = connection->bytes_received();
+      it.heard_at = now;
+    } else if (now - it.heard_at > idle_timeout) {
+      silent.push_back(connection);
+    }
+  }
+  for (auto* it : silent) {
+    close(it);
+  }
+}
+
+bool service::replace_silent_client() {
+  const auto now = io::now();
+  const auto oldest = std::min_element(
+      clients_.begin(), clients_.end(),
+      [](const auto& a, const auto& b) { return a.second.heard_at < b.second.heard_at; });
+  const bool is_silent =
+      oldest != clients_.end() && now - oldest->second.heard_at > silence_timeout;
+  if (now - limit_logged_at_ > limit_log_interval) {
+    limit_logged_at_ = now;
+    io::log_event(io::log_level::warning, "connection_limit_reached",
+                  {{"open", std::to_string(clients_.size())},
+                   {"action", is_silent ? "replaces a silent one" : "refuses"}});
+  }
+  if (is_silent) {
+    close(oldest->first);
+  }
+  return is_silent;
+}
+
 void service::close(io::framed_connection* connection) {
   if (clients_.erase(connection) == 0) {
     return;
@@ -75,7 +117,8 @@
   auto& it = clients_[connection];
   const auto now = io::now();
   if (now - it.window_start >= rate_window) {
-    it = {now, 0};
+    it.window_start = now;
+    it.requests = 0;
   }
   return ++it.requests <= max_requests_per_second;
 }
--- a/tools/control/service.h
+++ b/tools/control/service.h
@@ -25,6 +25,10 @@
 public:
   service(replica& group, std::vector<operator_account> operators, QObject* parent);
 
+  // 340 nodes have one connection each; the rest is headroom for reconnects. At the limit
+  // a new connection replaces the one that has been silent longest.
+  std::size_t max_connections = 2000;
+
   std::error_code listen(const io::endpoint& address);
   [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
   // Stops accepting connections and closes the open ones after their queued replies
@@ -38,13 +42,17 @@
 private:
   using link = QPointer<io::framed_connection>;
 
-  // Request rate of one connection.
   struct client {
     time_point window_start{};
-    std::uint32_t requests = 0; // since window_start
+    std::uint32_t requests = 0;       // since window_start
+    time_point heard_at{};            // when the latest bytes were noticed
+    std::uint64_t bytes_received = 0; // at that time
   };
 
   void accept(io::framed_connection* connection);
+  void close_silent_clients();
+  // Returns false when no connection is silent.
+  bool replace_silent_client();
   void handle_frame(io::framed_connection* connection, byte_view buf);
   bool is_within_rate(io::framed_connection* connection);
   void close(io::framed_connection* connection);
@@ -94,6 +102,7 @@
   io::framed_listener listener_;
   QTimer timer_;
   std::map<io::framed_connection*, client> clients_;
+  time_point limit_logged_at_{};
   membership_table membership_;
   std::uint64_t membership_term_ = 0;
   time_point leader_since_{};
