Log that an HTTP listener's connection limit is reached

Callers over the limit of the gateway, of control's API or of the port for reports were disconnected without a trace. One warning a second at most.

--- a/include/marigoldstep/io/http_connection.h
+++ b/include/marigoldstep/io/http_connection.h
@@ -110,10 +110,12 @@
 
 private:
   void accept();
+  void log_limit_reached();
   void tick();
 
   QTcpServer server_;
   std::set<http_connection*> open_;
+  time_point limit_logged_at_{};
   bool closing_ = false;
 };
 
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -3,6 +3,7 @@
 #include "marigoldstep/error.h"
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/http_status.h"
+#include "marigoldstep/io/logging.h"
 
 #include <QHostAddress>
 #include <QTimer>
@@ -22,6 +23,7 @@
 // Limits what is read ahead while a response is in progress.
 constexpr qint64 read_buffer_bytes = 1 << 16;
 constexpr int accept_backlog = 512;
+constexpr auto limit_log_interval = milliseconds(1000);
 
 unsigned status_of(std::error_code ec) {
   if (ec == errc::message_too_large) {
@@ -327,6 +329,7 @@
 void http_listener::accept() {
   while (auto* socket = server_.nextPendingConnection()) {
     if (open_.size() >= limits.max_connections) {
+      log_limit_reached();
       socket->abort();
       socket->deleteLater();
       continue;
@@ -346,6 +349,15 @@
   }
 }
 
+void http_listener::log_limit_reached() {
+  const auto now = io::now();
+  if (now - limit_logged_at_ > limit_log_interval) {
+    limit_logged_at_ = now;
+    log_event(log_level::warning, "connection_limit_reached",
+              {{"port", std::to_string(port())}, {"open", std::to_string(open_.size())}});
+  }
+}
+
 void http_listener::tick() {
   const auto now = io::now();
   const auto open = open_;
