Drop a router's earlier connections when it greets on a new one

An agent kept a connection that its router had given up whenever the closing didn't arrive, as on a link that fell silent: for ever, with its file descriptor and with the attempts attached to it, which then held up a drain until its limit.

A Hello on a new connection now drops those of the same router, unless they belong to a later process of it. Their attempts are detached as after any loss, and resumed over the new one.

--- a/tests/programs/agent_harness.h
+++ b/tests/programs/agent_harness.h
@@ -187,8 +187,9 @@
 };
 
 struct fake_router {
-  explicit fake_router(std::uint16_t port)
-      : connection(std::make_unique<io::framed_connection>("127.0.0.1", port, nullptr)) {
+  explicit fake_router(std::uint16_t port, const std::string& host = "127.0.0.1")
+      : connection(std::make_unique<io::framed_connection>(QString::fromStdString(host),
+                                                           port, nullptr)) {
     connection->on_frame = [this](byte_view buf) { handle(buf); };
     REQUIRE(wait_for([this] { return received_hello; }));
   }
--- a/tests/programs/agent_stream_test.cpp
+++ b/tests/programs/agent_stream_test.cpp
@@ -1,3 +1,5 @@
+#include "loopback_address.h"
+#include "loopback_proxy.h"
 #include "programs/agent_harness.h"
 
 #include <QNetworkAccessManager>
@@ -265,3 +267,63 @@
   CHECK(process.exitCode() == 0);
   CHECK(fixture.control->last_heartbeat.leaving);
 }
+
+namespace {
+
+void greet(fake_router& router, incarnation started) {
+  wire::HelloT hello;
+  hello.node_id = "r1";
+  hello.incarnation = started;
+  hello.protocol = wire::data_protocol;
+  router.send(std::move(hello));
+}
+
+} // namespace
+
+// Guards against connections that their router gave up without the agent noticing.
+TEST_CASE("a router's new connection replaces its earlier ones") {
+  agent_fixture fixture;
+  auto& node = fixture.start();
+  fake_router first(node.port());
+  fake_router other(node.port());
+  fake_router second(node.port());
+  bool first_closed = false;
+  bool second_closed = false;
+  first.connection->on_closed = [&](std::error_code) { first_closed = true; };
+  second.connection->on_closed = [&](std::error_code) { second_closed = true; };
+  greet(first, 5);
+  REQUIRE(wait_for([&] { return node.links() == 3; }));
+  greet(second, 5);
+  CHECK(wait_for([&] { return first_closed && node.links() == 2; }));
+  // A process that was replaced doesn't take the place of its successor.
+  greet(other, 4);
+  wait_for([&] { return second_closed; }, milliseconds(300));
+  CHECK_FALSE(second_closed);
+}
+
+// Guards against a router that takes a large request over a slow link for silence.
+TEST_CASE("an agent acknowledges a large request while its bytes arrive") {
+  agent_fixture fixture;
+  auto& node = fixture.start();
+  const io::endpoint slow{own_loopback_host(50), free_port_on_own_host()};
+  loopback_proxy proxy(slow.host, slow.port, "127.0.0.1", node.port());
+  constexpr auto interval = std::chrono::milliseconds(20);
+  proxy.limit_rate(500, interval); // 0.2 Mbit/s
+  fake_router router(slow.port, slow.host);
+  greet(router, 1);
+  auto start = router.make_start(io::make_attempt_id());
+  start.body.assign(100'000, 'q');
+  router.send(std::move(start));
+  auto heard = io::now();
+  auto longest = milliseconds(0);
+  auto received = router.connection->bytes_received();
+  CHECK(wait_for([&] {
+    if (router.connection->bytes_received() != received) {
+      received = router.connection->bytes_received();
+      longest = std::max(longest, io::now() - heard);
+      heard = io::now();
+    }
+    return !router.ends.empty();
+  }));
+  CHECK(longest < milliseconds(1000));
+}
--- a/tools/agent/agent.cpp
+++ b/tools/agent/agent.cpp
@@ -236,6 +236,22 @@
   links_.erase(connection);
 }
 
+// A router has one connection, and opens another only after it has given the earlier one
+// up, whose end may never arrive here.
+void agent::drop_replaced_links(const router_link& by) {
+  std::vector<router_link*> replaced;
+  for (const auto& [connection, it] : links_) {
+    if (it.get() != &by && !by.node_id.empty() && it->node_id == by.node_id &&
+        it->router_incarnation <= by.router_incarnation) {
+      replaced.push_back(it.get());
+    }
+  }
+  for (auto* it : replaced) {
+    io::log_event(io::log_level::info, "router_link_replaced", {{"router", by.node_id}});
+    drop_link(it);
+  }
+}
+
 void agent::handle_frame(router_link& link, byte_view buf) {
   std::error_code ec;
   auto frame = wire::decode_data(buf, ec);
@@ -259,7 +275,9 @@
 void agent::handle_body(router_link& link, wire::DataFrameT& frame) {
   if (auto* hello = frame.body.AsHello()) {
     link.node_id = hello->node_id;
+    link.router_incarnation = hello->incarnation;
     link.takes_acknowledgements = hello->protocol >= wire::acknowledging_data_protocol;
+    drop_replaced_links(link);
   } else if (auto* start = frame.body.AsStartAttempt()) {
     if (is_valid(*start)) {
       runner_.start_attempt(std::move(*start), frame.config_version, link);
--- a/tools/agent/agent.h
+++ b/tools/agent/agent.h
@@ -26,6 +26,8 @@
   [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
   [[nodiscard]] std::uint16_t admin_port() const { return admin_.port(); }
   [[nodiscard]] attempt_runner& runner() { return runner_; }
+  // Open connections from routers.
+  [[nodiscard]] std::size_t links() const { return links_.size(); }
 
 private:
   void set_up_session();
@@ -35,6 +37,7 @@
   void handle_ack(const wire::HeartbeatAckT& ack);
   void add_link(io::framed_connection* connection);
   void drop_link(router_link* link);
+  void drop_replaced_links(const router_link& by);
   void send_hello(router_link& link);
   void acknowledge_bytes();
   void handle_frame(router_link& link, byte_view buf);
--- a/tools/agent/router_link.h
+++ b/tools/agent/router_link.h
@@ -22,6 +22,7 @@
 struct router_link {
   io::framed_connection* connection = nullptr;
   std::string node_id; // empty until the router's Hello was received
+  incarnation router_incarnation = 0;
   bool takes_acknowledgements = false;
   std::uint64_t bytes_received = 0; // when last looked at
   std::uint64_t bytes_sent = 0;     // at that time
