Send requests to the leader that was heard last

Reads at a follower, forwarded changes and load reports went to the first link by address whose process had said that it leads. A deposed leader whose connection fell silent never takes that back, and its link stays open for up to 3.75 heartbeats, 1.5 s at few VMs and 4.5 s at 300: all that time reads got 503 and changes waited 2.5 s for a reply, though the new leader was connected.

Of several links that claim the lead, the one heard last is used now: a leader that is alive sends at least each heartbeat. The status has no term, and this works with control processes of any build.

On the code before, leader_link_test fails: a confirmation asked for 1.3 s after the silence ends with 0. Now it has the leader's version, whichever of the two has the lower address.

--- a/src/io/control_link_requests.cpp
+++ b/src/io/control_link_requests.cpp
@@ -16,13 +16,17 @@
 
 } // namespace
 
+// Two may claim to lead: a deposed leader whose connection fell silent never says that it
+// leads no more.
 control_links::link* control_links::find_leader_link() {
+  link* latest = nullptr;
   for (auto& [host, it] : links_) {
-    if (it.is_open && it.is_leader) {
-      return &it;
+    if (it.is_open && it.is_leader &&
+        (latest == nullptr || it.last_frame_at > latest->last_frame_at)) {
+      latest = &it;
     }
   }
-  return nullptr;
+  return latest;
 }
 
 void control_links::send_load(wire::RouterLoadT load) {
