Don't cut a control link while a large message is on its way

A control link counted as silent when no whole frame came for 3.75 heartbeats, 1.5 s at few VMs. A routing text that takes longer cut its link, on either side: at the node while it received the text, at control while a process forwarded one. Both then connected again and began anew, so that the text never arrived: 100 kB over 0.2 Mbit/s take 4 s, 600 kB over 3 Mbit/s 1.6 s.

Bytes count now in place of frames, as on the other connections.

--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -130,7 +130,8 @@
     std::uint64_t version = 0;
     feed_position acked_reported; // in the last acknowledgement
     feed_position acked_repeated;
-    time_point last_frame_at{};
+    time_point heard_at{};            // when the latest bytes were noticed
+    std::uint64_t bytes_received = 0; // at that time
     time_point retry_at{};
     time_point opened_at{};
   };
@@ -197,7 +198,7 @@
   bool has_initial_servers_ = false;
 };
 
-// Time without a frame after which a link is treated as lost.
+// Time without a byte after which a link is treated as lost.
 milliseconds link_timeout(milliseconds heartbeat);
 
 } // namespace marigoldstep::io
--- a/src/io/control_link_requests.cpp
+++ b/src/io/control_link_requests.cpp
@@ -22,7 +22,7 @@
   link* latest = nullptr;
   for (auto& [host, it] : links_) {
     if (it.is_open && it.is_leader &&
-        (latest == nullptr || it.last_frame_at > latest->last_frame_at)) {
+        (latest == nullptr || it.heard_at > latest->heard_at)) {
       latest = &it;
     }
   }
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -82,7 +82,7 @@
 void control_links::connect_to(const std::string& host, link& it) {
   const auto now = io::now();
   it = {};
-  it.last_frame_at = now;
+  it.heard_at = now;
   const auto failures = std::min(failures_[host]++, max_backoff_doublings);
   it.heartbeat = default_heartbeat;
   it.retry_at = now + connect_timeout * (1U << failures);
@@ -91,7 +91,7 @@
   it.connection->on_open = [this, host] {
     auto& opened = links_.at(host);
     opened.is_open = true;
-    opened.opened_at = opened.last_frame_at = io::now();
+    opened.opened_at = opened.heard_at = io::now();
     wire::SubscribeT subscription;
     subscription.node_id = settings_.node_id;
     subscription.router = settings_.is_router;
@@ -132,11 +132,16 @@
   const auto now = io::now();
   std::vector<std::string> silent;
   for (auto& [host, it] : links_) {
+    // Bytes count rather than frames: a large one takes long over a slow link.
+    if (it.is_open && it.connection->bytes_received() != it.bytes_received) {
+      it.bytes_received = it.connection->bytes_received();
+      it.heard_at = now;
+    }
     if (it.connection == nullptr) {
       if (now >= it.retry_at) {
         connect_to(host, it);
       }
-    } else if (it.is_open ? now - it.last_frame_at > link_timeout(it.heartbeat)
+    } else if (it.is_open ? now - it.heard_at > link_timeout(it.heartbeat)
                           : now > it.retry_at) {
       silent.push_back(host);
     } else if (it.is_open && now >= it.next_ack_at) {
@@ -189,7 +194,7 @@
     return;
   }
   auto& it = links_.at(host);
-  it.last_frame_at = io::now();
+  it.heard_at = io::now();
   failures_.erase(host);
   if (const auto* status = frame->body.AsGroupStatus()) {
     handle_status(host, *status);
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -99,7 +99,7 @@
 }
 
 void link_service::accept(io::framed_connection* connection) {
-  subscribers_[connection].last_frame_at = io::now();
+  subscribers_[connection].heard_at = io::now();
   connection->on_frame = [this, connection](byte_view buf) {
     handle_frame(connection, buf);
   };
@@ -136,9 +136,9 @@
     return;
   }
   auto& from = known->second;
-  from.last_frame_at = io::now();
+  from.heard_at = io::now();
   if (from.is_router) {
-    routers_[from.node_id] = from.last_frame_at;
+    routers_[from.node_id] = from.heard_at;
   }
   if (const auto* hello = frame->body.AsSubscribe()) {
     handle_subscribe(connection, *hello);
@@ -409,9 +409,14 @@
 void link_service::tick() {
   const auto now = io::now();
   std::vector<io::framed_connection*> silent;
-  for (const auto& [connection, it] : subscribers_) {
+  for (auto& [connection, it] : subscribers_) {
+    // Bytes count rather than frames: a large one takes long over a slow link.
+    if (connection->bytes_received() != it.bytes_received) {
+      it.bytes_received = connection->bytes_received();
+      it.heard_at = now;
+    }
     // The subscriber may still use an earlier, shorter interval.
-    if (now - it.last_frame_at > io::link_timeout(heartbeat_interval()) ||
+    if (now - it.heard_at > io::link_timeout(heartbeat_interval()) ||
         connection->queued_bytes() > max_queued_bytes) {
       silent.push_back(connection);
     }
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -109,7 +109,8 @@
     std::vector<std::string> sent_hosts; // members of the group
     feed_progress reported;
     feed_progress repeated;
-    time_point last_frame_at{};
+    time_point heard_at{};                    // when the latest bytes were noticed
+    std::uint64_t bytes_received = 0;         // at that time
     time_point next_status{};                 // when the next status is due
     std::map<std::uint32_t, load_count> load; // by server hash
   };
