Don't end the process on a last chunk that arrives in pieces

A caller that sends "0\r\n" as the first chunk of a request and then a single byte ended the gateway or control process that read it, and a backend server did so with its response: Boost.Beast 1.74 remembers the last chunk, and asserts at the next call that at least five bytes of it are there (basic_parser.ipp:688, "Assertion `n >= 5' failed"). Assertions are on in the release build.

The parser now keeps a last chunk of fewer than five bytes, which can't be whole, from Beast. Data of a chunk that looks like one passes at once.

The new test splits chunked bodies into any three pieces.

--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -42,6 +42,14 @@
   return false;
 }
 
+// Whether more bytes must arrive before Beast may see a last chunk: Boost 1.74 ends the
+// process when it gets fewer than five bytes after it has read the chunk's size.
+bool is_cut_last_chunk(std::string_view buf) {
+  constexpr std::string_view shortest = "0\r\n\r\n";
+  return buf.size() < shortest.size() && buf.starts_with('0') &&
+         buf.find("\r\n") != std::string_view::npos;
+}
+
 } // namespace
 
 namespace detail {
@@ -52,11 +60,16 @@
   virtual ~parser_base() = default;
   virtual std::size_t put(std::string_view buf, boost::beast::error_code& ec) = 0;
   virtual void put_eof(boost::beast::error_code& ec) = 0;
+  // Whether the next bytes are a chunk header, not the data of a chunk.
+  [[nodiscard]] bool is_between_chunks() const {
+    return has_head() && head.is_chunked && chunk_bytes_left == 0;
+  }
   [[nodiscard]] virtual bool has_head() const = 0;
   [[nodiscard]] virtual bool is_done() const = 0;
 
   http_head head;
   std::string body;
+  std::uint64_t chunk_bytes_left = 0;
 };
 
 template <bool is_request>
@@ -110,11 +123,14 @@
     body.append(text.data(), text.size());
     return text.size();
   }
-  void on_chunk_header_impl(std::uint64_t /*size*/, beast_view /*extensions*/,
-                            error& /*ec*/) override {}
-  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, beast_view text,
+  void on_chunk_header_impl(std::uint64_t size, beast_view /*extensions*/,
+                            error& /*ec*/) override {
+    chunk_bytes_left = size;
+  }
+  std::size_t on_chunk_body_impl(std::uint64_t remain, beast_view text,
                                  error& /*ec*/) override {
     body.append(text.data(), text.size());
+    chunk_bytes_left = remain - text.size();
     return text.size();
   }
   void on_finish_impl(error& /*ec*/) override {}
@@ -168,6 +184,9 @@
   ec.clear();
   std::size_t used = 0;
   while (used < buf.size() && !parser_->is_done()) {
+    if (parser_->is_between_chunks() && is_cut_last_chunk(buf.substr(used))) {
+      return used;
+    }
     boost::beast::error_code problem;
     const auto n = parser_->put(buf.substr(used), problem);
     used += n;
--- a/tests/http_parser_test.cpp
+++ b/tests/http_parser_test.cpp
@@ -47,6 +47,34 @@
   }
 }
 
+// Guards against a parser that ends the process at some way to split the last chunk.
+TEST_CASE("chunks are parsed from any three pieces") {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string text =
+      GENERATE("0\r\n\r\n", "00\r\n\r\n", "0;a=b\r\n\r\n", "0\r\nX: 1\r\n\r\n",
+               "1\r\nx\r\n0\r\n\r\n", "3\r\n0\r\n\r\n0\r\nX: 1\r\nY: 2\r\n\r\n");
+  const bool with_head = GENERATE(true, false);
+  CAPTURE(text, with_head);
+  for (std::size_t first = 0; first <= text.size(); ++first) {
+    for (std::size_t second = first; second <= text.size(); ++second) {
+      http_parser parser(http_role::response, {});
+      std::error_code ec;
+      std::string rest = with_head ? head : "";
+      if (!with_head) {
+        REQUIRE(parser.feed(head, ec) == head.size());
+      }
+      for (const auto& it : {text.substr(0, first), text.substr(first, second - first),
+                             text.substr(second)}) {
+        rest += it;
+        rest.erase(0, parser.feed(rest, ec));
+        REQUIRE_FALSE(ec);
+      }
+      REQUIRE(parser.is_done());
+      REQUIRE(rest.empty());
+    }
+  }
+}
+
 TEST_CASE("bytes after a response are not consumed") {
   const auto result =
       feed_in_pieces(http_role::response, {},
