Limit chunk headers and trailers of HTTP messages

A chunk size, chunk extension or trailers without end filled the memory of the gateway until the route's timeout, and the caller got a 504 where another server could have answered; requests did the same until the header timeout. Beast limits the head only and consumes the other framing as a whole, so the connection kept all of it.

Framing that waits for its end may now have as many bytes as a head; more fails the message, which ends the attempt as broken.

--- a/include/marigoldstep/io/http_parser.h
+++ b/include/marigoldstep/io/http_parser.h
@@ -49,7 +49,8 @@
 
 // Limits of one message. An unset body_bytes allows any size.
 struct http_limits {
-  std::uint32_t header_bytes = 16U << 10U;
+  std::uint32_t header_bytes = 16U
+                               << 10U; // also of each chunk header, and of the trailers
   std::optional<std::uint64_t> body_bytes;
 };
 
@@ -63,8 +64,9 @@
   http_parser& operator=(http_parser&&) noexcept;
 
   // Parses bytes and returns how many were consumed. The caller passes the rest again,
-  // followed by newly received bytes. Errors: errc::message_too_large for a header over
-  // the limit, errc::body_too_large, errc::malformed_message.
+  // followed by newly received bytes. Errors: errc::message_too_large for a header, a
+  // chunk header or trailers over the limit, errc::body_too_large,
+  // errc::malformed_message.
   std::size_t feed(std::string_view buf, std::error_code& ec);
   // Call when the connection was closed in an orderly way. Completes a body without a
   // length; sets ec to errc::answer_truncated if the message is still incomplete.
@@ -77,7 +79,10 @@
   std::string take_body();
 
 private:
+  std::size_t parse(std::string_view buf, std::error_code& ec);
+
   std::unique_ptr<detail::parser_base> parser_;
+  std::uint32_t max_framing_bytes_;
 };
 
 } // namespace marigoldstep::io
--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -168,7 +168,8 @@
   return {text.data(), text.size()};
 }
 
-http_parser::http_parser(http_role role, const http_limits& limits, bool body_expected) {
+http_parser::http_parser(http_role role, const http_limits& limits, bool body_expected)
+    : max_framing_bytes_(limits.header_bytes) {
   if (role == http_role::request) {
     parser_ = std::make_unique<detail::beast_parser<true>>(limits, body_expected);
   } else {
@@ -182,6 +183,15 @@
 
 std::size_t http_parser::feed(std::string_view buf, std::error_code& ec) {
   ec.clear();
+  const auto used = parse(buf, ec);
+  // Beast consumes a chunk header and the trailers only as a whole, and limits neither.
+  if (!ec && !parser_->is_done() && buf.size() - used > max_framing_bytes_) {
+    ec = make_error_code(errc::message_too_large);
+  }
+  return used;
+}
+
+std::size_t http_parser::parse(std::string_view buf, std::error_code& ec) {
   std::size_t used = 0;
   while (used < buf.size() && !parser_->is_done()) {
     if (parser_->is_between_chunks() && is_cut_last_chunk(buf.substr(used))) {
