Limit the bodies of responses that are not forwarded

A gateway kept the body of an error, or of a response that it doesn't forward, without limit until the route's timeout: 217 to 805 MB in 0.9 s on for one connection (bound 8 MiB), and after that a 504 to the caller. A refusal (not run) with such a body was lost the same way, 1.07 GB. So was the body of a request that runs on after its caller left.

Above 256 KiB the attempt now ends if the head alone decides how (refused, wrong server, no usable response). An error that may be passed on is kept up to 1 MiB and counts as broken above: the caller gets the next server's response or 502, never a shortened body. A body without caller is dropped.

--- a/tests/programs/endless_response_test.cpp
+++ b/tests/programs/endless_response_test.cpp
@@ -43,6 +43,17 @@
           {"trailer lines", {chunked + "5\r\nhello\r\n0\r\n", "X: a\r\n"}}};
 }
 
+// Bodies of responses that are not forwarded.
+std::vector<endless_case> error_body_without_end() {
+  const std::string error = "HTTP/1.1 500 Error\r\n" + ids;
+  return {{"error body without length", {error + "\r\n", "x"}},
+          {"error body in chunks",
+           {error + "Transfer-Encoding: chunked\r\n\r\n", chunk("hello")}},
+          {"error body with length", {error + "Content-Length: 9999999999\r\n\r\n", "x"}},
+          {"unsigned body",
+           {"HTTP/1.1 200 OK\r\nMarigoldstep-Request-Id: {id}\r\n\r\n", "x"}}};
+}
+
 std::vector<endless_case> body_without_end() {
   return {{"body without length", {ok + "\r\n", "x"}},
           {"body in chunks", {chunked, chunk("hello")}},
@@ -113,7 +124,10 @@
 } // namespace
 
 TEST_CASE("framing without end ends its attempt, and the next server answers") {
-  for (const auto& tried : framing_without_end()) {
+  auto cases = framing_without_end();
+  const auto more = error_body_without_end();
+  cases.insert(cases.end(), more.begin(), more.end());
+  for (const auto& tried : cases) {
     CAPTURE(tried.name);
     endless_fixture it({tried.bytes}, {{write_text(response_text("own"))}});
     const memory_watch memory;
@@ -128,7 +142,11 @@
 }
 
 TEST_CASE("a request that may run once gets a truthful end from bytes without end") {
-  for (const auto& tried : framing_without_end()) {
+  auto cases = framing_without_end();
+  for (const auto& more : {error_body_without_end()}) {
+    cases.insert(cases.end(), more.begin(), more.end());
+  }
+  for (const auto& tried : cases) {
     CAPTURE(tried.name);
     endless_fixture it({tried.bytes}, {{write_text(response_text("second run"))}});
     const memory_watch memory;
@@ -145,6 +163,16 @@
   }
 }
 
+TEST_CASE("a refused request with a body without end counts as not run") {
+  const auto refusal = "HTTP/1.1 503 Service Unavailable\r\n" + ids +
+                       "Marigoldstep-Not-Executed: 1\r\n\r\n";
+  endless_fixture it({{refusal, "x"}}, {{write_text(response_text("own"))}});
+  const memory_watch memory;
+  const auto result = send_request(it, "/once/");
+  CHECK(result.response.ends_with("\r\n\r\nown"));
+  CHECK(memory.growth() < max_growth_bytes);
+}
+
 TEST_CASE("a body without end is cut at the deadline and never looks whole") {
   const std::string path = GENERATE("/safe/", "/once/", "/stream/", "/resume/");
   auto cases = body_without_end();
@@ -185,7 +213,8 @@
 TEST_CASE("a response that comes byte by byte without end is cut at the deadline") {
   const std::string path = GENERATE("/safe/", "/once/", "/stream/", "/resume/");
   std::vector<endless_bytes> bytes;
-  for (const auto& cases : {framing_without_end(), body_without_end()}) {
+  for (const auto& cases :
+       {framing_without_end(), error_body_without_end(), body_without_end()}) {
     for (const auto& tried : cases) {
       bytes.push_back(tried.bytes);
       bytes.back().pause_per_byte = slow;
@@ -233,8 +262,9 @@
   constexpr std::size_t callers = 20;
   constexpr auto max_delay = std::chrono::milliseconds(200);
   const std::vector<endless_case> cases = {{"chunk extension", {chunked + "5;a=", "x"}},
-                                           body_without_end()[1]};
-  const auto& tried = cases[GENERATE(0U, 1U)];
+                                           body_without_end()[1],
+                                           error_body_without_end()[0]};
+  const auto& tried = cases[GENERATE(0U, 1U, 2U)];
   const std::string path = GENERATE("/once/", "/stream/");
   CAPTURE(tried.name, path);
   endless_fixture it({tried.bytes}, {});
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -16,6 +16,8 @@
 // Responses up to this size are buffered before they are forwarded, so that another
 // attempt can replace a truncated one.
 constexpr std::size_t max_buffered_response_bytes = 256U << 10U;
+// An error response over this size counts as broken, since it is passed on in one piece.
+constexpr std::size_t max_error_body_bytes = 1U << 20U;
 // Reading from the backend server pauses while more than this is queued for a caller
 // that reads slowly.
 constexpr std::size_t pause_above_bytes = 256U << 10U;
@@ -327,17 +329,37 @@
     forward_body(piece);
     return;
   }
-  if (state_.response_started) {
+  if (state_.response_started || !has_caller()) {
     return; // the body of another kind of response can't continue it
   }
   it.body += piece;
-  if (it.body.size() > max_buffered_response_bytes && is_forwardable_response() &&
-      has_caller()) {
+  if (it.body.size() <= max_buffered_response_bytes) {
+    return;
+  }
+  if (is_forwardable_response()) {
     it.is_forwarding = true;
     const auto buffered = std::move(it.body);
     it.body.clear();
     forward_body(buffered);
+    return;
+  }
+  end_large_response();
+}
+
+// Ends an attempt whose large response is not forwarded, unless it may still be passed
+// on.
+void relay::end_large_response() {
+  const auto end = classify_response();
+  const auto n = attempt_->body.size();
+  if (end == attempt_end::failed && n <= max_error_body_bytes) {
+    return;
   }
+  io::log_event(io::log_level::warning, "response_too_large",
+                {{"request_id", call_.request_id},
+                 {"server", attempt_->server.id},
+                 {"status", std::to_string(attempt_->head.status)},
+                 {"bytes", std::to_string(n)}});
+  end_attempt(end == attempt_end::failed ? attempt_end::broken : end);
 }
 
 void relay::forward_body(std::string_view piece) {
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -53,6 +53,7 @@
   void handle_head(const io::http_head& head);
   void record_notice(const response_metadata& metadata);
   void handle_body(std::string piece);
+  void end_large_response();
   void handle_done();
   void handle_failure(io::exchange_failure why);
   void forward_body(std::string_view piece);
