Limit the length of an event that a gateway keeps

An event whose end never arrives was kept until the route's timeout, on resumable streams to forward it as a whole, on others for nothing but to tell whether the stream ended inside an event: 201 to 537 MB on for one connection (bound 8 MiB). Searching that much at the end held the process up: the caller of comment lines waited for 1.7 to 2.4 s with a timeout of 0.8 s.

A resumable stream now ends its attempt as broken at an event over 1 MiB, so that another server continues after the last whole event. Other streams are forwarded as they arrive, whatever the length of an event; the gateway forgets all but its last bytes. An event of 900 kB passes on both.

--- a/src/event_splitter.cpp
+++ b/src/event_splitter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace marigoldstep {
 
@@ -81,7 +82,10 @@
   for (auto n = event_end(rest, searched); n != 0; n = event_end(rest, 0)) {
     const auto event = rest.substr(0, n);
     rest.remove_prefix(n);
-    const auto fields = parse_event(event);
+    // A shortened event may have had data.
+    const auto fields = std::exchange(state.has_dropped, false)
+                            ? event_fields{std::nullopt, true}
+                            : parse_event(event);
     if (fields.id && state.last_event && *fields.id <= *state.last_event) {
       continue;
     }
@@ -95,7 +99,20 @@
   return out;
 }
 
+bool is_too_long(const event_splitter& state) {
+  return state.partial.size() > max_event_bytes;
+}
+
+void drop_partial(event_splitter& state) {
+  const auto kept = std::min(state.partial.size(), max_event_end_bytes - 1);
+  state.partial.erase(0, state.partial.size() - kept);
+  state.has_dropped = true;
+}
+
 bool is_inside_event(const event_splitter& state) {
+  if (state.has_dropped) {
+    return true;
+  }
   std::string_view rest = state.partial;
   while (!rest.empty()) {
     const auto end = rest.find('\n');
--- a/tests/programs/endless_response_test.cpp
+++ b/tests/programs/endless_response_test.cpp
@@ -67,6 +67,13 @@
           {"events", {stream, "data: x\n\n"}}};
 }
 
+std::vector<endless_case> event_without_end() {
+  const std::string stream = ok + "Content-Type: text/event-stream\r\n\r\n";
+  return {{"data line", {stream + event(1) + "id: 2\ndata: ", "x"}},
+          {"data lines", {stream + event(1) + "id: 2\n", "data: x\n"}},
+          {"comment lines", {stream + event(1), ":\n"}}};
+}
+
 // A gateway whose first server is an endless one.
 struct endless_fixture : gateway_fixture {
   endless_fixture(std::vector<endless_bytes> what, std::vector<server_script> second)
@@ -143,7 +150,7 @@
 
 TEST_CASE("a request that may run once gets a truthful end from bytes without end") {
   auto cases = framing_without_end();
-  for (const auto& more : {error_body_without_end()}) {
+  for (const auto& more : {error_body_without_end(), event_without_end()}) {
     cases.insert(cases.end(), more.begin(), more.end());
   }
   for (const auto& tried : cases) {
@@ -193,6 +200,24 @@
   }
 }
 
+TEST_CASE("an event without end is not kept in memory") {
+  const std::string path = GENERATE("/stream/", "/resume/");
+  for (const auto& tried : event_without_end()) {
+    CAPTURE(path, tried.name);
+    endless_fixture it({tried.bytes}, {{write_text(stream_head() + chunk(event(2)) +
+                                                   chunk(event(3)) + "0\r\n\r\n")}});
+    const memory_watch memory;
+    const auto result = send_request(it, path);
+    CHECK(result.response.find(event(1)) != std::string::npos);
+    CHECK(result.time < max_held);
+    CHECK(memory.growth() < max_growth_bytes);
+    CHECK(wait_until([&] { return it.endless.closed_by_reader == 1; }));
+    // Another server continues the stream after its last whole event.
+    CHECK(is_whole(result.response) == (path == "/resume/"));
+    CHECK(it.servers[1]->requests.size() == (path == "/resume/" ? 1 : 0));
+  }
+}
+
 TEST_CASE("large error bodies and events reach the caller as a whole") {
   const std::string large(900'000, 'x');
   const auto event_text = "id: 1\ndata: " + large + "\n\n";
@@ -213,8 +238,8 @@
 TEST_CASE("a response that comes byte by byte without end is cut at the deadline") {
   const std::string path = GENERATE("/safe/", "/once/", "/stream/", "/resume/");
   std::vector<endless_bytes> bytes;
-  for (const auto& cases :
-       {framing_without_end(), error_body_without_end(), body_without_end()}) {
+  for (const auto& cases : {framing_without_end(), error_body_without_end(),
+                            body_without_end(), event_without_end()}) {
     for (const auto& tried : cases) {
       bytes.push_back(tried.bytes);
       bytes.back().pause_per_byte = slow;
@@ -263,8 +288,9 @@
   constexpr auto max_delay = std::chrono::milliseconds(200);
   const std::vector<endless_case> cases = {{"chunk extension", {chunked + "5;a=", "x"}},
                                            body_without_end()[1],
-                                           error_body_without_end()[0]};
-  const auto& tried = cases[GENERATE(0U, 1U, 2U)];
+                                           error_body_without_end()[0],
+                                           event_without_end()[0]};
+  const auto& tried = cases[GENERATE(0U, 1U, 2U, 3U)];
   const std::string path = GENERATE("/once/", "/stream/");
   CAPTURE(tried.name, path);
   endless_fixture it({tried.bytes}, {});
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -327,6 +327,11 @@
   auto& it = *attempt_;
   if (it.is_forwarding) {
     forward_body(piece);
+    if (attempt_ && is_too_long(attempt_->events)) {
+      io::log_event(io::log_level::warning, "event_too_long",
+                    {{"request_id", call_.request_id}, {"server", attempt_->server.id}});
+      end_attempt(attempt_end::broken);
+    }
     return;
   }
   if (state_.response_started || !has_caller()) {
@@ -375,6 +380,8 @@
     if (route_->kind == route_kind::resumable_stream) {
       out = std::move(events);
       is_continuable = it.events.is_resumable;
+    } else if (is_too_long(it.events)) {
+      drop_partial(it.events);
     }
   }
   it.received_bytes += piece.size();
