Treat a status below 100 as malformed

A response with such a status was taken for an interim one, but it may have a body, which was put before that of the following response. On the caller of

HTTP/1.1 099 X, Content-Length: 4, "junk", HTTP/1.1 200 OK, ..., "first"

got "junkfirst" as a whole response with a matching length. HTTP has no status below 100 (RFC 9110, section 15), so nothing behind it can be trusted: the exchange fails as malformed now, and the next server answers.

--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -26,6 +26,8 @@
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
 constexpr qint64 read_buffer_bytes = 1 << 16;
+// Lower numbers are none of HTTP.
+constexpr unsigned first_status = 100;
 // A server may close an idle connection shortly before its timeout. A request sent at
 // that moment fails, and it is unknown whether it ran.
 constexpr auto idle_margin = milliseconds(1000);
@@ -175,6 +177,10 @@
       }
       return;
     }
+    if (parser_.head().status < first_status) {
+      fail(exchange_failure::malformed);
+      return;
+    }
     const bool is_interim = parser_.head().status < http_status::ok;
     if (!head_reported_ && !is_interim) {
       head_reported_ = true;
--- a/tests/programs/gateway_response_test.cpp
+++ b/tests/programs/gateway_response_test.cpp
@@ -123,3 +123,12 @@
   CHECK(response.find("earlier") == std::string::npos);
   CHECK(response.find(event(1)) != std::string::npos);
 }
+
+TEST_CASE("a status below 100 doesn't begin a response whose body reaches the caller") {
+  const std::string begin = "HTTP/1.1 099 X\r\nMarigoldstep-Request-Id: {id}\r\n";
+  const auto junk = GENERATE_COPY(begin + "Content-Length: 4\r\n\r\njunk",
+                                  begin + "Content-Length: 0\r\n\r\n");
+  gateway_fixture it({{{write_text(junk + response_text("first"))}},
+                      {{write_text(response_text("own"))}}});
+  CHECK(body_of(exchange(it, "GET", "/safe/", "r1")) == "own");
+}
