--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -19,7 +19,7 @@
   not_connected, // nothing was sent
   withheld,      // nothing was sent: may_send() refused once the connection was open
   closed,        // the connection broke after the request was passed to it
-  malformed,     // the response is not valid HTTP
+  malformed,     // the response is not valid HTTP, or too many others precede it
 };
 
 std::string_view name(exchange_failure why);
@@ -102,6 +102,9 @@
   bool is_head_request_ = false;
   bool head_reported_ = false;
   bool skipping_ = false;
+  // Before the response to the current request.
+  unsigned skipped_responses_ = 0;
+  std::uint64_t skipped_bytes_ = 0;
   bool paused_ = false;
   bool keep_alive_ = false;
   unsigned exchange_count_ = 0;
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -28,6 +28,10 @@
 constexpr qint64 read_buffer_bytes = 1 << 16;
 // Lower numbers are none of HTTP.
 constexpr unsigned first_status = 100;
+// Interim responses and responses to other requests that may precede a response, and the
+// bytes of their bodies.
+constexpr unsigned max_skipped_responses = 100;
+constexpr std::uint64_t max_skipped_bytes = 16U << 20U;
 // A server may close an idle connection shortly before its timeout. A request sent at
 // that moment fails, and it is unknown whether it ran.
 constexpr auto idle_margin = milliseconds(1000);
@@ -122,6 +126,8 @@
   is_head_request_ = is_head_request;
   head_reported_ = false;
   skipping_ = false;
+  skipped_responses_ = 0;
+  skipped_bytes_ = 0;
   keep_alive_ = false;
   ++exchange_count_;
   parser_ = http_parser(http_role::response, {}, !is_head_request);
@@ -201,6 +207,11 @@
       return;
     }
     auto body = parser_.take_body();
+    skipped_bytes_ += skipping_ ? body.size() : 0;
+    if (skipped_bytes_ > max_skipped_bytes) {
+      fail(exchange_failure::malformed);
+      return;
+    }
     if (!body.empty() && !skipping_ && on_body) {
       on_body(std::move(body));
     }
@@ -215,6 +226,10 @@
       return;
     }
     if (is_interim || skipping_) {
+      if (++skipped_responses_ > max_skipped_responses) {
+        fail(exchange_failure::malformed);
+        return;
+      }
       head_reported_ = false;
       skipping_ = false;
       parser_ = http_parser(http_role::response, {}, !is_head_request_);
--- a/tests/programs/endless_response_test.cpp
+++ b/tests/programs/endless_response_test.cpp
@@ -32,11 +32,15 @@
 
 // Responses whose framing has no end, so that nothing of them can be forwarded.
 std::vector<endless_case> framing_without_end() {
+  const std::string other = "HTTP/1.1 200 OK\r\nMarigoldstep-Request-Id: other\r\n"
+                            "Content-Length: 1\r\n\r\nx";
   return {{"status line", {"HTTP/1.1 200 ", "O"}},
           {"garbage", {"", "garbage\n"}},
           {"empty lines", {"", "\r\n"}},
           {"header line", {ok + "X: ", "a"}},
           {"header lines", {ok, "X: a\r\n"}},
+          {"interim responses", {"", "HTTP/1.1 103 Early Hints\r\n\r\n"}},
+          {"other responses", {"", other}},
           {"chunk size", {chunked, "0"}},
           {"chunk extension", {chunked + "5;a=", "x"}},
           {"trailer line", {chunked + "5\r\nhello\r\n0\r\nX: ", "a"}},
