Stop reading while events wait for the record of their stream

The gateway now pauses the connection above the limit for queued bytes, and resumes it once they are forwarded.

--- a/tests/programs/endless_response_test.cpp
+++ b/tests/programs/endless_response_test.cpp
@@ -287,6 +287,15 @@
   CHECK(it.subject->pool.connects() == 2);
 }
 
+TEST_CASE("events without end that wait for the record of their stream are few") {
+  endless_fixture it({events_without_end().back().bytes}, {});
+  it.control.confirms_streams = false;
+  const memory_watch memory;
+  const auto result = send_request(it, "/resume/");
+  CHECK(result.response.find("data: x") != std::string::npos);
+  CHECK(memory.growth() < max_growth_bytes);
+}
+
 TEST_CASE("many responses without end neither fill memory nor hold up other requests") {
   constexpr std::size_t callers = 20;
   constexpr auto max_delay = std::chrono::milliseconds(200);
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -397,6 +397,9 @@
     if (origin_record_ == origin_record::none) {
       record_origin();
     }
+    if (held_events_.size() > pause_above_bytes) {
+      it.connection->set_paused(true);
+    }
     return;
   }
   begin_response();
@@ -476,6 +479,7 @@
     caller_->write_body(held_events_);
   }
   held_events_.clear();
+  handle_drained();
 }
 
 void relay::handle_drained() {
