Let agents call backend servers through the gateway's connection

The agent's calls went through Qt's QNetworkAccessManager, whose parser has no limits that could be set.

Calls now use io::backend_connection, which gateways use, with its parser and limits: 16 KiB for a head, a chunk header or trailers, 100 skipped responses. A connection closes with its call. Peer detection by TCP_USER_TIMEOUT is off here, since the server is on the same VM and may read a large request slowly; so is Qt's resending of a request on a lost connection, which no body has to prevent any more.

--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -52,6 +52,11 @@
   // until the exchange ended. is_head_request: the response has no body.
   void send(std::string request, bool is_head_request);
 
+  // Whether to close the connection soon after the server's machine stops responding,
+  // which also limits how long the server may leave a request unread. Set before it is
+  // open.
+  bool detects_lost_peer = true;
+
   // Asked before a request is written to a connection that was still being opened when
   // send() was called. Unset: always.
   std::function<bool()> may_send;
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -110,7 +110,9 @@
   }
   state_ = state::open;
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-  enable_dead_peer_detection(*socket_);
+  if (detects_lost_peer) {
+    enable_dead_peer_detection(*socket_);
+  }
   if (busy_ && may_send && !may_send()) {
     fail(exchange_failure::withheld);
     return;
--- a/tools/agent/backend_call.h
+++ b/tools/agent/backend_call.h
@@ -1,15 +1,12 @@
 #pragma once
 
 #include "agent/stream_end.h"
-#include "marigoldstep/io/control_client.h"
+#include "marigoldstep/io/backend_pool.h"
 #include "marigoldstep/wire.h"
 
-#include <QNetworkAccessManager>
-#include <QNetworkReply>
 #include <QTimer>
 
 #include <functional>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -36,14 +33,13 @@
   timed_out,   // no data for the idle timeout
 };
 
-// Call in progress. on_end is called exactly once unless abort() is called before. The
-// owner must destroy it with deleteLater(), because callbacks run within a signal of the
-// network reply.
+// Call in progress, on a connection of its own. on_end is called exactly once unless
+// abort() is called before. The owner must destroy it with deleteLater(), because
+// callbacks run within a signal of the connection.
 class backend_call : public QObject {
 public:
-  backend_call(std::shared_ptr<QNetworkAccessManager> manager, QNetworkReply* reply,
-               bool has_body, milliseconds idle_timeout, QObject* parent);
-  ~backend_call() override;
+  backend_call(const io::endpoint& backend, const backend_request& request,
+               milliseconds idle_timeout, QObject* parent);
   backend_call(const backend_call&) = delete;
   backend_call& operator=(const backend_call&) = delete;
 
@@ -55,28 +51,22 @@
   void abort();
 
 private:
-  void read_head();
-  void read_data();
-  void finish();
+  void handle_head(const io::http_head& from);
+  void handle_body(std::string_view piece);
+  void handle_done();
+  void handle_failure(io::exchange_failure why);
   void end(backend_result result, const std::string& detail);
-  [[nodiscard]] bool has_delimited_body() const;
-  [[nodiscard]] bool is_complete() const;
-  [[nodiscard]] bool connection_failed_before_send() const;
 
-  std::shared_ptr<QNetworkAccessManager> manager_;
-  QNetworkReply* reply_;
+  io::backend_connection* connection_;
   QTimer idle_timer_;
-  bool expects_body_;
-  bool has_head_ = false;
   bool ended_ = false;
-  int connect_attempts_ = 0;
-  bool request_sent_ = false;
+  bool has_no_body_;
+  bool is_delimited_ = false; // the response's framing tells where its body ends
   bool is_event_stream_ = false;
-  std::uint64_t received_bytes_ = 0;
   stream_end stream_end_;
 };
 
-// Makes calls to one backend server, each on its own connection.
+// Makes calls to one backend server.
 class backend_client : public QObject {
 public:
   backend_client(io::endpoint backend, milliseconds idle_timeout, QObject* parent);
@@ -86,12 +76,8 @@
   backend_call* start(const backend_request& request);
 
 private:
-  void renew_manager();
-
   io::endpoint backend_;
   milliseconds idle_timeout_;
-  std::shared_ptr<QNetworkAccessManager> manager_;
-  std::uint64_t calls_ = 0;
 };
 
 } // namespace marigoldstep::agent
