--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -26,6 +26,12 @@
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
 constexpr qint64 read_buffer_bytes = 1 << 16;
+// Lower numbers are none of HTTP.
+constexpr unsigned first_status = 100;
+// Interim responses and responses to other requests that may precede a response, and the
+// bytes of their bodies.
+constexpr unsigned max_skipped_responses = 100;
+constexpr std::uint64_t max_skipped_bytes = 16U << 20U;
 // A server may close an idle connection shortly before its timeout. A request sent at
 // that moment fails, and it is unknown whether it ran.
 constexpr auto idle_margin = milliseconds(1000);
@@ -104,7 +110,9 @@
   }
   state_ = state::open;
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-  enable_dead_peer_detection(*socket_);
+  if (detects_lost_peer) {
+    enable_dead_peer_detection(*socket_);
+  }
   if (busy_ && may_send && !may_send()) {
     fail(exchange_failure::withheld);
     return;
@@ -120,6 +128,8 @@
   is_head_request_ = is_head_request;
   head_reported_ = false;
   skipping_ = false;
+  skipped_responses_ = 0;
+  skipped_bytes_ = 0;
   keep_alive_ = false;
   ++exchange_count_;
   parser_ = http_parser(http_role::response, {}, !is_head_request);
@@ -175,6 +185,10 @@
       }
       return;
     }
+    if (parser_.head().status < first_status) {
+      fail(exchange_failure::malformed);
+      return;
+    }
     const bool is_interim = parser_.head().status < http_status::ok;
     if (!head_reported_ && !is_interim) {
       head_reported_ = true;
@@ -195,6 +209,11 @@
       return;
     }
     auto body = parser_.take_body();
+    skipped_bytes_ += skipping_ ? body.size() : 0;
+    if (skipped_bytes_ > max_skipped_bytes) {
+      fail(exchange_failure::malformed);
+      return;
+    }
     if (!body.empty() && !skipping_ && on_body) {
       on_body(std::move(body));
     }
@@ -209,6 +228,10 @@
       return;
     }
     if (is_interim || skipping_) {
+      if (++skipped_responses_ > max_skipped_responses) {
+        fail(exchange_failure::malformed);
+        return;
+      }
       head_reported_ = false;
       skipping_ = false;
       parser_ = http_parser(http_role::response, {}, !is_head_request_);
