--- a/include/marigoldstep/io/framed_connection.h
+++ b/include/marigoldstep/io/framed_connection.h
@@ -40,8 +40,8 @@
   void close();
   // Closes at once, discards queued output and calls none of the callbacks any more.
   void abort();
-  // Aborts, and deletes the connection from the event loop. The callbacks live until then:
-  // one of them may be running, and what it captured with it.
+  // Aborts, and deletes the connection from the event loop. The callbacks live until
+  // then: one of them may be running, and what it captured with it.
   void discard();
   // Bytes sent and received since the connection began.
   [[nodiscard]] std::uint64_t bytes_sent() const { return sent_; }
