--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -89,7 +89,7 @@
 void control_links::connect_to(const std::string& host, link& it) {
   const auto now = io::now();
   it = {};
-  it.last_frame_at = now;
+  it.heard_at = now;
   const auto failures = std::min(failures_[host]++, max_backoff_doublings);
   it.heartbeat = default_heartbeat;
   it.retry_at = now + connect_timeout * (1U << failures);
@@ -98,13 +98,14 @@
   it.connection->on_open = [this, host] {
     auto& opened = links_.at(host);
     opened.is_open = true;
-    opened.opened_at = opened.last_frame_at = io::now();
+    opened.opened_at = opened.heard_at = io::now();
     wire::SubscribeT subscription;
     subscription.node_id = settings_.node_id;
     subscription.router = settings_.is_router;
     subscription.routing_version = routing_version ? routing_version() : 0;
     subscription.host = settings_.own_host;
     subscription.zone = settings_.zone;
+    subscription.link_bytes_per_ms = settings_.link_bytes_per_ms;
     subscription.reported = to_wire(origins_[host].reported.at);
     subscription.repeated = to_wire(origins_[host].repeated.at);
     opened.connection->send(wire::encode_link(std::move(subscription)));
@@ -125,11 +126,7 @@
     log_event(log_level::warning, "control_link_lost",
               {{"host", host}, {"reason", std::string(why)}});
   }
-  it.connection->on_open = nullptr;
-  it.connection->on_frame = nullptr;
-  it.connection->on_closed = nullptr;
-  it.connection->abort();
-  it.connection->deleteLater();
+  it.connection->discard();
   it = {};
   it.retry_at = io::now() + retry_delay;
   end_searches_at(host);
@@ -139,11 +136,16 @@
   const auto now = io::now();
   std::vector<std::string> silent;
   for (auto& [host, it] : links_) {
+    // Bytes count rather than frames: a large one takes long over a slow link.
+    if (it.is_open && it.connection->bytes_received() != it.bytes_received) {
+      it.bytes_received = it.connection->bytes_received();
+      it.heard_at = now;
+    }
     if (it.connection == nullptr) {
       if (now >= it.retry_at) {
         connect_to(host, it);
       }
-    } else if (it.is_open ? now - it.last_frame_at > link_timeout(it.heartbeat)
+    } else if (it.is_open ? now - it.heard_at > link_timeout(it.heartbeat)
                           : now > it.retry_at) {
       silent.push_back(host);
     } else if (it.is_open && now >= it.next_ack_at) {
@@ -196,7 +198,7 @@
     return;
   }
   auto& it = links_.at(host);
-  it.last_frame_at = io::now();
+  it.heard_at = io::now();
   failures_.erase(host);
   if (const auto* status = frame->body.AsGroupStatus()) {
     handle_status(host, *status);
@@ -413,6 +415,9 @@
     return;
   }
   on_routing(text.version, decompress_text(text.packed_text));
+  if (routing_version && routing_version() == text.version) {
+    packed_text_ = text.packed_text;
+  }
   acknowledge_version();
 }
 
