Double the wait only for member connections that worked at first

What the operator would see: a member behind a link of 0.2 Mbit/s never gets a large change, and after a partition in which connections still open, reads fail for up to 24 s. Cause: in the first answer on a new connection, which no message precedes, set the wait back to 1.5 s, so it never grew over a slow link; and connections that never carried a byte doubled it.

--- a/include/marigoldstep/link_liveness.h
+++ b/include/marigoldstep/link_liveness.h
@@ -14,14 +14,17 @@
 inline constexpr milliseconds max_silence_timeout{24'000};
 
 // A probe waits behind the bytes sent before it, so an answer may be late over a slow
-// network link. The timeout therefore doubles with each connection that was replaced
-// because of it, until an answer arrives within the shortest one.
+// network link. The timeout therefore doubles with each connection that worked at first
+// and was replaced, until answers are on time for longer than the timeout.
 struct link_liveness {
   std::deque<time_point> unanswered; // when each of these probes was sent
-  time_point answered_at{};          // latest answer, or when the connection opened
+  time_point opened_at{};
+  time_point answered_at{}; // latest answer, or when the connection opened
   milliseconds timeout = min_silence_timeout;
 };
 
+link_liveness begin_link(time_point now);
+
 void record_probe(link_liveness& link, time_point now);
 void record_answer(link_liveness& link, time_point now);
 
@@ -29,6 +32,6 @@
 bool is_silent(const link_liveness& link, time_point now);
 
 // State of the connection that opened in place of a silent one.
-link_liveness replace_silent(const link_liveness& link, time_point now);
+link_liveness begin_replacement(const link_liveness& silent, time_point now);
 
 } // namespace marigoldstep
--- a/tools/control/peers.cpp
+++ b/tools/control/peers.cpp
@@ -87,10 +87,9 @@
   if (connection == it.replacement) {
     discard(it.connection);
     it.connection = std::exchange(it.replacement, nullptr);
-    it.liveness = replace_silent(it.liveness, now);
+    it.liveness = begin_replacement(it.liveness, now);
   } else {
-    it.liveness = {};
-    it.liveness.answered_at = now;
+    it.liveness = begin_link(now);
   }
   it.has_opened = true;
   it.is_silent = false;
