Bound the extra time that a candidate with a slow disk takes

What the operator would see: no leader for up to 10 s after disks that had stalled for 5 s are fast again, and a first start 0.3 to 0.6 s slower. Cause: allowed twice the time of a candidate's own sync without a limit, and began a new timeout whenever a term became durable, also without a vote.

--- a/src/raft.cpp
+++ b/src/raft.cpp
@@ -169,14 +169,16 @@
 
 raft_output synced(raft_node& node, std::uint64_t sync_id, time_point now) {
   raft_output out;
-  const bool term_was_durable = is_term_durable(node);
+  const bool had_pending_syncs = !node.pending_syncs.empty();
   while (!node.pending_syncs.empty() && node.pending_syncs.front().id <= sync_id) {
     node.durable_index = node.pending_syncs.front().last_index;
     node.durable_term = node.pending_syncs.front().term;
     node.pending_syncs.pop_front();
   }
-  // The candidate gets this member's vote only now.
-  if (node.role == raft_role::follower && !term_was_durable && is_term_durable(node)) {
+  // A candidate gets this member's vote only now.
+  const bool sends_vote = had_pending_syncs && node.pending_syncs.empty() &&
+                          node.leader == 0 && node.state.voted_for != 0;
+  if (node.role == raft_role::follower && sends_vote) {
     reset_election_deadline(node, now);
   }
   count_own_vote(node, now, out);
--- a/src/raft_election.cpp
+++ b/src/raft_election.cpp
@@ -19,7 +19,9 @@
 
 // Each campaign without a leader doubles the timeout, up to this many times: the other
 // voters' disks may be slower than this member's.
-constexpr unsigned max_timeout_doublings = 3;
+constexpr unsigned max_timeout_doublings = 2;
+// A longer sync was a stall, which the others' disks need not share.
+constexpr auto max_sync_allowance = milliseconds(2000);
 
 // Learners use longer timeouts, so that a voter wins whenever one can.
 constexpr int learner_timeout_factor = 3;
@@ -49,11 +51,12 @@
 // Begins a candidate's election timeout. The others' votes take a sync as long as its
 // own, or two where another write is in progress.
 void start_campaign_timeout(raft_node& node, time_point now) {
-  const auto sync_time = now - node.campaign_began_at;
+  const auto sync_allowance =
+      std::min<milliseconds>(2 * (now - node.campaign_began_at), max_sync_allowance);
   const auto doublings = std::min(node.campaigns - 1, max_timeout_doublings);
   reset_election_deadline(node, now);
   node.election_deadline =
-      now + (node.election_deadline - now) * (1U << doublings) + 2 * sync_time;
+      now + (node.election_deadline - now) * (1U << doublings) + sync_allowance;
   node.campaign_began_at = {};
 }
 
