--- a/include/marigoldstep/raft.h
+++ b/include/marigoldstep/raft.h
@@ -128,7 +128,7 @@
   term_number durable_term = 0;
   time_point last_leader_contact{};
   time_point election_deadline{};
-  time_point campaign_began_at{}; // unset once this member's vote for itself is durable
+  time_point campaign_began_at{}; // while a candidate's vote for itself isn't durable
   unsigned campaigns = 0;         // since a leader was known
   time_point heartbeat_due{};
   std::mt19937_64 random;
@@ -220,7 +220,7 @@
 // not it is committed.
 const group_members& members(const raft_node& node);
 
-// Whether the member's term is on its disk. Until then it neither votes nor campaigns.
+// Whether the member's term is on its disk. It campaigns only then.
 bool is_term_durable(const raft_node& node);
 
 // Whether a member lags by at most caught_up_entries, replied within
--- a/src/io/control_link_requests.cpp
+++ b/src/io/control_link_requests.cpp
@@ -17,7 +17,7 @@
 } // namespace
 
 // Two may claim to lead: a deposed leader whose connection fell silent never says that it
-// leads no more.
+// no longer leads.
 control_links::link* control_links::find_leader_link() {
   link* latest = nullptr;
   for (auto& [host, it] : links_) {
--- a/tools/control/peers.h
+++ b/tools/control/peers.h
@@ -100,7 +100,7 @@
   std::uint64_t bytes_received_ = 0;
 };
 
-// Writes links as "host:port open 0.2 s, host:port closed".
+// Writes links as "host:port silent 200 ms, host:port closed".
 std::string describe(const std::vector<member_link>& links);
 
 } // namespace marigoldstep::control
