Log prompt parts and refused connections

The decision line names the parts, and a refused connection has a failure of its own. The pool's test expected not_connected for an address without a listener; it now expects the more specific refused and that nothing was sent.

--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -17,12 +17,15 @@
 // Why an exchange with a backend server ended without a complete response.
 enum class exchange_failure {
   not_connected, // nothing was sent
+  refused,       // nothing was sent: no process listens at the address
   withheld,      // nothing was sent: may_send() refused once the connection was open
   closed,        // the connection broke after the request was passed to it
   malformed,     // the response is not valid HTTP, or too many others precede it
 };
 
 std::string_view name(exchange_failure why);
+// Whether the server certainly got nothing of the request because it has no connection.
+bool is_unconnected(exchange_failure why);
 
 namespace detail {
 // Owns a file descriptor; -1 for none.
--- a/src/dispatch_records.cpp
+++ b/src/dispatch_records.cpp
@@ -2,6 +2,9 @@
 #include "marigoldstep/dispatch.h"
 
 #include <algorithm>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <limits>
 
 namespace marigoldstep {
@@ -40,6 +43,17 @@
 
 } // namespace
 
+std::string to_string(const std::vector<prompt_part>& prompt) {
+  std::string out;
+  std::array<char, 17> buf{};
+  for (const auto& it : prompt) {
+    std::snprintf(buf.data(), buf.size(), "%" PRIx64, it.id);
+    out += out.empty() ? "" : "/";
+    out += buf.data();
+  }
+  return out;
+}
+
 std::uint64_t detail::home_key(const std::vector<prompt_part>& prompt) {
   // The last part is specific to one request or chat and is not shared.
   const auto shared = prompt.size() > 1 ? prompt.size() - 1 : prompt.size();
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -68,6 +68,8 @@
   switch (why) {
   case exchange_failure::not_connected:
     return "not_connected";
+  case exchange_failure::refused:
+    return "refused";
   case exchange_failure::withheld:
     return "withheld";
   case exchange_failure::closed:
@@ -78,6 +80,10 @@
   return "malformed";
 }
 
+bool is_unconnected(exchange_failure why) {
+  return why == exchange_failure::not_connected || why == exchange_failure::refused;
+}
+
 backend_connection::backend_connection(endpoint target, milliseconds connect_timeout,
                                        QObject* parent)
     : QObject(parent), socket_(new QTcpSocket(this)), target_(std::move(target)),
@@ -92,8 +98,13 @@
             if (error == QAbstractSocket::RemoteHostClosedError) {
               return;
             }
-            fail(state_ == state::connecting ? exchange_failure::not_connected
-                                             : exchange_failure::closed);
+            if (state_ != state::connecting) {
+              fail(exchange_failure::closed);
+              return;
+            }
+            fail(error == QAbstractSocket::ConnectionRefusedError
+                     ? exchange_failure::refused
+                     : exchange_failure::not_connected);
           });
   QTimer::singleShot(connect_timeout, this, [this] {
     if (state_ == state::connecting) {
--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -75,7 +75,7 @@
   CHECK(result.body == "ok");
 }
 
-TEST_CASE("an exchange fails as not connected if nothing listens at the address") {
+TEST_CASE("an exchange fails as refused if nothing listens at the address") {
   endpoint target;
   {
     const scripted_server server({});
@@ -87,7 +87,9 @@
   record_events(*connection, result);
   connection->send("GET / HTTP/1.1\r\n\r\n", false);
   REQUIRE(wait_until([&] { return result.ended(); }));
-  CHECK(result.failure == exchange_failure::not_connected);
+  REQUIRE(result.failure);
+  CHECK(*result.failure == exchange_failure::refused);
+  CHECK(is_unconnected(*result.failure));
   pool.discard(connection);
 }
 
--- a/tools/agent/backend_call.cpp
+++ b/tools/agent/backend_call.cpp
@@ -130,9 +130,8 @@
 }
 
 void backend_call::handle_failure(io::exchange_failure why) {
-  const auto result = why == io::exchange_failure::not_connected
-                          ? backend_result::not_reached
-                          : backend_result::truncated;
+  const auto result =
+      io::is_unconnected(why) ? backend_result::not_reached : backend_result::truncated;
   end(result, "exchange failed: " + std::string(io::name(why)));
 }
 
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -206,6 +206,7 @@
         "version:" + (server.version.empty() ? std::string("unknown") : server.version),
         "copy_from:" +
             (choice.copy_from == nullptr ? std::string("none") : choice.copy_from->id),
+        "prompt:" + to_string(request.prompt),
         "resume_after:" + (last_event_ ? std::to_string(*last_event_) : "none"),
         "resumes:" + (call_.resumed_request.empty() ? std::string("none")
                                                     : call_.resumed_request)}});
--- a/tools/gateway/relay_end.cpp
+++ b/tools/gateway/relay_end.cpp
@@ -100,7 +100,7 @@
        {"head", attempt_->has_head ? "true" : "false"}});
   // The head alone proves a refusal, even if the body is truncated.
   const bool refused = attempt_->has_head && attempt_->metadata.not_run;
-  if (why == io::exchange_failure::not_connected) {
+  if (io::is_unconnected(why)) {
     end_attempt(attempt_end::not_connected);
   } else if (why == io::exchange_failure::withheld) {
     end_attempt(attempt_end::withheld);
