--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -16,8 +16,9 @@
 
 namespace marigoldstep::gateway::test {
 
-// A routing configuration of the given version: /safe/, /once/, /stream/, /resume/ and
-// /open/ lead to service "s"; /open/ needs no API key.
+// A routing configuration of the given version: /safe/, /once/, /stream/, /resume/,
+// /open/ and /prompt/ lead to service "s"; /open/ needs no API key, and requests to
+// /prompt/ describe their prompts.
 inline std::string routing_text(std::uint64_t version) {
   const auto route = [](const std::string& name, const std::string& type,
                         const std::string& more) {
@@ -30,7 +31,8 @@
          route("safe", "safe", "") + "," + route("once", "unsafe", "") + "," +
          route("stream", "streaming", "") + "," +
          route("resume", "streaming", R"(,"can_resume":true)") + "," +
-         route("open", "safe", R"(,"public":true)") +
+         route("open", "safe", R"(,"public":true)") + "," +
+         route("prompt", "streaming", R"(,"can_resume":true,"sticky":true)") +
          R"(],"services":[{"name":"s","max_conns":50}],)"
          R"("limits":{"header_bytes":2000,"body_bytes":3000000,"header_timeout_ms":400,)"
          R"("idle_timeout_ms":5000},"tenants":[{"name":"w","api_keys":["KEY"]}]})";
