Exchange reports and decisions about crashing parts without waiting for loads

Large fleets exchange loads every half second to two seconds, and a part was quarantined at least three intervals after its third crash. A gateway now reports a crash, or the responses that the leader asks for, at its next tick, and the leader sends a changed notice within 200 ms; both are small. crashing_part_test and part_quarantine_test pass; not measured at scale.

--- a/include/marigoldstep/part_quarantine.h
+++ b/include/marigoldstep/part_quarantine.h
@@ -75,6 +75,7 @@
     time_point used_at{};   // last notice that lists it, or last refused request
   };
   std::map<part_key, quarantined> quarantine;
+  bool has_news = false; // that the leader needs before the next report is due
 };
 
 // Records that a request with this prompt was running on a server that crashed.
@@ -148,8 +149,9 @@
 };
 
 struct quarantine_inputs {
-  // Time after a crash in which all routers have reported what they know of it.
-  milliseconds settle_time{700};
+  // Time in which routers report a crash, learn that its parts are watched and report
+  // their completed responses.
+  milliseconds settle_time{800};
   // Hashes of the versions of the servers that take requests, by service.
   std::map<std::uint32_t, std::set<std::uint32_t>> versions;
 };
--- a/src/part_history.cpp
+++ b/src/part_history.cpp
@@ -95,6 +95,7 @@
       return;
     }
     list.push_back(crash);
+    history.has_news = true;
     if (list.size() > max_crashes_of_part) {
       list.erase(list.begin());
     }
@@ -152,6 +153,7 @@
 
 part_report take_part_report(part_history& history, time_point now) {
   remove_outdated(history, now);
+  history.has_news = false;
   part_report out;
   out.crashes = select_suspects(history);
   for (const auto& part : history.watched) {
@@ -177,6 +179,11 @@
 
 void apply_notice(part_history& history, const quarantine_notice& notice,
                   time_point now) {
+  const bool asks_for_more =
+      std::any_of(notice.watched.begin(), notice.watched.end(), [&](const auto& part) {
+        return !history.watched.contains(part) && history.completed.contains(part);
+      });
+  history.has_news = history.has_news || asks_for_more;
   history.watched = notice.watched;
   for (auto& [part, it] : history.quarantine) {
     it.is_listed = false;
--- a/tools/control/link_quarantine.cpp
+++ b/tools/control/link_quarantine.cpp
@@ -7,15 +7,6 @@
 
 namespace marigoldstep::control {
 
-namespace {
-
-// Load intervals in which a crash reaches the leader, the leader asks all routers for
-// completed responses, and their replies arrive; and the delays on the way.
-constexpr int intervals_to_settle = 3;
-constexpr auto settle_margin = milliseconds(100);
-
-} // namespace
-
 void link_service::update_quarantine() {
   // The records of an earlier term are out of date; routers report what is in force.
   if (quarantine_term_ != group_.term()) {
@@ -23,10 +14,6 @@
     quarantine_ = {};
   }
   quarantine_inputs inputs;
-  inputs.settle_time =
-      intervals_to_settle *
-          (load_interval_ > milliseconds(0) ? load_interval_ : milliseconds(1000)) +
-      settle_margin;
   for (const auto& [id, entry] : directory_.entries) {
     if (entry.server.state == announced_state::ready && !silent_servers_.contains(id)) {
       inputs.versions[service_hash(entry.server.service)].insert(
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -32,7 +32,7 @@
 constexpr double load_bandwidth_fraction = 0.1;
 // Loads that are reported less often are too old to be worth their bandwidth.
 constexpr auto max_load_interval = milliseconds(2000);
-// Of notices about quarantined parts while no loads are sent.
+// Of notices about quarantined parts that have not changed.
 constexpr auto notice_interval = milliseconds(1000);
 // Size of a load message: bytes per server, and bytes of the rest with its list of
 // routers to forward it to.
@@ -407,13 +407,21 @@
   choose_load_interval(plan.size());
   update_quarantine();
   const auto notice = make_notice(quarantine_);
-  const bool has_loads = load_interval_ > milliseconds(0);
-  if (!has_loads && notice == quarantine_notice()) {
+  const bool has_loads = load_interval_ > milliseconds(0) && now >= next_load_digest_;
+  const bool has_notice =
+      notice != sent_notice_ || (now >= next_notice_ && notice != quarantine_notice());
+  if (!has_loads && !has_notice) {
     return;
   }
-  next_load_update_ = now + (has_loads ? load_interval_ : notice_interval);
-  auto message = has_loads ? io::to_wire(collect_loads()) : wire::FleetLoadT();
-  message.popular = io::to_wire(find_popular_parts(part_demand_, now));
+  next_notice_ = now + notice_interval;
+  sent_notice_ = notice;
+  wire::FleetLoadT message;
+  if (has_loads) {
+    // The half interval compensates for timer jitter.
+    next_load_digest_ = now + load_interval_ - min_load_interval / 2;
+    message = io::to_wire(collect_loads());
+    message.popular = io::to_wire(find_popular_parts(part_demand_, now));
+  }
   io::add_to_wire(message, notice);
   message.term = group_.term();
   message.number = fleet_load_number_;
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -217,7 +217,10 @@
   milliseconds load_interval_{}; // 0: routers don't report loads
   time_point next_liveness_update_{};
   time_point next_removal_{};
-  time_point next_load_update_{};
+  time_point next_load_update_{}; // of loads or of a changed quarantine
+  time_point next_load_digest_{}; // of loads
+  time_point next_notice_{};      // of an unchanged quarantine
+  quarantine_notice sent_notice_;
 };
 
 } // namespace marigoldstep::control
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -133,7 +133,9 @@
     const auto interval =
         load_interval_ > milliseconds(0) ? load_interval_ : crash_report_interval;
     next_load_report_ = now + interval - tick_interval / 2;
-    send_load();
+    send_load(true);
+  } else if (parts.has_news) {
+    send_load(false);
   }
   if (now >= next_liveness_update_) {
     next_liveness_update_ = now + liveness_interval;
@@ -337,6 +339,10 @@
 }
 
 void gateway::apply_fleet_load(const wire::FleetLoadT& fleet_load) {
+  apply_quarantine(io::notice_from_wire(fleet_load));
+  if (!fleet_load.loads) {
+    return;
+  }
   has_fleet_load_ = true;
   fleet_load_received_at_ = io::now();
   const auto digest = io::from_wire(fleet_load);
@@ -351,7 +357,6 @@
   dispatch.popular_parts = fleet_load.popular
                                ? io::part_shares_from_wire(*fleet_load.popular)
                                : std::map<part_key, double>();
-  apply_quarantine(io::notice_from_wire(fleet_load));
 }
 
 // Returns false if nothing is in flight and nothing has changed.
@@ -372,7 +377,8 @@
   return true;
 }
 
-void gateway::send_load() {
+// with_loads: also the loads in flight, which are due less often in large fleets.
+void gateway::send_load(bool with_loads) {
   if (!links_.has_leader_link()) {
     return; // the report would be lost
   }
@@ -381,7 +387,8 @@
   wire::RouterLoadT load;
   io::add_to_wire(load, report, now);
   const bool has_report = report != part_report();
-  const bool has_loads = load_interval_ > milliseconds(0) && add_loads(load);
+  const bool has_loads =
+      with_loads && load_interval_ > milliseconds(0) && add_loads(load);
   if (has_report || has_loads) {
     links_.send_load(std::move(load));
   }
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -95,7 +95,7 @@
                     const std::vector<ended_request>& ended);
   void apply_quarantine(const quarantine_notice& notice);
   void tick();
-  void send_load();
+  void send_load(bool with_loads);
   bool add_loads(wire::RouterLoadT& message);
   void refresh_last_seen();
   [[nodiscard]] std::optional<std::string> find_sole_version(const std::string& service,
