--- a/tests/programs/crashing_part_test.cpp
+++ b/tests/programs/crashing_part_test.cpp
@@ -311,6 +311,17 @@
   REQUIRE(wait_until([&] { return it.group.leader() != 0 && is_quarantined(); }));
   it.send_load(milliseconds(2000), true);
   CHECK(it.harmful_after(quarantined_at) == 0);
+  auto& links = *it.group.processes.at(it.group.leader()).links;
+  CHECK(links.quarantine_json().find(R"({"part":"bad0",)") != std::string::npos);
+  CHECK_FALSE(links.lift_quarantined("bad1"));
+  CHECK_FALSE(links.lift_quarantined("no part"));
+  CHECK(links.lift_quarantined("bad0"));
+  CHECK(links.quarantine_json() == "[]\n");
+  CHECK(wait_until([&] {
+    return std::all_of(it.gateways.begin(), it.gateways.end(), [](const auto& gateway) {
+      return gateway->parts.quarantine.empty();
+    });
+  }));
   CHECK(it.served_share(quarantined_at, io::now() - milliseconds(500)) > 0.9);
 }
 
