--- a/tools/control/link_quarantine.cpp
+++ b/tools/control/link_quarantine.cpp
@@ -14,11 +14,9 @@
     quarantine_ = {};
   }
   quarantine_inputs inputs;
-  for (const auto& [id, entry] : directory_.entries) {
-    if (entry.server.state == announced_state::ready && !silent_servers_.contains(id)) {
-      inputs.versions[service_hash(entry.server.service)].insert(
-          io::server_hash(entry.server.version));
-    }
+  // Only quarantined parts need the versions, and there may be thousands of servers.
+  if (!quarantine_.parts.empty()) {
+    inputs.versions = ready_versions();
   }
   for (const auto& it : marigoldstep::update_quarantine(quarantine_, inputs, io::now())) {
     io::log_event(it.is_quarantined ? io::log_level::warning : io::log_level::info,
@@ -31,6 +29,17 @@
   }
 }
 
+std::map<std::uint32_t, std::set<std::uint32_t>> link_service::ready_versions() const {
+  std::map<std::uint32_t, std::set<std::uint32_t>> out;
+  for (const auto& [id, entry] : directory_.entries) {
+    if (entry.server.state == announced_state::ready && !silent_servers_.contains(id)) {
+      out[service_hash(entry.server.service)].insert(
+          io::server_hash(entry.server.version));
+    }
+  }
+  return out;
+}
+
 std::string link_service::quarantine_json() const {
   if (!group_.is_leader()) {
     return "[]\n";
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -177,6 +177,8 @@
   [[nodiscard]] load_digest collect_loads() const;
   void send_fleet_load();
   void update_quarantine();
+  // Hashes of the software versions of the servers that take requests, by service.
+  [[nodiscard]] std::map<std::uint32_t, std::set<std::uint32_t>> ready_versions() const;
   void complete_waiting();
   [[nodiscard]] milliseconds heartbeat_interval() const;
   [[nodiscard]] bool is_acknowledged(const acknowledgement_waiter& it) const;
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -380,7 +380,9 @@
 // with_loads: also the loads in flight, which are due less often in large fleets.
 void gateway::send_load(bool with_loads) {
   if (!links_.has_leader_link()) {
-    return; // the report would be lost
+    // The report would be lost. The demand is out of date by the next one.
+    dispatch.part_requests.clear();
+    return;
   }
   const auto now = io::now();
   const auto report = take_part_report(parts, now);
