Log a fingerprint of each request, and crashes of all servers

The decision line now has a fingerprint of method, host, target, workspace and body, and the line of a crash has those of the requests that ran there. Servers of plain services are checked for a crash as well, which they weren't as their requests have no prompt.

The body is in memory by then, so it costs no copy. XXH3 would be faster, but callers choose the body, and a request made to collide with somebody else's must not be possible once fingerprints decide what is sent.

No request is treated differently yet.

--- a/include/marigoldstep/dispatch.h
+++ b/include/marigoldstep/dispatch.h
@@ -29,8 +29,8 @@
   friend bool operator==(const prompt_part&, const prompt_part&) = default;
 };
 
-// Id of a part in hexadecimal, as callers write it.
-std::string part_id_text(std::uint64_t id);
+// An id in hexadecimal without leading zeros, as callers write those of parts.
+std::string hex_id(std::uint64_t id);
 // Ids of the parts in order, separated by slashes; for log lines.
 std::string to_string(const std::vector<prompt_part>& prompt);
 
--- a/src/dispatch_records.cpp
+++ b/src/dispatch_records.cpp
@@ -43,7 +43,7 @@
 
 } // namespace
 
-std::string part_id_text(std::uint64_t id) {
+std::string hex_id(std::uint64_t id) {
   std::array<char, 17> buf{};
   std::snprintf(buf.data(), buf.size(), "%" PRIx64, id);
   return buf.data();
@@ -52,7 +52,7 @@
 std::string to_string(const std::vector<prompt_part>& prompt) {
   std::string out;
   for (const auto& it : prompt) {
-    out += (out.empty() ? "" : "/") + part_id_text(it.id);
+    out += (out.empty() ? "" : "/") + hex_id(it.id);
   }
   return out;
 }
--- a/tools/control/link_quarantine.cpp
+++ b/tools/control/link_quarantine.cpp
@@ -21,7 +21,7 @@
   for (const auto& it : marigoldstep::update_quarantine(quarantine_, inputs, io::now())) {
     io::log_event(it.is_quarantined ? io::log_level::warning : io::log_level::info,
                   it.is_quarantined ? "part_quarantined" : "quarantine_lifted",
-                  {{"part", part_id_text(it.part.part)},
+                  {{"part", hex_id(it.part.part)},
                    {"service", std::to_string(it.part.service)},
                    {"reason", std::string(name(it.reason))},
                    {"crashes", std::to_string(it.crashes)},
@@ -48,7 +48,7 @@
   std::string out = "[";
   for (const auto& [part, it] : quarantine_.parts) {
     out += out.size() > 1 ? "," : "";
-    out += R"({"part":")" + part_id_text(part.part) + R"(","service_hash":)" +
+    out += R"({"part":")" + hex_id(part.part) + R"(","service_hash":)" +
            std::to_string(part.service) + R"(,"crashes":)" +
            std::to_string(it.servers.size()) + R"(,"age_ms":)" +
            std::to_string((now - it.decided_at).count()) + R"(,"requested_ms_ago":)" +
--- a/tools/gateway/crash_monitor.h
+++ b/tools/gateway/crash_monitor.h
@@ -21,6 +21,7 @@
   std::vector<prompt_part> prompt;
   bool answering = false; // its response had begun
   bool is_whole = false;  // as far as known: the end of the connection ends the response
+  std::uint64_t fingerprint = 0;
 };
 
 // Finds out whether a server has crashed. At first the end of its process looks like a
--- a/tools/gateway/quarantine.cpp
+++ b/tools/gateway/quarantine.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Bounds the log line of a crash.
-constexpr std::size_t max_logged_prompts = 8;
+constexpr std::size_t max_logged_requests = 8;
 
 // Identifies one incarnation of a server, so that all routers count its crash once.
 std::uint32_t crash_id(const announced_server& server) {
@@ -28,8 +28,11 @@
                            known->second.server.state != announced_state::ready) ||
                           !may_send_to(dispatch, server, now);
   std::string prompts;
-  for (std::size_t i = 0; i < std::min(ended.size(), max_logged_prompts); ++i) {
-    prompts += (i == 0 ? "" : ",") + to_string(ended[i].prompt);
+  std::string fingerprints;
+  for (std::size_t i = 0; i < std::min(ended.size(), max_logged_requests); ++i) {
+    const std::string separator = i == 0 ? "" : ",";
+    prompts += separator + to_string(ended[i].prompt);
+    fingerprints += separator + hex_id(ended[i].fingerprint);
   }
   io::log_event(io::log_level::warning, "server_crashed",
                 {{"server", server.id},
@@ -37,7 +40,8 @@
                  {"version", server.version},
                  {"planned", is_planned ? "true" : "false"},
                  {"requests", std::to_string(ended.size())},
-                 {"prompts", prompts}});
+                 {"prompts", prompts},
+                 {"fingerprints", fingerprints}});
   // A server that leaves may cut off what is still running there.
   if (is_planned) {
     return;
@@ -72,13 +76,13 @@
     if (before.erase(part) == 0) {
       io::log_event(
           io::log_level::warning, "part_quarantined",
-          {{"part", part_id_text(part.part)}, {"service", std::to_string(part.service)}});
+          {{"part", hex_id(part.part)}, {"service", std::to_string(part.service)}});
     }
   }
   for (const auto& [part, it] : before) {
     io::log_event(
         io::log_level::info, "quarantine_lifted",
-        {{"part", part_id_text(part.part)}, {"service", std::to_string(part.service)}});
+        {{"part", hex_id(part.part)}, {"service", std::to_string(part.service)}});
   }
   metrics.quarantined_parts.Set(static_cast<double>(parts.quarantine.size()));
 }
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -3,6 +3,7 @@
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/http_status.h"
 #include "marigoldstep/io/logging.h"
+#include "marigoldstep/io/request_fingerprint.h"
 #include "platform/messages.h"
 
 #include <algorithm>
@@ -149,6 +150,8 @@
   const auto& first_id =
       call_.resumed_request.empty() ? call_.request_id : call_.resumed_request;
   service_ = pick_service(*route_, stable_hash(first_id));
+  fingerprint_ = io::fingerprint({request_.head.method, route_->host,
+                                  request_.head.target, workspace_, request_.body});
   return true;
 }
 
@@ -213,6 +216,7 @@
         "copy_from:" +
             (choice.copy_from == nullptr ? std::string("none") : choice.copy_from->id),
         "prompt:" + to_string(request.prompt),
+        "request:" + hex_id(fingerprint_),
         "resume_after:" + (last_event_ ? std::to_string(*last_event_) : "none"),
         "resumes:" + (call_.resumed_request.empty() ? std::string("none")
                                                     : call_.resumed_request)}});
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -98,6 +98,7 @@
   std::string service_;
   std::string workspace_;
   std::optional<int> priority_;
+  std::uint64_t fingerprint_ = 0; // of the request
   request_progress state_;
   std::vector<std::string> tried_servers_;
   std::vector<io::endpoint> tried_addresses_;
--- a/tools/gateway/relay_end.cpp
+++ b/tools/gateway/relay_end.cpp
@@ -41,7 +41,8 @@
        "refuse",
        "",
        "quarantined_part",
-       {"part:" + part_id_text(part.part), "prompt:" + to_string(call_.prompt),
+       {"part:" + hex_id(part.part), "prompt:" + to_string(call_.prompt),
+        "request:" + hex_id(fingerprint_),
         "routing:" + std::to_string(table_->config.version)}});
   if (state_.response_started) {
     abort_response("quarantined prompt part");
@@ -54,7 +55,7 @@
 
 ended_request relay::make_ended_request(bool is_whole) const {
   return {service_hash(service_), make_dispatch_request().prompt, attempt_->has_head,
-          is_whole};
+          is_whole, fingerprint_};
 }
 
 // Outcome of an attempt whose response head arrived but can't be forwarded as a success.
@@ -104,7 +105,7 @@
   const auto request = make_ended_request(true);
   if (is_delimited) {
     record_completed_prompt(owner_.parts, request.service, request.prompt, io::now());
-  } else if (!request.prompt.empty()) {
+  } else {
     owner_.crashes.record_end(attempt_->server, request);
   }
 }
@@ -140,9 +141,8 @@
        {"why", std::string(io::name(why))},
        {"new_connection", attempt_->connection->is_first_exchange() ? "true" : "false"},
        {"head", attempt_->has_head ? "true" : "false"}});
-  const auto request = make_ended_request(false);
-  if (why == io::exchange_failure::closed && !request.prompt.empty()) {
-    owner_.crashes.record_end(attempt_->server, request);
+  if (why == io::exchange_failure::closed) {
+    owner_.crashes.record_end(attempt_->server, make_ended_request(false));
   } else if (why == io::exchange_failure::refused) {
     owner_.crashes.record_refused(attempt_->server);
   }
