--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -35,7 +35,8 @@
          route("prompt", "streaming", R"(,"can_resume":true,"sticky":true)") +
          R"(],"services":[{"name":"s","max_conns":50}],)"
          R"("limits":{"header_bytes":2000,"body_bytes":3000000,"header_timeout_ms":400,)"
-         R"("idle_timeout_ms":5000},"tenants":[{"name":"w","api_keys":["KEY"]}]})";
+         R"("idle_timeout_ms":5000},"tenants":[{"name":"w","api_keys":["KEY"]},)"
+         R"({"name":"v","api_keys":["KEY2"]}]})";
 }
 
 // A leading control process that serves one routing configuration.
@@ -281,10 +282,11 @@
 
 inline std::string request_text(const std::string& method, const std::string& target,
                                 const std::string& id, const std::string& more = {},
-                                const std::string& body = {}) {
+                                const std::string& body = {},
+                                const std::string& key = "KEY") {
   return method + " " + target +
          " HTTP/1.1\r\nHost: h\r\nMarigoldstep-Request-Id: " + id +
-         "\r\nAuthorization: Bearer KEY\r\n" + more +
+         "\r\nAuthorization: Bearer " + key + "\r\n" + more +
          (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
          "\r\n" + body;
 }
