Quarantine whole requests that crash servers

Now both are traits of a request: the shared parts of its prompt, at one service, and the whole of it (method, host, target, workspace and body), at any service. One table, report, decision, notice, probe and lift serve both.

A gateway or leader of the build before ignores the new fields and refuses no whole requests.

--- a/include/marigoldstep/io/link_messages.h
+++ b/include/marigoldstep/io/link_messages.h
@@ -3,8 +3,8 @@
 #include "marigoldstep/change_feed.h"
 #include "marigoldstep/dispatch.h"
 #include "marigoldstep/fleet_load.h"
-#include "marigoldstep/part_quarantine.h"
 #include "marigoldstep/server_directory.h"
+#include "marigoldstep/trait_history.h"
 #include "marigoldstep/wire.h"
 
 #include <map>
@@ -46,8 +46,8 @@
 std::map<part_key, double> part_shares_from_wire(const wire::PartValuesT& values);
 
 // Adds a router's report about parts that crash servers. Times are sent as ages.
-void add_to_wire(wire::RouterLoadT& message, const part_report& report, time_point now);
-part_report part_report_from_wire(const wire::RouterLoadT& message, time_point now);
+void add_to_wire(wire::RouterLoadT& message, const trait_report& report, time_point now);
+trait_report trait_report_from_wire(const wire::RouterLoadT& message, time_point now);
 void add_to_wire(wire::FleetLoadT& message, const quarantine_notice& notice);
 quarantine_notice notice_from_wire(const wire::FleetLoadT& message);
 
--- a/src/io/link_messages.cpp
+++ b/src/io/link_messages.cpp
@@ -39,13 +39,48 @@
 }
 
 // The list, created if it is missing.
-wire::PartValuesT& made(std::unique_ptr<wire::PartValuesT>& list) {
+template <typename List> List& made(std::unique_ptr<List>& list) {
   if (!list) {
-    list = std::make_unique<wire::PartValuesT>();
+    list = std::make_unique<List>();
   }
   return *list;
 }
 
+// Calls visit with the trait, service and value of each entry of both lists, which may be
+// null.
+template <typename Visit>
+void for_each_trait(const wire::PartValuesT* parts, const wire::PartValuesT* requests,
+                    Visit visit) {
+  if (parts != nullptr) {
+    for_each_part(*parts, [&](const part_key& key, std::uint16_t value) {
+      visit(request_trait{trait_kind::prompt_part, key.service, key.part}, key.service,
+            value);
+    });
+  }
+  if (requests != nullptr) {
+    for_each_part(*requests, [&](const part_key& key, std::uint16_t value) {
+      visit(request_trait{trait_kind::whole_request, 0, key.part}, key.service, value);
+    });
+  }
+}
+
+// Calls visit with the id of the part or request and the crash, for each entry of the
+// list, which may be null.
+template <typename Visit>
+void for_each_crash(const wire::PartCrashesT* list, time_point now, Visit visit) {
+  if (list == nullptr) {
+    return;
+  }
+  const auto n =
+      std::min({list->services.size(), list->parts.size(), list->servers.size(),
+                list->versions.size(), list->ages_ms.size(), list->answering.size()});
+  for (std::size_t i = 0; i < n; ++i) {
+    visit(list->parts[i],
+          server_crash{list->servers[i], list->services[i], list->versions[i],
+                       now - milliseconds(list->ages_ms[i]), list->answering[i]});
+  }
+}
+
 } // namespace
 
 std::uint32_t server_hash(std::string_view id) {
@@ -165,15 +200,12 @@
   return out;
 }
 
-void add_to_wire(wire::RouterLoadT& message, const part_report& report, time_point now) {
-  if (!report.crashes.empty()) {
-    message.crashes = std::make_unique<wire::PartCrashesT>();
-  }
-  for (const auto& [part, crashes] : report.crashes) {
+void add_to_wire(wire::RouterLoadT& message, const trait_report& report, time_point now) {
+  for (const auto& [trait, crashes] : report.crashes) {
+    auto& out = made(is_whole(trait) ? message.request_crashes : message.crashes);
     for (const auto& it : crashes) {
-      auto& out = *message.crashes;
-      out.services.push_back(part.service);
-      out.parts.push_back(part.part);
+      out.services.push_back(it.service);
+      out.parts.push_back(trait.id);
       out.servers.push_back(it.server);
       out.versions.push_back(it.version);
       out.ages_ms.push_back(static_cast<std::uint32_t>(
@@ -181,72 +213,76 @@
       out.answering.push_back(it.answering);
     }
   }
-  for (const auto& [part, at] : report.completed) {
+  for (const auto& [trait, at] : report.completed) {
     const auto age = static_cast<double>((now - at).count());
-    add_part(made(message.completed), part, saturate(age / completed_unit_ms));
+    add_part(made(is_whole(trait) ? message.completed_requests : message.completed),
+             {trait.service, trait.id}, saturate(age / completed_unit_ms));
   }
-  for (const auto& [part, n] : report.refused) {
-    add_part(made(message.refused), part, saturate(n));
+  for (const auto& [trait, refused] : report.refused) {
+    add_part(made(is_whole(trait) ? message.refused_requests : message.refused),
+             {refused.count > 0 ? refused.service : trait.service, trait.id},
+             saturate(refused.count));
   }
 }
 
-part_report part_report_from_wire(const wire::RouterLoadT& message, time_point now) {
-  part_report out;
-  if (message.crashes) {
-    const auto& list = *message.crashes;
-    const auto n =
-        std::min({list.services.size(), list.parts.size(), list.servers.size(),
-                  list.versions.size(), list.ages_ms.size(), list.answering.size()});
-    for (std::size_t i = 0; i < n; ++i) {
-      out.crashes[{list.services[i], list.parts[i]}].push_back(
-          {list.servers[i], list.versions[i], now - milliseconds(list.ages_ms[i]),
-           list.answering[i]});
-    }
-  }
-  if (message.completed) {
-    for_each_part(*message.completed, [&](const part_key& part, std::uint16_t value) {
-      out.completed[part] = now - milliseconds(std::lround(value * completed_unit_ms));
-    });
-  }
-  if (message.refused) {
-    for_each_part(*message.refused, [&](const part_key& part, std::uint16_t value) {
-      out.refused[part] += value;
-    });
-  }
+trait_report trait_report_from_wire(const wire::RouterLoadT& message, time_point now) {
+  trait_report out;
+  for_each_crash(message.crashes.get(), now, [&](std::uint64_t id, const auto& crash) {
+    out.crashes[{trait_kind::prompt_part, crash.service, id}].push_back(crash);
+  });
+  for_each_crash(message.request_crashes.get(), now,
+                 [&](std::uint64_t id, const auto& crash) {
+                   out.crashes[{trait_kind::whole_request, 0, id}].push_back(crash);
+                 });
+  const auto add_completed = [&](const request_trait& trait, std::uint16_t value) {
+    out.completed[trait] = now - milliseconds(std::lround(value * completed_unit_ms));
+  };
+  for_each_trait(
+      message.completed.get(), message.completed_requests.get(),
+      [&](const auto& trait, auto, auto value) { add_completed(trait, value); });
+  for_each_trait(message.refused.get(), message.refused_requests.get(),
+                 [&](const auto& trait, std::uint32_t service, std::uint16_t value) {
+                   auto& refused = out.refused[trait];
+                   refused.count += value;
+                   refused.service = service;
+                 });
   return out;
 }
 
 void add_to_wire(wire::FleetLoadT& message, const quarantine_notice& notice) {
-  for (const auto& [part, probe] : notice.parts) {
-    add_part(made(message.quarantined), part, probe.number);
-    message.probe_routers.push_back(probe.router);
+  for (const auto& [trait, probe] : notice.quarantined) {
+    add_part(made(is_whole(trait) ? message.quarantined_requests : message.quarantined),
+             {trait.service, trait.id}, probe.number);
+    (is_whole(trait) ? message.request_probe_routers : message.probe_routers)
+        .push_back(probe.router);
   }
-  for (const auto& part : notice.watched) {
-    add_part(made(message.watched), part, 0);
+  for (const auto& trait : notice.watched) {
+    add_part(made(is_whole(trait) ? message.watched_requests : message.watched),
+             {trait.service, trait.id}, 0);
   }
-  for (const auto& part : notice.lifted) {
-    add_part(made(message.lifted), part, 0);
+  for (const auto& trait : notice.lifted) {
+    add_part(made(is_whole(trait) ? message.lifted_requests : message.lifted),
+             {trait.service, trait.id}, 0);
   }
 }
 
 quarantine_notice notice_from_wire(const wire::FleetLoadT& message) {
   quarantine_notice out;
-  if (message.quarantined) {
-    std::size_t i = 0;
-    for_each_part(*message.quarantined, [&](const part_key& part, std::uint16_t number) {
-      const auto& routers = message.probe_routers;
-      out.parts[part] = {i < routers.size() ? routers[i] : 0, number};
-      ++i;
-    });
-  }
-  if (message.watched) {
-    for_each_part(*message.watched,
-                  [&](const part_key& part, auto) { out.watched.insert(part); });
-  }
-  if (message.lifted) {
-    for_each_part(*message.lifted,
-                  [&](const part_key& part, auto) { out.lifted.insert(part); });
-  }
+  // The lists of probes are parallel to those of the traits.
+  std::size_t parts = 0;
+  std::size_t requests = 0;
+  for_each_trait(message.quarantined.get(), message.quarantined_requests.get(),
+                 [&](const auto& trait, auto, std::uint16_t number) {
+                   const bool whole = is_whole(trait);
+                   const auto& routers =
+                       whole ? message.request_probe_routers : message.probe_routers;
+                   const auto i = whole ? requests++ : parts++;
+                   out.quarantined[trait] = {i < routers.size() ? routers[i] : 0, number};
+                 });
+  for_each_trait(message.watched.get(), message.watched_requests.get(),
+                 [&](const auto& trait, auto, auto) { out.watched.insert(trait); });
+  for_each_trait(message.lifted.get(), message.lifted_requests.get(),
+                 [&](const auto& trait, auto, auto) { out.lifted.insert(trait); });
   return out;
 }
 
--- a/tools/control/link_quarantine.cpp
+++ b/tools/control/link_quarantine.cpp
@@ -1,4 +1,4 @@
-// The leader's part in the quarantine of prompt parts that crash servers.
+// The leader's part in the quarantine of requests that crash servers.
 #include "control/link_service.h"
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/logging.h"
@@ -14,18 +14,19 @@
     quarantine_ = {};
   }
   quarantine_inputs inputs;
-  // Only quarantined parts need the versions, and there may be thousands of servers.
-  if (!quarantine_.parts.empty()) {
+  // Only quarantined traits need the versions, and there may be thousands of servers.
+  if (!quarantine_.entries.empty()) {
     inputs.versions = ready_versions();
   }
   for (const auto& it : marigoldstep::update_quarantine(quarantine_, inputs, io::now())) {
     io::log_event(it.is_quarantined ? io::log_level::warning : io::log_level::info,
-                  it.is_quarantined ? "part_quarantined" : "quarantine_lifted",
-                  {{"part", hex_id(it.part.part)},
-                   {"service", std::to_string(it.part.service)},
+                  it.is_quarantined ? "quarantine_imposed" : "quarantine_lifted",
+                  {{"kind", std::string(name(it.trait.kind))},
+                   {"id", hex_id(it.trait.id)},
+                   {"service", std::to_string(it.trait.service)},
                    {"reason", std::string(name(it.reason))},
                    {"crashes", std::to_string(it.crashes)},
-                   {"suspects", std::to_string(quarantine_.suspects.size())}});
+                   {"suspects", std::to_string(quarantine_.crashes.suspects.size())}});
   }
 }
 
@@ -46,11 +47,11 @@
   }
   const auto now = io::now();
   std::string out = "[";
-  for (const auto& [part, it] : quarantine_.parts) {
+  for (const auto& [trait, it] : quarantine_.entries) {
     out += out.size() > 1 ? "," : "";
-    out += R"({"part":")" + hex_id(part.part) + R"(","service_hash":)" +
-           std::to_string(part.service) + R"(,"crashes":)" +
-           std::to_string(it.servers.size()) + R"(,"age_ms":)" +
+    out += is_whole(trait) ? R"({"request":")" : R"({"part":")";
+    out += hex_id(trait.id) + R"(","service_hash":)" + std::to_string(trait.service) +
+           R"(,"crashes":)" + std::to_string(it.servers.size()) + R"(,"age_ms":)" +
            std::to_string((now - it.decided_at).count()) + R"(,"requested_ms_ago":)" +
            std::to_string((now - it.requested_at).count()) + R"(,"probes":)" +
            std::to_string(it.probe.number) + "}";
@@ -58,25 +59,27 @@
   return out + "]\n";
 }
 
-bool link_service::lift_quarantined(std::string_view part) {
+bool link_service::lift_quarantined(std::string_view id_text) {
   constexpr int hex_base = 16;
   std::uint64_t id = 0;
   const auto [end, ec] =
-      std::from_chars(part.data(), part.data() + part.size(), id, hex_base);
-  if (!group_.is_leader() || ec != std::errc() || end != part.data() + part.size()) {
+      std::from_chars(id_text.data(), id_text.data() + id_text.size(), id, hex_base);
+  if (!group_.is_leader() || ec != std::errc() ||
+      end != id_text.data() + id_text.size()) {
     return false;
   }
-  std::vector<part_key> found;
-  for (const auto& [key, it] : quarantine_.parts) {
-    if (key.part == id) {
-      found.push_back(key);
+  std::vector<request_trait> found;
+  for (const auto& [trait, it] : quarantine_.entries) {
+    if (trait.id == id) {
+      found.push_back(trait);
     }
   }
-  for (const auto& key : found) {
-    lift_quarantine(quarantine_, key, io::now());
+  for (const auto& trait : found) {
+    lift_quarantine(quarantine_, trait, io::now());
     io::log_event(io::log_level::info, "quarantine_lifted",
-                  {{"part", std::string(part)},
-                   {"service", std::to_string(key.service)},
+                  {{"kind", std::string(name(trait.kind))},
+                   {"id", hex_id(trait.id)},
+                   {"service", std::to_string(trait.service)},
                    {"reason", std::string(name(quarantine_reason::operator_order))}});
   }
   return !found.empty();
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -32,7 +32,7 @@
 constexpr double load_bandwidth_fraction = 0.1;
 // Loads that are reported less often are too old to be worth their bandwidth.
 constexpr auto max_load_interval = milliseconds(2000);
-// Of notices about quarantined parts that have not changed.
+// Of notices about a quarantine that has not changed.
 constexpr auto notice_interval = milliseconds(1000);
 // Size of a load message: bytes per server, and bytes of the rest with its list of
 // routers to forward it to.
@@ -202,7 +202,7 @@
                       io::now());
   }
   const auto now = io::now();
-  merge_report(quarantine_, io::part_report_from_wire(load, now),
+  merge_report(quarantine_, io::trait_report_from_wire(load, now),
                io::server_hash(subscribers_.at(connection).node_id), now);
 }
 
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -5,7 +5,7 @@
 #include "marigoldstep/dispatch.h"
 #include "marigoldstep/io/control_links.h"
 #include "marigoldstep/io/framed_connection.h"
-#include "marigoldstep/part_quarantine.h"
+#include "marigoldstep/request_quarantine.h"
 #include "marigoldstep/server_directory.h"
 #include "marigoldstep/stream_origins.h"
 
@@ -88,9 +88,9 @@
   void check_version(std::function<void(const version_check&)> done);
   // Quarantined prompt parts as a JSON list. Only the leader has them.
   [[nodiscard]] std::string quarantine_json() const;
-  // Lifts the quarantine of a part, given in hexadecimal, of all services. Returns false
-  // if none is quarantined here.
-  bool lift_quarantined(std::string_view part);
+  // Lifts the quarantine of a prompt part, at all services, or of a whole request.
+  // id_text: in hexadecimal. Returns false if none is quarantined here.
+  bool lift_quarantined(std::string_view id_text);
   // To be called after each change of the replicated state or the leader.
   void handle_state_changed();
 
@@ -214,7 +214,7 @@
   time_point next_primary_choice_{};
   std::uint64_t fleet_load_number_ = 0;
   part_demand part_demand_;
-  part_quarantine quarantine_; // of the leader
+  request_quarantine quarantine_; // of the leader
   std::uint64_t quarantine_term_ = 0;
   milliseconds load_interval_{}; // 0: routers don't report loads
   time_point next_liveness_update_{};
--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -63,7 +63,7 @@
   });
 }
 
-// Shows and lifts the quarantine of prompt parts; at the leader only.
+// Shows and lifts the quarantine of prompt parts and requests; at the leader only.
 void serve_quarantine(io::admin_server& admin, control::link_service& links) {
   static const QString list_path = "/quarantine";
   admin.extra = [&links](const QString& path) {
--- a/tools/gateway/crash_monitor.h
+++ b/tools/gateway/crash_monitor.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "marigoldstep/dispatch.h"
+#include "marigoldstep/request_trait.h"
 #include "marigoldstep/server_directory.h"
 
 #include <QObject>
@@ -17,11 +17,9 @@
 
 // A request whose connection to a server ended.
 struct ended_request {
-  std::uint32_t service = 0; // hash
-  std::vector<prompt_part> prompt;
+  request_traits traits;
   bool answering = false; // its response had begun
   bool is_whole = false;  // as far as known: the end of the connection ends the response
-  std::uint64_t fingerprint = 0;
 };
 
 // Finds out whether a server has crashed. At first the end of its process looks like a
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -58,7 +58,7 @@
     handle_crash(server, ended);
   };
   crashes.on_whole = [this](const ended_request& it) {
-    record_completed_prompt(parts, it.service, it.prompt, io::now());
+    record_completed(traits, it.traits, io::now());
   };
   links_.routing_version = [this] { return table_ ? table_->config.version : 0; };
   links_.on_routing = [this](std::uint64_t version, const std::string& text) {
@@ -134,7 +134,7 @@
         load_interval_ > milliseconds(0) ? load_interval_ : crash_report_interval;
     next_load_report_ = now + interval - tick_interval / 2;
     send_load(true);
-  } else if (parts.has_news) {
+  } else if (traits.has_news) {
     send_load(false);
   }
   if (now >= next_liveness_update_) {
@@ -339,6 +339,9 @@
 }
 
 void gateway::apply_fleet_load(const wire::FleetLoadT& fleet_load) {
+  if (std::exchange(leader_term_, fleet_load.term) != fleet_load.term) {
+    has_new_leader_ = true;
+  }
   apply_quarantine(io::notice_from_wire(fleet_load));
   if (!fleet_load.loads) {
     return;
@@ -382,13 +385,17 @@
   if (!links_.has_leader_link()) {
     // The report would be lost. The demand is out of date by the next one.
     dispatch.part_requests.clear();
+    has_new_leader_ = true;
     return;
   }
+  if (std::exchange(has_new_leader_, false)) {
+    repeat_crashes(traits);
+  }
   const auto now = io::now();
-  const auto report = take_part_report(parts, now);
+  const auto report = take_report(traits, now);
   wire::RouterLoadT load;
   io::add_to_wire(load, report, now);
-  const bool has_report = report != part_report();
+  const bool has_report = report != trait_report();
   const bool has_loads =
       with_loads && load_interval_ > milliseconds(0) && add_loads(load);
   if (has_report || has_loads) {
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -9,10 +9,10 @@
 #include "marigoldstep/io/backend_pool.h"
 #include "marigoldstep/io/control_links.h"
 #include "marigoldstep/io/http_connection.h"
-#include "marigoldstep/part_quarantine.h"
 #include "marigoldstep/retry_share.h"
 #include "marigoldstep/routing.h"
 #include "marigoldstep/stream_origins.h"
+#include "marigoldstep/trait_history.h"
 
 #include <QObject>
 #include <QPointer>
@@ -54,10 +54,8 @@
   [[nodiscard]] bool may_start_request(milliseconds timeout) const;
 
   dispatch_choice choose_backend(const dispatch_request& request);
-  // The quarantined part of the request's prompt; unset if the request may be sent.
-  std::optional<part_key> refuse_quarantined(const dispatch_request& request);
-  // The same without counting a refused request.
-  [[nodiscard]] bool is_quarantined(const dispatch_request& request) const;
+  // The quarantined trait of a request; unset if the request may be sent.
+  std::optional<request_trait> refuse_quarantined(const request_traits& traits);
   // Records which version began the stream of a request, here and at control. Calls done
   // once control has it, or when it can't be recorded there.
   void record_stream(const std::string& service, const std::string& request_id,
@@ -80,7 +78,7 @@
   server_directory directory;
   dispatch_state dispatch;
   retry_share retries;
-  part_history parts;
+  trait_history traits; // of requests that crashed servers
   io::backend_pool pool;
   crash_monitor crashes;
   gateway_metrics metrics;
@@ -120,6 +118,8 @@
   time_point next_liveness_update_{};
   time_point fleet_load_received_at_{};
   bool has_fleet_load_ = false;
+  std::uint64_t leader_term_ = 0; // of the latest notice
+  bool has_new_leader_ = false;   // that may lack reports sent before
   std::vector<std::pair<time_point, std::uint32_t>> router_counts_;
   stream_origins origins_; // of streams that began here
   version_history versions_;
--- a/tools/gateway/metrics.cpp
+++ b/tools/gateway/metrics.cpp
@@ -57,9 +57,11 @@
       server_crashes(counter(registry, "server_crashes_total",
                              "Ends of server processes that cut off requests")),
       quarantined_requests(counter(registry, "quarantined_requests_total",
-                                   "Requests refused for a quarantined prompt part")),
+                                   "Requests refused because they are quarantined")),
       quarantined_parts(
           gauge(registry, "quarantined_parts", "Prompt parts in quarantine")),
+      quarantined_whole_requests(
+          gauge(registry, "quarantined_whole_requests", "Whole requests in quarantine")),
       first_byte_seconds(histogram(registry, "first_byte_seconds",
                                    "From the request to the answer's first byte")),
       total_seconds(
--- a/tools/gateway/metrics.h
+++ b/tools/gateway/metrics.h
@@ -33,6 +33,7 @@
   prometheus::Counter& server_crashes;
   prometheus::Counter& quarantined_requests;
   prometheus::Gauge& quarantined_parts;
+  prometheus::Gauge& quarantined_whole_requests;
   prometheus::Histogram& first_byte_seconds;
   prometheus::Histogram& total_seconds;
   prometheus::Gauge& routing_version;
--- a/tools/gateway/quarantine.cpp
+++ b/tools/gateway/quarantine.cpp
@@ -1,4 +1,4 @@
-// Crashes of servers, and the quarantine of the prompt parts that cause them.
+// Crashes of servers, and the quarantine of the requests that cause them.
 #include "gateway/gateway.h"
 #include "marigoldstep/io/clock.h"
 #include "marigoldstep/io/logging.h"
@@ -27,12 +27,9 @@
                            known->second.server.started == server.started &&
                            known->second.server.state != announced_state::ready) ||
                           !may_send_to(dispatch, server, now);
-  std::string prompts;
-  std::string fingerprints;
+  std::string requests;
   for (std::size_t i = 0; i < std::min(ended.size(), max_logged_requests); ++i) {
-    const std::string separator = i == 0 ? "" : ",";
-    prompts += separator + to_string(ended[i].prompt);
-    fingerprints += separator + hex_id(ended[i].fingerprint);
+    requests += (i == 0 ? "" : ",") + to_string(ended[i].traits);
   }
   io::log_event(io::log_level::warning, "server_crashed",
                 {{"server", server.id},
@@ -40,51 +37,48 @@
                  {"version", server.version},
                  {"planned", is_planned ? "true" : "false"},
                  {"requests", std::to_string(ended.size())},
-                 {"prompts", prompts},
-                 {"fingerprints", fingerprints}});
+                 {"traits", requests}});
   // A server that leaves may cut off what is still running there.
   if (is_planned) {
     return;
   }
   metrics.server_crashes.Increment();
   for (const auto& it : ended) {
-    record_part_crash(
-        parts, it.service, it.prompt,
-        {crash_id(server), io::server_hash(server.version), now, it.answering});
+    record_crash(traits, it.traits,
+                 {crash_id(server), service_hash(server.service),
+                  io::server_hash(server.version), now, it.answering});
   }
 }
 
-std::optional<part_key> gateway::refuse_quarantined(const dispatch_request& request) {
-  return refuse_prompt(parts, service_hash(request.service), request.prompt,
-                       io::server_hash(settings_.node_id), io::now());
-}
-
-bool gateway::is_quarantined(const dispatch_request& request) const {
-  return marigoldstep::is_quarantined(parts, service_hash(request.service),
-                                      request.prompt);
+std::optional<request_trait> gateway::refuse_quarantined(const request_traits& request) {
+  return refuse_request(traits, request, io::server_hash(settings_.node_id), io::now());
 }
 
 // Only the leader decides: this router has seen but a part of the completed responses.
 // Without contact to a leader, what is in force stays in force.
 void gateway::apply_quarantine(const quarantine_notice& notice) {
-  std::map<part_key, bool> before;
-  for (const auto& [part, it] : parts.quarantine) {
-    before[part] = true;
+  std::set<request_trait> before;
+  for (const auto& [trait, it] : traits.quarantine) {
+    before.insert(trait);
   }
-  apply_notice(parts, notice, io::now());
-  for (const auto& [part, it] : parts.quarantine) {
-    if (before.erase(part) == 0) {
-      io::log_event(
-          io::log_level::warning, "part_quarantined",
-          {{"part", hex_id(part.part)}, {"service", std::to_string(part.service)}});
+  apply_notice(traits, notice, io::now());
+  const auto fields = [](const request_trait& trait) {
+    return std::vector<io::log_field>{{"kind", std::string(name(trait.kind))},
+                                      {"id", hex_id(trait.id)},
+                                      {"service", std::to_string(trait.service)}};
+  };
+  std::size_t requests = 0;
+  for (const auto& [trait, it] : traits.quarantine) {
+    requests += is_whole(trait) ? 1 : 0;
+    if (before.erase(trait) == 0) {
+      io::log_event(io::log_level::warning, "quarantine_imposed", fields(trait));
     }
   }
-  for (const auto& [part, it] : before) {
-    io::log_event(
-        io::log_level::info, "quarantine_lifted",
-        {{"part", hex_id(part.part)}, {"service", std::to_string(part.service)}});
+  for (const auto& trait : before) {
+    io::log_event(io::log_level::info, "quarantine_lifted", fields(trait));
   }
-  metrics.quarantined_parts.Set(static_cast<double>(parts.quarantine.size()));
+  metrics.quarantined_whole_requests.Set(static_cast<double>(requests));
+  metrics.quarantined_parts.Set(static_cast<double>(traits.quarantine.size() - requests));
 }
 
 } // namespace marigoldstep::gateway
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -152,6 +152,9 @@
   service_ = pick_service(*route_, stable_hash(first_id));
   fingerprint_ = io::fingerprint({request_.head.method, route_->host,
                                   request_.head.target, workspace_, request_.body});
+  traits_ = make_traits(service_hash(service_),
+                        route_->has_prompts ? call_.prompt : std::vector<prompt_part>(),
+                        fingerprint_);
   return true;
 }
 
@@ -170,15 +173,14 @@
 }
 
 bool relay::has_candidate() const {
-  const auto request = make_dispatch_request();
-  return !owner_.is_quarantined(request) &&
-         owner_.choose_backend(request).server != nullptr;
+  return !is_quarantined(owner_.traits, traits_) &&
+         owner_.choose_backend(make_dispatch_request()).server != nullptr;
 }
 
 void relay::send_attempt() {
   const auto request = make_dispatch_request();
-  if (const auto part = owner_.refuse_quarantined(request)) {
-    refuse_quarantined(*part);
+  if (const auto trait = owner_.refuse_quarantined(traits_)) {
+    refuse_quarantined(*trait);
     return;
   }
   const auto choice = owner_.choose_backend(request);
@@ -215,8 +217,7 @@
         "version:" + (server.version.empty() ? std::string("unknown") : server.version),
         "copy_from:" +
             (choice.copy_from == nullptr ? std::string("none") : choice.copy_from->id),
-        "prompt:" + to_string(request.prompt),
-        "request:" + hex_id(fingerprint_),
+        "prompt:" + to_string(request.prompt), "request:" + hex_id(fingerprint_),
         "resume_after:" + (last_event_ ? std::to_string(*last_event_) : "none"),
         "resumes:" + (call_.resumed_request.empty() ? std::string("none")
                                                     : call_.resumed_request)}});
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -47,7 +47,7 @@
   bool resolve_target();
   [[nodiscard]] dispatch_request make_dispatch_request() const;
   void send_attempt();
-  void refuse_quarantined(const part_key& part);
+  void refuse_quarantined(const request_trait& trait);
   // The attempt's request, whose connection has ended.
   [[nodiscard]] ended_request make_ended_request(bool is_whole) const;
   void send_to(const announced_server& server, const dispatch_choice& choice,
@@ -99,6 +99,7 @@
   std::string workspace_;
   std::optional<int> priority_;
   std::uint64_t fingerprint_ = 0; // of the request
+  request_traits traits_;
   request_progress state_;
   std::vector<std::string> tried_servers_;
   std::vector<io::endpoint> tried_addresses_;
--- a/tools/gateway/relay_end.cpp
+++ b/tools/gateway/relay_end.cpp
@@ -34,28 +34,27 @@
 
 // The caller may have nothing to do with the cause, but a server that gets the request
 // ends with everything that runs there.
-void relay::refuse_quarantined(const part_key& part) {
+void relay::refuse_quarantined(const request_trait& trait) {
   owner_.metrics.quarantined_requests.Increment();
-  io::log_decision(
-      {call_.request_id,
-       "refuse",
-       "",
-       "quarantined_part",
-       {"part:" + hex_id(part.part), "prompt:" + to_string(call_.prompt),
-        "request:" + hex_id(fingerprint_),
-        "routing:" + std::to_string(table_->config.version)}});
+  io::log_decision({call_.request_id,
+                    "refuse",
+                    "",
+                    "quarantined",
+                    {to_string(trait), "prompt:" + to_string(call_.prompt),
+                     "request:" + hex_id(fingerprint_),
+                     "routing:" + std::to_string(table_->config.version)}});
   if (state_.response_started) {
-    abort_response("quarantined prompt part");
+    abort_response("quarantined");
   } else if (state_.may_have_run) {
     apply_step(relay_step::answer_unknown, attempt_end::not_connected, {});
   } else {
-    respond_not_run("quarantined prompt part", quarantine_retry_delay);
+    respond_not_run("quarantined " + std::string(name(trait.kind)),
+                    quarantine_retry_delay);
   }
 }
 
 ended_request relay::make_ended_request(bool is_whole) const {
-  return {service_hash(service_), make_dispatch_request().prompt, attempt_->has_head,
-          is_whole, fingerprint_};
+  return {traits_, attempt_->has_head, is_whole};
 }
 
 // Outcome of an attempt whose response head arrived but can't be forwarded as a success.
@@ -104,7 +103,7 @@
   const bool is_delimited = attempt_->head.length || attempt_->head.is_chunked;
   const auto request = make_ended_request(true);
   if (is_delimited) {
-    record_completed_prompt(owner_.parts, request.service, request.prompt, io::now());
+    marigoldstep::record_completed(owner_.traits, request.traits, io::now());
   } else {
     owner_.crashes.record_end(attempt_->server, request);
   }
