Count cancelled requests as suspects of a crash shortly after

A caller that leaves, or a deadline that passes, makes the gateway close the connection before the server has ended, so no request was left to which the crash could be put down. Now the requests cancelled in the second before a crash count as well; the test passes.

--- a/tests/programs/crash_monitor_test.cpp
+++ b/tests/programs/crash_monitor_test.cpp
@@ -77,6 +77,34 @@
   CHECK(it.crashed.size() == 3);
 }
 
+// The caller of a harmful request may leave before the server ends.
+TEST_CASE("a request that was cancelled shortly before the crash counts") {
+  monitored_server it;
+  const auto cancelled = make_traits(1, {}, 5);
+  it.subject.record_cancelled(it.server, {cancelled, false, false});
+  SECTION("when the crash ends another request") {
+    it.record_end(false);
+    REQUIRE(wait_until([&] { return it.crashed.size() == 2; }));
+    CHECK(it.crashed.back().traits.list == cancelled.list);
+  }
+  SECTION("when a later connection is refused") {
+    it.subject.record_refused(it.server);
+    REQUIRE(it.crashed.size() == 1);
+    CHECK(it.crashed.front().traits.list == cancelled.list);
+  }
+  SECTION("but not when the server ends long after") {
+    run_event_loop(std::chrono::milliseconds(1300));
+    it.subject.record_refused(it.server);
+    CHECK(it.crashed.empty());
+  }
+  SECTION("and not when the server is alive") {
+    it.listen();
+    it.record_end(false);
+    run_event_loop(several_checks);
+    CHECK(it.crashed.empty());
+  }
+}
+
 TEST_CASE("a refused connection ends the wait for a check") {
   monitored_server it;
   it.subject.record_refused(it.server);
--- a/tests/programs/crashing_request_test.cpp
+++ b/tests/programs/crashing_request_test.cpp
@@ -131,6 +131,19 @@
   CHECK(it.served_share(fifth + 2 * stable_window, ended_at) >= 0.9);
 }
 
+TEST_CASE("a harmful request is found although its callers leave before the crash") {
+  fleet it(3, 3, 4);
+  it.send_load(milliseconds(1000));
+  for (int i = 0; i < 30; ++i) {
+    it.send(harmful_request());
+    auto* socket = it.sockets.back().get();
+    QTimer::singleShot(25, socket, [socket] { socket->abort(); });
+    it.send_load(milliseconds(300));
+  }
+  CHECK(it.is_quarantined(1));
+  CHECK(it.harmful_after(it.third_end() + stable_window) <= 3);
+}
+
 TEST_CASE("a leader and gateways that start later refuse a quarantined request") {
   fleet it(3, 2, 4);
   it.send_load(milliseconds(1000));
--- a/tools/gateway/crash_monitor.cpp
+++ b/tools/gateway/crash_monitor.cpp
@@ -16,6 +16,8 @@
 constexpr auto check_interval = milliseconds(200);
 // A process that ended is replaced by one with another id or start time.
 constexpr auto retention = milliseconds(5000);
+// A server crashes shortly after it has begun a harmful request.
+constexpr auto cancelled_retention = milliseconds(1000);
 // Limits memory. A server runs about as many requests at once.
 constexpr std::size_t max_ended = 256;
 
@@ -30,6 +32,7 @@
   if (it.server.started != server.started || it.server.id.empty()) {
     end_check(it);
     it.ended.clear();
+    it.cancelled.clear();
     it.next_check = {};
     it.has_crashed = false;
   }
@@ -55,10 +58,24 @@
   }
 }
 
+void crash_monitor::record_cancelled(const announced_server& server,
+                                     ended_request request) {
+  auto& it = find(server);
+  if (!it.has_crashed && it.cancelled.size() < max_ended) {
+    it.cancelled.emplace_back(io::now(), std::move(request));
+  }
+}
+
+void crash_monitor::remove_outdated(observed_server& it) {
+  const auto limit = io::now() - cancelled_retention;
+  std::erase_if(it.cancelled, [&](const auto& entry) { return entry.first < limit; });
+}
+
 void crash_monitor::record_refused(const announced_server& server) {
   if (servers_.contains(server.id)) {
     auto& it = find(server);
-    if (!it.has_crashed && !it.ended.empty()) {
+    remove_outdated(it);
+    if (!it.has_crashed && !(it.ended.empty() && it.cancelled.empty())) {
       handle_crash(it);
     }
   }
@@ -97,8 +114,13 @@
 void crash_monitor::handle_crash(observed_server& it) {
   end_check(it);
   it.has_crashed = true;
-  const auto ended = std::move(it.ended);
+  remove_outdated(it);
+  auto ended = std::move(it.ended);
   it.ended.clear();
+  for (auto& [at, request] : it.cancelled) {
+    ended.push_back(std::move(request));
+  }
+  it.cancelled.clear();
   on_crash(it.server, ended);
 }
 
@@ -115,6 +137,7 @@
 void crash_monitor::tick() {
   const auto now = io::now();
   for (auto& [id, it] : servers_) {
+    remove_outdated(it);
     if (it.check && now >= it.check_ends_at) {
       io::log_event(io::log_level::info, "crash_check_unanswered",
                     {{"server", id}, {"requests", std::to_string(it.ended.size())}});
--- a/tools/gateway/crash_monitor.h
+++ b/tools/gateway/crash_monitor.h
@@ -37,6 +37,9 @@
   std::function<void(const ended_request&)> on_whole;
 
   void record_end(const announced_server& server, ended_request request);
+  // A request that ran at the server was cancelled. It counts if the server crashes
+  // shortly afterwards.
+  void record_cancelled(const announced_server& server, ended_request request);
   // A connection to the server was refused.
   void record_refused(const announced_server& server);
 
@@ -44,6 +47,7 @@
   struct observed_server {
     announced_server server;
     std::vector<ended_request> ended;
+    std::vector<std::pair<time_point, ended_request>> cancelled;
     std::unique_ptr<QTcpSocket> check; // null between checks
     time_point check_ends_at{};
     time_point next_check{};
@@ -55,6 +59,7 @@
   void start_check(observed_server& it);
   void handle_alive(const std::string& id);
   void handle_crash(observed_server& it);
+  static void remove_outdated(observed_server& it);
   void end_check(observed_server& it);
   void tick();
 
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -71,6 +71,7 @@
   void apply_step(relay_step step, attempt_end end, const attempt& last);
   void release_attempt(bool reusable);
   void record_stream_part();
+  void record_cancelled();
   void handle_caller_disconnect();
   void handle_timeout();
   void refuse_without_configuration();
--- a/tools/gateway/relay_end.cpp
+++ b/tools/gateway/relay_end.cpp
@@ -253,6 +253,13 @@
   attempt_.reset();
 }
 
+// The server may have begun to run the request, and may crash under it.
+void relay::record_cancelled() {
+  if (attempt_ && attempt_->connection->is_open()) {
+    owner_.crashes.record_cancelled(attempt_->server, make_ended_request(false));
+  }
+}
+
 void relay::handle_caller_disconnect() {
   caller_.clear();
   if (done_) {
@@ -263,6 +270,7 @@
   if (attempt_ && route_->kind == route_kind::once) {
     return;
   }
+  record_cancelled();
   release_attempt(false);
   finish("left",
          state_.response_started ? "after the answer began" : "before the answer");
@@ -277,6 +285,7 @@
   const bool sent = attempt_ && attempt_->connection->is_open();
   if (sent) {
     state_.may_have_run = true;
+    record_cancelled();
   }
   release_attempt(false);
   if (!has_caller()) {
