Count crashes of servers that asked for a pause

A server in its back-off counted as leaving, so its crash was put down to that, and the requests that still ran there were no suspects. A harmful request that ends overloaded servers would have been sent on. The test (a server refuses one request with Retry-After and ends under another) had no suspect before; now it has.

--- a/tests/programs/crashing_request_test.cpp
+++ b/tests/programs/crashing_request_test.cpp
@@ -199,3 +199,20 @@
   CHECK(it.is_quarantined(0));
   CHECK(it.served_share(began_at, ended_at) >= 0.9);
 }
+
+TEST_CASE("the crash of a server that asked for a pause counts") {
+  gateway_fixture it({{{pause_script(60'000)},
+                       {write_text("HTTP/1.1 503 Service Unavailable\r\n"
+                                   "Marigoldstep-Request-Id: {id}\r\n"
+                                   "Marigoldstep-Not-Executed: 1\r\nRetry-After: 5\r\n"
+                                   "Content-Length: 0\r\n\r\n")}}});
+  gateway::test::test_caller harmful(it.address);
+  harmful.send(gateway::test::request_text("GET", "/safe/a", "1"));
+  REQUIRE(wait_until([&] { return it.servers[0]->requests.size() == 1; }));
+  gateway::test::test_caller refused(it.address);
+  refused.send(gateway::test::request_text("GET", "/safe/b", "2"));
+  REQUIRE(refused.wait_for("HTTP/1.1 503"));
+  it.servers[0].reset();
+  REQUIRE(harmful.wait_for("HTTP/1.1 50"));
+  CHECK(wait_until([&] { return !it.subject->traits.crashes.suspects.empty(); }));
+}
--- a/tools/gateway/quarantine.cpp
+++ b/tools/gateway/quarantine.cpp
@@ -26,7 +26,8 @@
   const bool is_planned = (known != directory.entries.end() &&
                            known->second.server.started == server.started &&
                            known->second.server.state != announced_state::ready) ||
-                          !may_send_to(dispatch, server, now);
+                          admission(dispatch.stats[server.id].notice, server.started,
+                                    now) == server_admission::leaving;
   std::string requests;
   for (std::size_t i = 0; i < std::min(ended.size(), max_logged_requests); ++i) {
     requests += (i == 0 ? "" : ",") + to_string(ended[i].traits);
