Let a probe permission lapse with the leader's notices

A gateway that was paused, or had lost the leader, used a permission to probe a quarantined request whenever the next one came, while the leader had given a further probe to another gateway: two crashes where one was meant. The test (3 s without a notice) failed before. A permission now holds for 2.5 s after the latest notice that gives it; notices come each second.

--- a/include/marigoldstep/trait_history.h
+++ b/include/marigoldstep/trait_history.h
@@ -68,7 +68,8 @@
   quarantine_probe probe;
   std::uint16_t used_probe = 0;
   bool is_listed = false; // by the leader's latest notice
-  time_point used_at{};   // last notice that lists it, or last refused request
+  time_point listed_at{}; // last notice that lists it
+  time_point used_at{};   // the same, or last refused request
 };
 
 struct trait_history {
--- a/src/trait_history.cpp
+++ b/src/trait_history.cpp
@@ -11,6 +11,9 @@
 constexpr auto completed_report_interval = milliseconds(1000);
 // Without a notice and without a request, a router ends a quarantine by itself.
 constexpr auto quarantine_retention = milliseconds(600'000);
+// A leader repeats its notices each second. After a pause, or without contact to the
+// leader, another router may have got the probe.
+constexpr auto probe_validity = milliseconds(2500);
 // Limits the size of a report, which has 25 bytes for each crash.
 constexpr std::size_t max_reported_crashes = 64;
 // Limits memory while there is no leader.
@@ -109,7 +112,7 @@
   auto& entry = history.quarantine.at(found.front());
   // With another quarantined trait, a probe would prove nothing.
   if (found.size() == 1 && entry.probe.router == router &&
-      entry.probe.number != entry.used_probe) {
+      entry.probe.number != entry.used_probe && now - entry.listed_at <= probe_validity) {
     entry.used_probe = entry.probe.number;
     return std::nullopt;
   }
@@ -171,7 +174,7 @@
     auto& entry = history.quarantine[trait];
     entry.probe = probe;
     entry.is_listed = true;
-    entry.used_at = now;
+    entry.listed_at = entry.used_at = now;
   }
   for (const auto& trait : notice.lifted) {
     history.quarantine.erase(trait);
--- a/tests/whole_request_quarantine_test.cpp
+++ b/tests/whole_request_quarantine_test.cpp
@@ -177,6 +177,20 @@
   CHECK(it.leader.entries.empty());
 }
 
+TEST_CASE("a router that was paused doesn't use a probe that it was given before") {
+  request_model it;
+  for (int i = 0; i < 5; ++i) {
+    it.crash_under({plain(harmful_request)});
+    it.run(milliseconds(400));
+  }
+  it.run(milliseconds(1000));
+  REQUIRE(it.refuses(1, plain(harmful_request)));
+  it.inputs.versions[service] = {2};
+  it.run(2 * interval);
+  it.now += milliseconds(3000);
+  CHECK(it.refuses(1, plain(harmful_request)));
+}
+
 TEST_CASE("a prompt part with the id of a request's fingerprint doesn't clear it") {
   request_model it;
   for (int i = 0; i < 4; ++i) {
