Don't send two requests with the same id on one connection

Callers choose the ids of their requests. If two used the same one, a late second response to the first, on a connection that was in use again, was taken for the response to the second: gateway_response_test got "first" in place of "own". A connection now remembers which ids it has carried, up to 1,024, and ends after so many; a request whose id is among them gets another connection. Unique ids, as on the platform, open no more connections than before but for that limit.

--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -82,6 +83,10 @@
   // after it, and the whole request was written. Not after a HEAD request: a second
   // response to it has a length but no body, so its end would be found too late.
   [[nodiscard]] bool is_reusable() const;
+  // Hashes of the request ids that the connection has carried. A late second response
+  // to one of them would be taken for that to another request with the same id.
+  void add_request(std::uint64_t id_hash) { request_ids_.push_back(id_hash); }
+  [[nodiscard]] bool has_carried(std::uint64_t id_hash) const;
 
   // Closed, or received unexpected bytes, while idle; set by the pool.
   std::function<void()> on_idle_closed;
@@ -116,6 +121,7 @@
   bool paused_ = false;
   bool keep_alive_ = false;
   unsigned exchange_count_ = 0;
+  std::vector<std::uint64_t> request_ids_;
 };
 
 // Keeps idle connections to backend servers.
@@ -125,11 +131,11 @@
 
   milliseconds connect_timeout{400};
 
-  // Returns an idle connection that its server keeps open for at least another second,
-  // or a new one.
-  backend_connection* acquire(const endpoint& target);
+  // Returns an idle connection that its server keeps open for at least another second
+  // and that hasn't carried a request with this id, or a new one.
+  backend_connection* acquire(const endpoint& target, std::string_view request_id);
   // Returns a new connection.
-  backend_connection* open(const endpoint& target);
+  backend_connection* open(const endpoint& target, std::string_view request_id);
   // Returns a connection to the pool after a complete response. The server keeps it
   // open for idle_timeout; at most max_idle connections are kept per server.
   void release(backend_connection* connection, milliseconds idle_timeout,
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -35,6 +35,8 @@
 // A server may close an idle connection shortly before its timeout. A request sent at
 // that moment fails, and it is unknown whether it ran.
 constexpr auto idle_margin = milliseconds(1000);
+// Of one connection; bounds what it keeps of their ids.
+constexpr std::size_t max_exchanges = 1024;
 constexpr auto expire_interval = std::chrono::milliseconds(500);
 
 // Whether the body of the response whose head was read has no other end.
@@ -343,9 +345,15 @@
   on_failed = nullptr;
 }
 
+bool backend_connection::has_carried(std::uint64_t id_hash) const {
+  return std::find(request_ids_.begin(), request_ids_.end(), id_hash) !=
+         request_ids_.end();
+}
+
 bool backend_connection::is_reusable() const {
-  return state_ == state::open && !busy_ && keep_alive_ && !is_head_request_ &&
-         input_.empty() && socket_->bytesAvailable() == 0 && socket_->bytesToWrite() == 0;
+  return state_ == state::open && request_ids_.size() < max_exchanges && !busy_ &&
+         keep_alive_ && !is_head_request_ && input_.empty() &&
+         socket_->bytesAvailable() == 0 && socket_->bytesToWrite() == 0;
 }
 
 backend_pool::backend_pool(QObject* parent) : QObject(parent) {
@@ -354,24 +362,34 @@
   timer->start(expire_interval);
 }
 
-backend_connection* backend_pool::acquire(const endpoint& target) {
+backend_connection* backend_pool::acquire(const endpoint& target,
+                                          std::string_view request_id) {
+  const auto id_hash = stable_hash(request_id);
   auto& list = idle_[target];
   const auto now = io::now();
-  while (!list.empty()) {
-    const auto it = list.back();
-    list.pop_back();
+  for (auto i = list.size(); i-- > 0;) {
+    const auto it = list[i];
+    const bool is_usable = it.usable_until > now && it.connection->is_reusable();
+    if (is_usable && it.connection->has_carried(id_hash)) {
+      continue;
+    }
+    list.erase(list.begin() + static_cast<std::ptrdiff_t>(i));
     it.connection->on_idle_closed = nullptr;
-    if (it.usable_until > now && it.connection->is_reusable()) {
+    if (is_usable) {
+      it.connection->add_request(id_hash);
       return it.connection;
     }
     discard(it.connection);
   }
-  return open(target);
+  return open(target, request_id);
 }
 
-backend_connection* backend_pool::open(const endpoint& target) {
+backend_connection* backend_pool::open(const endpoint& target,
+                                       std::string_view request_id) {
   ++connect_count_;
-  return new backend_connection(target, connect_timeout, this);
+  auto* connection = new backend_connection(target, connect_timeout, this);
+  connection->add_request(stable_hash(request_id));
+  return connection;
 }
 
 void backend_pool::release(backend_connection* connection, milliseconds idle_timeout,
--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -32,7 +32,7 @@
   scripted_server server({script});
   backend_pool pool(nullptr);
   exchange_result result;
-  auto* connection = pool.acquire(server.address());
+  auto* connection = pool.acquire(server.address(), "r1");
   record_events(*connection, result);
   connection->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", false);
   REQUIRE(wait_until([&] { return result.ended(); }));
@@ -83,7 +83,7 @@
   }
   backend_pool pool(nullptr);
   exchange_result result;
-  auto* connection = pool.acquire(target);
+  auto* connection = pool.acquire(target, "r2");
   record_events(*connection, result);
   connection->send("GET / HTTP/1.1\r\n\r\n", false);
   REQUIRE(wait_until([&] { return result.ended(); }));
@@ -99,7 +99,7 @@
                    "HTTP/1.1 200 OK\r\nX: mine\r\nContent-Length: 4\r\n\r\ngood")}});
   backend_pool pool(nullptr);
   exchange_result result;
-  auto* connection = pool.acquire(server.address());
+  auto* connection = pool.acquire(server.address(), "r3");
   record_events(*connection, result);
   connection->on_head = [&](const http_head& head) {
     if (*find_field(head, "X") == "other") {
@@ -119,13 +119,13 @@
   scripted_server server({{write_text(response), pause_script(50), write_text(extra)}});
   backend_pool pool(nullptr);
   exchange_result result;
-  auto* first = pool.acquire(server.address());
+  auto* first = pool.acquire(server.address(), "r4");
   record_events(*first, result);
   first->send("GET / HTTP/1.1\r\n\r\n", false);
   REQUIRE(wait_until([&] { return result.ended(); }));
   pool.release(first, milliseconds(5000), 1);
   run_event_loop(std::chrono::milliseconds(150));
-  auto* second = pool.acquire(server.address());
+  auto* second = pool.acquire(server.address(), "r5");
   CHECK((pool.connects() == 1) == extra.empty());
   pool.discard(second);
 }
@@ -138,16 +138,16 @@
   exchange_result results[2];
   backend_connection* connections[2];
   for (int i = 0; i < 2; ++i) {
-    connections[i] = pool.acquire(server.address());
+    connections[i] = pool.acquire(server.address(), "r6");
     record_events(*connections[i], results[i]);
     connections[i]->send("GET / HTTP/1.1\r\n\r\n", false);
   }
   REQUIRE(wait_until([&] { return results[0].ended() && results[1].ended(); }));
   pool.release(connections[0], milliseconds(5000), 1);
   pool.release(connections[1], milliseconds(5000), 1);
-  CHECK(pool.acquire(server.address()) == connections[0]);
+  CHECK(pool.acquire(server.address(), "r7") == connections[0]);
   CHECK(pool.connects() == 2);
-  pool.acquire(server.address());
+  pool.acquire(server.address(), "r8");
   CHECK(pool.connects() == 3);
 }
 
@@ -156,7 +156,7 @@
   scripted_server server({{write_text("HTTP/1.1 200 OK\r\n\r\n")}});
   backend_pool pool(nullptr);
   exchange_result result;
-  auto* connection = pool.acquire(server.address());
+  auto* connection = pool.acquire(server.address(), "r9");
   record_events(*connection, result);
   connection->may_send = [] { return false; };
   connection->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", false);
--- a/tests/programs/gateway_response_test.cpp
+++ b/tests/programs/gateway_response_test.cpp
@@ -124,6 +124,16 @@
   CHECK(response.find(event(1)) != std::string::npos);
 }
 
+// Callers choose their ids, so two of them may choose the same one.
+TEST_CASE("a late second response doesn't reach a request with the same id") {
+  gateway_fixture it(
+      {{{write_text(response_text("first")), pause_script(100),
+         write_text(response_text("first"))},
+        {pause_script(300), write_text(response_text("own"))}}});
+  REQUIRE(body_of(exchange(it, "GET", "/safe/a", "r1")) == "first");
+  CHECK(body_of(exchange(it, "GET", "/safe/b", "r1")) == "own");
+}
+
 TEST_CASE("a status below 100 doesn't begin a response whose body reaches the caller") {
   const std::string begin = "HTTP/1.1 099 X\r\nMarigoldstep-Request-Id: {id}\r\n";
   const auto junk = GENERATE_COPY(begin + "Content-Length: 4\r\n\r\njunk",
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -261,8 +261,9 @@
   const bool was_tried = std::find(tried_addresses_.begin(), tried_addresses_.end(),
                                    target) != tried_addresses_.end();
   tried_addresses_.push_back(target);
-  return was_tried || request_.head.method == "HEAD" ? owner_.pool.open(target)
-                                                     : owner_.pool.acquire(target);
+  return was_tried || request_.head.method == "HEAD"
+             ? owner_.pool.open(target, call_.request_id)
+             : owner_.pool.acquire(target, call_.request_id);
 }
 
 bool relay::is_forwardable_response() const {
