Don't cut large requests that arrive slowly but steadily

The header timeout bounded a request up to its last byte, so a caller with a slow link was told 408 in the middle of a sound upload: 240 kB at 200 kB/s with a limit of 400 ms failed in the new test. The timeout now bounds the head, and then every 16 kB of the body; a body that stalls and sends a byte now and then still ends with 408 (second test, and endless_request_test at full speed and byte by byte, unchanged).

--- a/include/marigoldstep/io/http_connection.h
+++ b/include/marigoldstep/io/http_connection.h
@@ -20,7 +20,9 @@
 // Limits for the clients of one listener.
 struct http_server_limits {
   http_limits message{16U << 10U, 4U << 20U};
-  milliseconds header_timeout{3000}; // from the first byte of a request to its end
+  // From the first byte of a request to the end of its head, and then for every 16 kB of
+  // its body.
+  milliseconds header_timeout{3000};
   milliseconds idle_timeout{15'000}; // between requests
   std::size_t max_connections = 2000;
 };
@@ -67,6 +69,7 @@
   void read();
   void read_request();
   void handle_request();
+  void record_progress(std::size_t n);
   void send_continue();
   void reject(std::error_code ec);
   void end_response();
@@ -80,7 +83,9 @@
   std::string input_;
   std::string body_;
   phase phase_ = phase::idle;
-  time_point phase_since_;
+  time_point phase_since_; // or, while a body arrives, of its latest 16 kB
+  bool has_head_ = false;
+  std::size_t bytes_since_ = 0; // of the body since then
   bool begun_ = false;
   bool chunked_ = false;
   bool has_no_body_ = false; // of the response in progress
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -20,6 +20,8 @@
 // request was rejected before it was read in full.
 constexpr auto linger_time = milliseconds(1000);
 constexpr auto tick_interval = std::chrono::milliseconds(100);
+// Of a body, in each header timeout.
+constexpr std::size_t min_body_bytes = 16U << 10U;
 // Limits what is read ahead while a response is in progress.
 constexpr qint64 read_buffer_bytes = 1 << 16;
 constexpr int accept_backlog = 512;
@@ -84,6 +86,7 @@
   const auto n = parser_.feed(input_, ec);
   input_.erase(0, n);
   body_ += parser_.take_body();
+  record_progress(n);
   if (ec) {
     reject(ec);
   } else if (parser_.is_done()) {
@@ -93,6 +96,17 @@
   }
 }
 
+// Gives a body that arrives steadily the time that it needs.
+void http_connection::record_progress(std::size_t n) {
+  const bool is_first = parser_.has_head() && !has_head_;
+  has_head_ = parser_.has_head();
+  bytes_since_ = has_head_ ? bytes_since_ + n : 0;
+  if (is_first || bytes_since_ >= min_body_bytes) {
+    phase_since_ = io::now();
+    bytes_since_ = 0;
+  }
+}
+
 void http_connection::send_continue() {
   const auto* expect = find_field(parser_.head(), "expect");
   if (expect != nullptr && !continue_sent_ &&
@@ -105,6 +119,7 @@
 void http_connection::handle_request() {
   http_request request{parser_.head(), std::move(body_)};
   body_.clear();
+  has_head_ = false;
   phase_ = phase::responding;
   begun_ = false;
   continue_sent_ = false;
--- a/tests/programs/gateway_test.cpp
+++ b/tests/programs/gateway_test.cpp
@@ -401,6 +401,36 @@
   CHECK(it.servers[0]->requests.empty());
 }
 
+// The limit of 400 ms is for the head, and for each 16 kB of the body.
+TEST_CASE("a large body that arrives slowly but steadily is not cut") {
+  gateway_fixture it({{{write_text(response_text("whole"))}}});
+  constexpr std::size_t piece_size = 20'000;
+  constexpr std::size_t pieces = 12;
+  test_caller caller(it.address);
+  caller.send("POST /safe/ HTTP/1.1\r\nHost: h\r\nMarigoldstep-Request-Id: r1\r\n"
+              "Authorization: Bearer KEY\r\nMarigoldstep-Deadline-Ms: 5000\r\n"
+              "Content-Length: " +
+              std::to_string(pieces * piece_size) + "\r\n\r\n");
+  for (std::size_t i = 0; i < pieces; ++i) {
+    run_event_loop(std::chrono::milliseconds(100));
+    caller.send(std::string(piece_size, 'b'));
+  }
+  CHECK(caller.wait_for("whole"));
+}
+
+TEST_CASE("a body that stalls and sends a byte now and then is cut") {
+  gateway_fixture it(unresponsive_server());
+  test_caller caller(it.address);
+  caller.send("POST /safe/ HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n");
+  caller.send(std::string(50'000, 'b'));
+  for (int i = 0; i < 30 && !caller.is_closed(); ++i) {
+    run_event_loop(std::chrono::milliseconds(50));
+    caller.send("b");
+    caller.read();
+  }
+  CHECK(starts_with_status(caller.received, "408"));
+}
+
 TEST_CASE("an error response after one without a body has its body") {
   const auto head_only = response_text("12345").substr(0, response_text("").size());
   gateway_fixture it({{{write_text(head_only)}}});
