--- a/tests/programs/gateway_response_test.cpp
+++ b/tests/programs/gateway_response_test.cpp
@@ -126,10 +126,9 @@
 
 // Callers choose their ids, so two of them may choose the same one.
 TEST_CASE("a late second response doesn't reach a request with the same id") {
-  gateway_fixture it(
-      {{{write_text(response_text("first")), pause_script(100),
-         write_text(response_text("first"))},
-        {pause_script(300), write_text(response_text("own"))}}});
+  gateway_fixture it({{{write_text(response_text("first")), pause_script(100),
+                        write_text(response_text("first"))},
+                       {pause_script(300), write_text(response_text("own"))}}});
   REQUIRE(body_of(exchange(it, "GET", "/safe/a", "r1")) == "first");
   CHECK(body_of(exchange(it, "GET", "/safe/b", "r1")) == "own");
 }
