Count the probes of earlier leaders

A new leader knew from the gateways what was quarantined, but not how often it had been probed, and allowed two further probes; a gateway also ignored the first of them if it had used one with the same number. With a leader replaced every 100 s a harmful request was sent 10 times in 500 s (new test), where two in ten minutes are meant and three in all are allowed. Gateways now report the number of the latest probe that they know.

--- a/include/marigoldstep/trait_history.h
+++ b/include/marigoldstep/trait_history.h
@@ -17,6 +17,7 @@
 struct refused_requests {
   std::uint32_t count = 0;
   std::uint32_t service = 0; // hash of the service that the last one was for
+  std::uint16_t probes = 0;  // number of the latest probe that the router knows
 
   friend bool operator==(const refused_requests&, const refused_requests&) = default;
 };
--- a/src/io/link_messages.cpp
+++ b/src/io/link_messages.cpp
@@ -64,6 +64,24 @@
   }
 }
 
+// The values of lists that are parallel to those of parts and of whole requests; 0 beyond
+// their ends.
+template <typename Value> struct parallel_values {
+  const std::vector<Value>& parts;
+  const std::vector<Value>& requests;
+  std::size_t next_part = 0;
+  std::size_t next_request = 0;
+
+  Value next(bool is_request) {
+    const auto& list = is_request ? requests : parts;
+    const auto i = is_request ? next_request++ : next_part++;
+    return i < list.size() ? list[i] : Value();
+  }
+};
+template <typename Value>
+parallel_values(const std::vector<Value>&, const std::vector<Value>&)
+    -> parallel_values<Value>;
+
 // Calls visit with the id of the part or request and the crash, for each entry of the
 // list, which may be null.
 template <typename Visit>
@@ -222,6 +240,8 @@
     add_part(made(is_whole(trait) ? message.refused_requests : message.refused),
              {refused.count > 0 ? refused.service : trait.service, trait.id},
              saturate(refused.count));
+    (is_whole(trait) ? message.refused_request_probes : message.refused_probes)
+        .push_back(refused.probes);
   }
 }
 
@@ -240,11 +260,13 @@
   for_each_trait(
       message.completed.get(), message.completed_requests.get(),
       [&](const auto& trait, auto, auto value) { add_completed(trait, value); });
+  parallel_values probes{message.refused_probes, message.refused_request_probes};
   for_each_trait(message.refused.get(), message.refused_requests.get(),
                  [&](const auto& trait, std::uint32_t service, std::uint16_t value) {
                    auto& refused = out.refused[trait];
                    refused.count += value;
                    refused.service = service;
+                   refused.probes = probes.next(is_whole(trait));
                  });
   return out;
 }
@@ -268,16 +290,10 @@
 
 quarantine_notice notice_from_wire(const wire::FleetLoadT& message) {
   quarantine_notice out;
-  // The lists of probes are parallel to those of the traits.
-  std::size_t parts = 0;
-  std::size_t requests = 0;
+  parallel_values routers{message.probe_routers, message.request_probe_routers};
   for_each_trait(message.quarantined.get(), message.quarantined_requests.get(),
                  [&](const auto& trait, auto, std::uint16_t number) {
-                   const bool whole = is_whole(trait);
-                   const auto& routers =
-                       whole ? message.request_probe_routers : message.probe_routers;
-                   const auto i = whole ? requests++ : parts++;
-                   out.quarantined[trait] = {i < routers.size() ? routers[i] : 0, number};
+                   out.quarantined[trait] = {routers.next(is_whole(trait)), number};
                  });
   for_each_trait(message.watched.get(), message.watched_requests.get(),
                  [&](const auto& trait, auto, auto) { out.watched.insert(trait); });
--- a/src/request_quarantine.cpp
+++ b/src/request_quarantine.cpp
@@ -330,6 +330,14 @@
   }
 }
 
+// An earlier leader's probes count as well; when they were is not known.
+void adopt_probes(quarantined_trait& entry, std::uint16_t number, time_point now) {
+  if (number > entry.probe.number) {
+    entry.probes.resize(std::min<std::size_t>(number, max_probes), now);
+    entry.probe.number = number;
+  }
+}
+
 } // namespace
 
 std::string_view name(quarantine_reason value) {
@@ -373,6 +381,7 @@
       entry.decided_at = entry.crashed_at = entry.requested_at = now;
       entry.requested_for = trait.service;
     }
+    adopt_probes(entry, refused.probes, now);
     if (refused.count > 0) {
       entry.requested_at = now;
       entry.requested_for = refused.service;
--- a/src/trait_history.cpp
+++ b/src/trait_history.cpp
@@ -147,6 +147,10 @@
       out.refused.try_emplace(trait);
     }
   }
+  for (auto& [trait, refused] : out.refused) {
+    const auto it = history.quarantine.find(trait);
+    refused.probes = it == history.quarantine.end() ? 0 : it->second.probe.number;
+  }
   return out;
 }
 
--- a/tests/whole_request_quarantine_test.cpp
+++ b/tests/whole_request_quarantine_test.cpp
@@ -177,6 +177,29 @@
   CHECK(it.leader.entries.empty());
 }
 
+// Each probe may crash a server, and a request may be sent three more times at most.
+TEST_CASE("leaders together let no more than two probes through in ten minutes") {
+  request_model it;
+  for (int i = 0; i < 3; ++i) {
+    it.crash_under({plain(harmful_request)});
+    it.run(milliseconds(400));
+  }
+  it.run(milliseconds(1000));
+  int sent = 0;
+  for (int i = 0; i < 500; ++i) {
+    if (i % 100 == 90) {
+      it.replace_leader();
+    }
+    it.run(milliseconds(1000));
+    if (!it.refuses(1, plain(harmful_request))) {
+      ++sent;
+      it.crash_under({plain(harmful_request)});
+    }
+  }
+  CHECK(sent == 2);
+  CHECK(it.is_quarantined(whole(harmful_request)));
+}
+
 TEST_CASE("a router that was paused doesn't use a probe that it was given before") {
   request_model it;
   for (int i = 0; i < 5; ++i) {
