Probe a quarantined request after each change of software

Cause: at most two probes in ten minutes, whatever they were for. With three or four crashes the evidence is thin, so both are used up 10 and 20 s after the decision; new software at 31 s then got none, and no log line said so.

A probe after a change of software no longer depends on earlier ones: one for each set of versions, and a second one after 10 s if the first had no effect. A crash under it makes the version one that crashed. Granted, sent and refused probes are logged with their reason.

Before: the new case of whole_request_quarantine_test fails (not lifted after 30 s, no probe). After: lifted within 5 s; while harmful one more end for each change.

--- a/include/marigoldstep/request_quarantine.h
+++ b/include/marigoldstep/request_quarantine.h
@@ -24,6 +24,18 @@
 // is narrow enough to be judged by its own crashes alone.
 namespace marigoldstep {
 
+// Whether a router may send a request with a quarantined trait, and why.
+enum class probe_state {
+  undecided,
+  new_software,  // granted: all servers have other software than those that crashed
+  thin_evidence, // granted: few servers crashed
+  not_requested, // due, but no router has refused a request yet
+  too_early,     // after the decision or the last probe
+  used_up,       // the probes of this time, for this software
+  certain, // the evidence is certain, and some servers have the software that crashed
+};
+std::string_view name(probe_state value);
+
 // A trait that the leader has quarantined.
 struct quarantined_trait {
   std::set<std::uint32_t> servers; // that crashed while a request with it was running
@@ -39,6 +51,10 @@
   quarantine_probe probe;
   time_point probe_ends_at{};
   std::vector<time_point> probes; // times of the recent ones
+  // Software that the latest probe after a change of it was for, and how many it had.
+  std::map<std::uint32_t, std::set<std::uint32_t>> probed_versions;
+  unsigned version_probes = 0;
+  probe_state probing = probe_state::undecided;
 };
 
 // The leader's state.
@@ -74,6 +90,19 @@
   std::size_t crashes = 0;
 };
 
+// Whether a request with the trait may be sent has changed.
+struct probe_change {
+  request_trait trait;
+  probe_state state = probe_state::undecided;
+  std::uint32_t router = 0; // that may send it; 0: none
+  std::size_t crashes = 0;
+};
+
+struct quarantine_update {
+  std::vector<quarantine_change> changes;
+  std::vector<probe_change> probes;
+};
+
 struct quarantine_inputs {
   // Time in which routers report a crash, learn that its traits are watched and report
   // their completed responses.
@@ -83,9 +112,8 @@
 };
 
 // Quarantines and lifts traits, and chooses routers for probes.
-std::vector<quarantine_change> update_quarantine(request_quarantine& state,
-                                                 const quarantine_inputs& inputs,
-                                                 time_point now);
+quarantine_update update_quarantine(request_quarantine& state,
+                                    const quarantine_inputs& inputs, time_point now);
 
 // Lifts the quarantine of a trait. Returns false if it isn't quarantined.
 bool lift_quarantine(request_quarantine& state, const request_trait& trait,
--- a/tests/quarantine_model.h
+++ b/tests/quarantine_model.h
@@ -87,7 +87,7 @@
       io::add_to_wire(message, take_report(routers[i], now), now);
       merge_report(leader, io::trait_report_from_wire(message, now), hash(i), now);
     }
-    for (const auto& it : update_quarantine(leader, inputs, now)) {
+    for (const auto& it : update_quarantine(leader, inputs, now).changes) {
       changes.push_back(it);
     }
     wire::FleetLoadT message;
--- a/tests/whole_request_quarantine_test.cpp
+++ b/tests/whole_request_quarantine_test.cpp
@@ -200,6 +200,53 @@
   CHECK(it.is_quarantined(whole(harmful_request)));
 }
 
+// Guards against a request that stays out although it is sound under the new software,
+// since thin evidence has used up the probes of ten minutes before.
+TEST_CASE("a change of software allows a probe, however many came before") {
+  request_model it;
+  for (int i = 0; i < 3; ++i) {
+    it.crash_under({plain(harmful_request)});
+    it.run(milliseconds(400));
+  }
+  int sent = 0;
+  const auto send_for = [&](milliseconds time, std::uint32_t version, bool is_harmful) {
+    for (const auto until = it.now + time; it.now < until;) {
+      it.run(milliseconds(400));
+      if (it.refuses(1, plain(harmful_request))) {
+        continue;
+      }
+      ++sent;
+      if (is_harmful) {
+        it.crash_under({plain(harmful_request)}, version);
+      } else {
+        record_completed(it.routers[1], plain(harmful_request), it.now);
+        it.run(2 * interval);
+        return;
+      }
+    }
+  };
+  send_for(milliseconds(31'000), 1, true);
+  REQUIRE(sent == 2);
+  it.inputs.versions[service] = {1, 2};
+  send_for(milliseconds(3000), 1, true);
+  CHECK(sent == 2);
+  it.inputs.versions[service] = {2};
+  SECTION("sound again") {
+    const auto changed_at = it.now;
+    send_for(milliseconds(30'000), 2, false);
+    CHECK(it.leader.entries.empty());
+    CHECK(it.now - changed_at <= milliseconds(5000));
+  }
+  SECTION("as harmful as before") {
+    send_for(milliseconds(60'000), 2, true);
+    CHECK(sent == 3);
+    it.inputs.versions[service] = {3};
+    send_for(milliseconds(60'000), 3, true);
+    CHECK(sent == 4);
+    CHECK(it.is_quarantined(whole(harmful_request)));
+  }
+}
+
 TEST_CASE("a router that was paused doesn't use a probe that it was given before") {
   request_model it;
   for (int i = 0; i < 5; ++i) {
--- a/tools/control/link_quarantine.cpp
+++ b/tools/control/link_quarantine.cpp
@@ -18,7 +18,17 @@
   if (!quarantine_.entries.empty()) {
     inputs.versions = ready_versions();
   }
-  for (const auto& it : marigoldstep::update_quarantine(quarantine_, inputs, io::now())) {
+  const auto update = marigoldstep::update_quarantine(quarantine_, inputs, io::now());
+  for (const auto& it : update.probes) {
+    io::log_event(io::log_level::info,
+                  it.router != 0 ? "quarantine_probe_granted" : "quarantine_no_probe",
+                  {{"kind", std::string(name(it.trait.kind))},
+                   {"id", hex_id(it.trait.id)},
+                   {"reason", std::string(name(it.state))},
+                   {"router", it.router == 0 ? "none" : hex_id(it.router)},
+                   {"crashes", std::to_string(it.crashes)}});
+  }
+  for (const auto& it : update.changes) {
     io::log_event(it.is_quarantined ? io::log_level::warning : io::log_level::info,
                   it.is_quarantined ? "quarantine_imposed" : "quarantine_lifted",
                   {{"kind", std::string(name(it.trait.kind))},
--- a/tools/gateway/quarantine.cpp
+++ b/tools/gateway/quarantine.cpp
@@ -52,7 +52,14 @@
 }
 
 std::optional<request_trait> gateway::refuse_quarantined(const request_traits& request) {
-  return refuse_request(traits, request, io::server_hash(settings_.node_id), io::now());
+  const bool was_quarantined = is_quarantined(traits, request);
+  auto refused =
+      refuse_request(traits, request, io::server_hash(settings_.node_id), io::now());
+  if (was_quarantined && !refused) {
+    io::log_event(io::log_level::info, "quarantine_probe_sent",
+                  {{"traits", to_string(request)}});
+  }
+  return refused;
 }
 
 // Only the leader decides: this router has seen but a part of the completed responses.
