Keep the versions of streams on the disks of control

Cause: stream_origins was soft state of gateways and control, and a gateway's history of versions began with its start. With all of them killed, the version that is left was taken for the one that began the stream, and where two served every resume was refused.

- The group's log has the versions that each service's servers have had.
A control process announces a server once its version is committed.
- A gateway lets an unknown stream go on only where the leader, confirmed by a quorum, proves that there was one version; what a process can't prove is refused as not run.

gateway_version_test: its case of an unknown stream took a gateway's own view of two timeouts for proof. It now also needs the leader's, so the case without that proof has to be refused; the case in which another version served is kept.

--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -41,6 +41,7 @@
 #include "marigoldstep/server_directory.h"
 #include "marigoldstep/server_notice.h"
 #include "marigoldstep/stream_origins.h"
+#include "marigoldstep/stream_records.h"
 #include "marigoldstep/trait_history.h"
 #include "marigoldstep/types.h"
 #include "marigoldstep/verdict.h"
--- a/include/marigoldstep/fleet_state.h
+++ b/include/marigoldstep/fleet_state.h
@@ -7,6 +7,9 @@
 #include "marigoldstep/wire.h"
 
 #include <deque>
+#include <map>
+#include <set>
+#include <string>
 
 namespace marigoldstep {
 
@@ -20,8 +23,18 @@
   operator_table operators;
   std::uint64_t fencing = 0;           // last fencing token issued
   std::deque<unix_seconds> load_times; // loads granted within the last minute
+  // Software versions that the servers of each service have had. A control process
+  // announces no server before its version is here.
+  std::map<std::string, std::set<std::string>> server_versions;
+  // Evacuated availability zones, with the time since when, and the number of changes.
+  std::map<std::string, unix_seconds> evacuated_zones;
+  std::uint64_t evacuation_number = 0;
 };
 
+// Whether the servers of the service are recorded to have had the version.
+bool has_version(const fleet_state& state, const std::string& service,
+                 const std::string& version);
+
 // Encodes a request as a log entry; time is the leader's wall clock. The operator key
 // is omitted, because the log must hold no secrets. A proposed configuration is
 // validated here, once, so that voters of different builds apply the same result.
--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -36,8 +36,17 @@
 
 // What control processes know of the version that began a stream.
 struct stream_version {
-  bool is_answered = false; // by one of them at least
-  std::optional<std::string> version;
+  std::optional<std::string> version; // recorded for the stream
+  // The only version that the service's servers have had within the window, as the leader
+  // can prove.
+  std::optional<std::string> sole;
+};
+
+// The stream to find, and the window within which it began.
+struct stream_query {
+  std::uint64_t stream = 0; // from stream_key()
+  std::string service;
+  milliseconds window{0};
 };
 
 // Connections to every control process: first to the seeds, then also to the members
@@ -94,10 +103,10 @@
                      std::function<void(bool)> done);
   // Asks every control process for the version that began a stream. Calls done once, with
   // the first version found, or without one when none knows it or replies in time.
-  void find_stream(std::uint64_t stream, std::function<void(stream_version)> done);
-  // Whether a link to a control process that knows a leader has been open, without a gap,
-  // for so long.
-  [[nodiscard]] bool has_leader_since(milliseconds age) const;
+  void find_stream(const stream_query& query, std::function<void(stream_version)> done);
+  // Asks the leader to record a software version. Returns false if there is no leader, or
+  // one of an older build, which records none.
+  bool record_version(const std::string& service, const std::string& version);
   // Sends the hashes of servers whose report changed nothing. Returns false when no
   // control process is connected that knows a leader.
   bool send_unchanged_reports(const std::vector<std::uint32_t>& servers);
@@ -133,6 +142,7 @@
     bool is_leader = false;
     bool has_leader = false;
     bool keeps_streams = false;
+    std::uint32_t protocol = 0;
     milliseconds heartbeat{}; // interval that the other side requests
     time_point next_ack_at{};
     std::uint64_t version = 0;
@@ -168,7 +178,6 @@
   void end_search(std::uint64_t token);
   void end_searches_at(const std::string& host);
   void expire_searches(time_point now);
-  void update_leader_time(time_point now);
 
   link_settings settings_;
   std::set<std::string> members_;
@@ -196,12 +205,11 @@
   std::map<std::uint64_t, pending_forward> forwards_; // by token
   struct stream_search {
     std::set<std::string> hosts; // that have not replied yet
-    bool is_answered = false;
+    std::optional<std::string> sole;
     time_point deadline{};
     std::function<void(stream_version)> done;
   };
   std::map<std::uint64_t, stream_search> searches_; // by token
-  std::optional<time_point> leader_known_since_;
   std::uint64_t next_token_ = 1;
   time_point newer_known_since_{}; // when a process first offered a newer version
   bool has_initial_servers_ = false;
--- a/src/fleet_state.cpp
+++ b/src/fleet_state.cpp
@@ -144,6 +144,63 @@
   return reply;
 }
 
+void apply_version(fleet_state& state, const wire::StoreVersionT& request) {
+  if (!request.retired) {
+    state.server_versions[request.service].insert(request.version);
+    return;
+  }
+  const auto it = state.server_versions.find(request.service);
+  if (it != state.server_versions.end()) {
+    it->second.erase(request.version);
+    if (it->second.empty()) {
+      state.server_versions.erase(it);
+    }
+  }
+}
+
+wire::StoreEvacuationReplyT apply_evacuation(fleet_state& state,
+                                             const wire::StoreEvacuationT& request) {
+  if (request.evacuated != state.evacuated_zones.contains(request.zone)) {
+    ++state.evacuation_number;
+    if (request.evacuated) {
+      state.evacuated_zones[request.zone] = state.time;
+    } else {
+      state.evacuated_zones.erase(request.zone);
+    }
+  }
+  wire::StoreEvacuationReplyT reply;
+  reply.number = state.evacuation_number;
+  return reply;
+}
+
+void pack_servers_state(const fleet_state& state, wire::FleetEntryT& out) {
+  for (const auto& [service, versions] : state.server_versions) {
+    for (const auto& version : versions) {
+      auto entry = std::make_unique<wire::VersionEntryT>();
+      entry->service = service;
+      entry->version = version;
+      out.server_versions.push_back(std::move(entry));
+    }
+  }
+  for (const auto& [zone, since] : state.evacuated_zones) {
+    auto entry = std::make_unique<wire::EvacuatedZoneT>();
+    entry->zone = zone;
+    entry->since_s = since;
+    out.evacuated_zones.push_back(std::move(entry));
+  }
+  out.evacuation_number = state.evacuation_number;
+}
+
+void unpack_servers_state(const wire::FleetEntryT& in, fleet_state& state) {
+  for (const auto& it : in.server_versions) {
+    state.server_versions[it->service].insert(it->version);
+  }
+  for (const auto& it : in.evacuated_zones) {
+    state.evacuated_zones[it->zone] = it->since_s;
+  }
+  state.evacuation_number = in.evacuation_number;
+}
+
 wire::ControlBodyUnion apply_body(fleet_state& state, const wire::ControlBodyUnion& body,
                                   const config_properties& properties) {
   wire::ControlBodyUnion reply;
@@ -157,6 +214,10 @@
     reply.Set(apply_operator(state.operators, *request));
   } else if (const auto* routing = body.AsStoreRouting()) {
     reply.Set(apply_routing(state, *routing));
+  } else if (const auto* version = body.AsStoreVersion()) {
+    apply_version(state, *version);
+  } else if (const auto* evacuation = body.AsStoreEvacuation()) {
+    reply.Set(apply_evacuation(state, *evacuation));
   }
   return reply;
 }
@@ -265,6 +326,12 @@
 
 } // namespace
 
+bool has_version(const fleet_state& state, const std::string& service,
+                 const std::string& version) {
+  const auto it = state.server_versions.find(service);
+  return it != state.server_versions.end() && it->second.contains(version);
+}
+
 bytes encode_command(const wire::ControlFrameT& request, unix_seconds time) {
   wire::LoggedCommandT command;
   command.time_s = time;
@@ -301,6 +368,7 @@
   fleet.fencing = state.fencing;
   fleet.routing_version = state.routing_version;
   fleet.routing_packed_text = state.routing_packed_text;
+  pack_servers_state(state, fleet);
   fleet.load_times_s.assign(state.load_times.begin(), state.load_times.end());
   flatbuffers::FlatBufferBuilder builder(initial_buffer_bytes +
                                          state.claims.usage.total_bytes);
@@ -342,6 +410,7 @@
   for (auto& it : fleet.operators) {
     state.operators[it->name] = {std::move(it->salt), std::move(it->digest)};
   }
+  unpack_servers_state(fleet, state);
   state.load_times.assign(fleet.load_times_s.begin(), fleet.load_times_s.end());
   ec.clear();
   return state;
--- a/src/io/control_link_streams.cpp
+++ b/src/io/control_link_streams.cpp
@@ -44,11 +44,13 @@
   }
 }
 
-void control_links::find_stream(std::uint64_t stream,
+void control_links::find_stream(const stream_query& query,
                                 std::function<void(stream_version)> done) {
   wire::FindStreamT message;
   message.token = next_token_++;
-  message.stream = stream;
+  message.stream = query.stream;
+  message.service = query.service;
+  message.window_ms = static_cast<std::uint32_t>(query.window.count());
   stream_search search;
   search.deadline = io::now() + search_timeout;
   search.done = std::move(done);
@@ -73,21 +75,23 @@
     return;
   }
   auto& search = it->second;
-  search.is_answered = true;
   search.hosts.erase(host);
+  if (reply.has_sole) {
+    search.sole = reply.sole;
+  }
   if (!reply.found && !search.hosts.empty()) {
     return;
   }
-  const auto done = std::move(search.done);
+  const auto ended = std::move(search);
   searches_.erase(it);
-  done({true, reply.found ? std::optional(reply.version) : std::nullopt});
+  ended.done({reply.found ? std::optional(reply.version) : std::nullopt, ended.sole});
 }
 
-// Ends a search without a version.
+// Ends a search that found no record.
 void control_links::end_search(std::uint64_t token) {
-  const auto search = std::move(searches_.at(token));
+  const auto ended = std::move(searches_.at(token));
   searches_.erase(token);
-  search.done({search.is_answered, std::nullopt});
+  ended.done({std::nullopt, ended.sole});
 }
 
 // A link that was lost brings no reply.
@@ -111,19 +115,17 @@
   std::for_each(ended.begin(), ended.end(), [this](auto token) { end_search(token); });
 }
 
-void control_links::update_leader_time(time_point now) {
-  const bool knows_leader = std::any_of(links_.begin(), links_.end(), [](const auto& it) {
-    return it.second.is_open && it.second.has_leader;
-  });
-  if (!knows_leader) {
-    leader_known_since_.reset();
-  } else if (!leader_known_since_) {
-    leader_known_since_ = now;
+bool control_links::record_version(const std::string& service,
+                                   const std::string& version) {
+  auto* to = find_leader_link();
+  if (to == nullptr || to->protocol < wire::recording_link_protocol) {
+    return false;
   }
-}
-
-bool control_links::has_leader_since(milliseconds age) const {
-  return leader_known_since_ && io::now() - *leader_known_since_ >= age;
+  wire::RecordVersionT message;
+  message.service = service;
+  message.version = version;
+  to->connection->send(wire::encode_link(std::move(message)));
+  return true;
 }
 
 } // namespace marigoldstep::io
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -106,6 +106,7 @@
     subscription.host = settings_.own_host;
     subscription.zone = settings_.zone;
     subscription.link_bytes_per_ms = settings_.link_bytes_per_ms;
+    subscription.protocol = wire::link_protocol;
     subscription.reported = to_wire(origins_[host].reported.at);
     subscription.repeated = to_wire(origins_[host].repeated.at);
     opened.connection->send(wire::encode_link(std::move(subscription)));
@@ -158,7 +159,6 @@
   expire_confirmations(now);
   expire_forwards(now);
   expire_searches(now);
-  update_leader_time(now);
   fetch_newer();
 }
 
@@ -337,6 +337,7 @@
   it.is_leader = status.leads;
   it.has_leader = status.has_leader;
   it.keeps_streams = status.keeps_streams;
+  it.protocol = status.protocol;
   if (status.leads && on_leader_status) {
     on_leader_status(status.routers, milliseconds(status.load_interval_ms));
   }
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -46,12 +46,33 @@
              : it->second.version;
 }
 
-void record_version(version_history& history, const announced_server& server,
-                    time_point now) {
-  auto& versions = history.services[server.service];
-  versions[server.version] = now;
-  std::erase_if(versions,
-                [&](const auto& it) { return now - it.second > version_retention; });
+void record_version(version_history& history, const service_version& it, time_point now) {
+  history.services[it.service][it.version] = now;
+}
+
+void record_earlier_version(version_history& history, const service_version& it,
+                            time_point now) {
+  history.services[it.service].try_emplace(it.version, now);
+}
+
+std::vector<service_version> expired_versions(const version_history& history,
+                                              time_point now) {
+  std::vector<service_version> out;
+  for (const auto& [service, versions] : history.services) {
+    for (const auto& [version, last_known] : versions) {
+      if (now - last_known > version_retention) {
+        out.push_back({service, version});
+      }
+    }
+  }
+  return out;
+}
+
+void remove_version(version_history& history, const service_version& it) {
+  const auto found = history.services.find(it.service);
+  if (found != history.services.end()) {
+    found->second.erase(it.version);
+  }
 }
 
 std::optional<std::string> sole_version(const version_history& history,
--- a/tests/control_links_test.cpp
+++ b/tests/control_links_test.cpp
@@ -57,7 +57,8 @@
   std::vector<io::stream_version> results;
   constexpr std::size_t searches = 3;
   for (std::uint64_t stream = 1; stream <= searches; ++stream) {
-    links.find_stream(stream, [&](const auto& it) { results.push_back(it); });
+    links.find_stream({stream, "s", milliseconds(1000)},
+                      [&](const auto& it) { results.push_back(it); });
   }
   REQUIRE(wait_until([&] { return control[0]->has_search && control[1]->has_search; }));
   const bool is_malformed = GENERATE(false, true);
@@ -72,6 +73,6 @@
     REQUIRE(wait_until([&] { return links.open_links() < open; }));
   }
   REQUIRE(results.size() == searches);
-  CHECK_FALSE(results[0].is_answered);
+  CHECK_FALSE(results[0].sole);
   CHECK_FALSE(results[0].version);
 }
--- a/tests/programs/control_group.h
+++ b/tests/programs/control_group.h
@@ -69,10 +69,12 @@
       settings.peers = {{host(seed), peer_port}};
     }
     it.group = std::make_unique<replica>(settings, nullptr);
+    auto own_limits = limits;
+    own_limits.stream_directory = stream_directory(i);
     it.links = std::make_unique<link_service>(
         *it.group,
-        io::link_settings{host(i), false, host(i), link_port, "z", {host(seed)}}, limits,
-        nullptr);
+        io::link_settings{host(i), false, host(i), link_port, "z", {host(seed)}},
+        own_limits, nullptr);
     auto* group = it.group.get();
     it.links->on_members = [group](const std::set<std::string>& hosts) {
       group->set_member_hosts(hosts);
@@ -103,6 +105,30 @@
     start(i, seed);
   }
 
+  [[nodiscard]] std::string stream_directory(int i) const {
+    return processes.at(i).folder->path().toStdString() + "/streams";
+  }
+
+  // Kills all processes, and then starts them with their files. before_start is called in
+  // between.
+  void restart_all(const std::function<void()>& before_start = [] {}) {
+    std::map<int, std::unique_ptr<QTemporaryDir>> folders;
+    for (auto& [i, it] : processes) {
+      folders[i] = std::move(it.folder);
+    }
+    for (const auto& it : folders) {
+      kill(it.first);
+    }
+    before_start();
+    const int first = folders.begin()->first;
+    const int last = folders.rbegin()->first;
+    for (auto& [i, folder] : folders) {
+      processes[i].folder = std::move(folder);
+      start(i, i == first ? last : first);
+    }
+    REQUIRE(wait_until([&] { return leader() != 0; }));
+  }
+
   int leader() const {
     for (const auto& [i, it] : processes) {
       if (it.group->is_leader()) {
--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -63,6 +63,8 @@
   bool keeps_streams = true; // false: a process of an older build
   bool confirms_streams = true;
   bool finds_streams = true;
+  // The version that this leader proves to have been the only one.
+  std::optional<std::string> sole;
   bool confirms_versions = true;
 
   [[nodiscard]] std::uint16_t first_port() const {
@@ -132,6 +134,8 @@
     reply.token = search.token;
     reply.found = it != streams.end();
     reply.version = reply.found ? it->second : "";
+    reply.has_sole = sole.has_value();
+    reply.sole = sole.value_or("");
     to.send(wire::encode_link(std::move(reply)));
   }
 
--- a/tests/programs/gateway_version_test.cpp
+++ b/tests/programs/gateway_version_test.cpp
@@ -141,9 +141,14 @@
   CHECK(it.servers[1]->requests.empty());
 }
 
-TEST_CASE("an unknown stream goes on where one version alone has served for long") {
+// Guards against a gateway that takes what it knows of for what there was: the servers of
+// another version may have left before it started.
+TEST_CASE(
+    "an unknown stream goes on only where the leader proves that one version served") {
   gateway_fixture it({{whole_stream(event(2))}, {}});
+  const bool is_proven = GENERATE(false, true);
   const bool other_version_served = GENERATE(false, true);
+  it.control.sole = is_proven ? std::optional<std::string>("v1") : std::nullopt;
   announce_versions(it, {"v1", "v1"});
   // Together more than twice the timeout of the route.
   wait_in_touch(it);
@@ -153,7 +158,8 @@
   }
   wait_in_touch(it);
   const auto response = read_stream(it, "r1", resume_fields("r0"));
-  CHECK(response.starts_with(other_version_served ? "HTTP/1.1 503 " : "HTTP/1.1 200 "));
+  const bool goes_on = is_proven && !other_version_served;
+  CHECK(response.starts_with(goes_on ? "HTTP/1.1 200 " : "HTTP/1.1 503 "));
 }
 
 TEST_CASE("control of an older build gets no records, which it would not understand") {
--- a/tests/stream_origins_test.cpp
+++ b/tests/stream_origins_test.cpp
@@ -9,11 +9,8 @@
 const time_point start{milliseconds(100'000)};
 const auto keep = milliseconds(1000);
 
-announced_server server_of(std::string version) {
-  announced_server out;
-  out.service = std::string("s");
-  out.version = std::move(version);
-  return out;
+service_version version_of(std::string version) {
+  return {"s", std::move(version)};
 }
 
 } // namespace
@@ -59,10 +56,32 @@
 TEST_CASE("a version is the only one when no other was known since") {
   version_history it;
   CHECK_FALSE(sole_version(it, "s", start));
-  record_version(it, server_of("v1"), start);
-  record_version(it, server_of("v2"), start + keep);
+  record_version(it, version_of("v1"), start);
+  record_version(it, version_of("v2"), start + keep);
   CHECK_FALSE(sole_version(it, "s", start));
   CHECK(sole_version(it, "s", start + milliseconds(1)) == "v2");
   CHECK_FALSE(sole_version(it, "s", start + 2 * keep));
   CHECK_FALSE(sole_version(it, "other", start));
 }
+
+// Guards against a version of before a restart that is taken to have left long ago.
+TEST_CASE("a version known from storage counts as known until the start") {
+  version_history it;
+  record_earlier_version(it, version_of("v1"), start);
+  record_version(it, version_of("v2"), start + 2 * keep);
+  CHECK_FALSE(sole_version(it, "s", start));
+  CHECK(sole_version(it, "s", start + keep) == "v2");
+  record_earlier_version(it, version_of("v1"), start + 3 * keep);
+  CHECK(sole_version(it, "s", start + keep) == "v2");
+}
+
+TEST_CASE("versions without servers for long are expired") {
+  version_history it;
+  record_version(it, version_of("v1"), start);
+  record_version(it, version_of("v2"), start + keep);
+  const auto end = start + std::chrono::hours(1) + milliseconds(1);
+  CHECK(expired_versions(it, end) == std::vector{version_of("v1")});
+  remove_version(it, version_of("v1"));
+  CHECK(expired_versions(it, end).empty());
+  CHECK(sole_version(it, "s", start) == "v2");
+}
--- a/tools/control/link_routing.cpp
+++ b/tools/control/link_routing.cpp
@@ -150,6 +150,12 @@
 
 void link_service::handle_state_changed() {
   connect_to_members();
+  for (const auto& [service, versions] : group_.state().server_versions) {
+    for (const auto& version : versions) {
+      record_earlier_version(versions_, {service, version}, io::now());
+    }
+  }
+  release_held_reports();
   const auto version = group_.state().routing_version;
   if (version != observed_version_) {
     observed_version_ = version;
--- a/tools/control/link_servers.cpp
+++ b/tools/control/link_servers.cpp
@@ -33,8 +33,20 @@
 
 } // namespace
 
+// A server is announced once its version is recorded, so that after the loss of every
+// process the versions that streams may have begun at are known.
 void link_service::handle_report(const announced_server& server,
                                  acknowledged_callback done) {
+  const bool is_recorded = server.state == announced_state::gone ||
+                           has_version(group_.state(), server.service, server.version);
+  if (is_recorded || !request_version(server)) {
+    announce(server, std::move(done));
+    return;
+  }
+  held_reports_.push_back({server, io::now() + report_timeout, std::move(done)});
+}
+
+void link_service::announce(const announced_server& server, acknowledged_callback done) {
   const auto change = apply_report(directory_, server, milliseconds(0), io::now());
   if (change == directory_change::refreshed && contains(reported_, server.id)) {
     unchanged_.insert(server.id);
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -61,10 +61,11 @@
       reports_port_(static_cast<std::uint16_t>(
           settings.port + static_cast<std::uint16_t>(io::fleet_port::reports) -
           static_cast<std::uint16_t>(io::fleet_port::links))),
-      limits_(limits), next_reader_(io::random_engine()()) {
+      limits_(limits), stream_store_(this), next_reader_(io::random_engine()()) {
   if (limits_.link_bytes_per_ms <= 0) {
     limits_.link_bytes_per_ms = unlimited_bytes_per_ms;
   }
+  stream_store_.records_in_use = [this] { return records_in_use(); };
   reported_.epoch = repeated_.epoch = std::max<std::uint64_t>(1, io::random_engine()());
   listener_.on_connection = [this](io::framed_connection* it) { accept(it); };
   peers_.on_server_update = [this](const wire::ServerUpdateT& it) {
@@ -87,6 +88,7 @@
 }
 
 std::error_code link_service::start() {
+  open_streams();
   timer_.start(tick_interval);
   return peers_.start();
 }
@@ -169,6 +171,8 @@
     handle_stream_record(connection, *record);
   } else if (const auto* search = frame->body.AsFindStream()) {
     handle_stream_search(connection, *search);
+  } else if (const auto* version = frame->body.AsRecordVersion()) {
+    propose_version({version->service, version->version}, false);
   }
 }
 
@@ -179,6 +183,7 @@
   it.host = hello.host;
   it.zone = hello.zone;
   it.link_bytes_per_ms = hello.link_bytes_per_ms;
+  it.protocol = hello.protocol;
   it.is_router = hello.router;
   it.version = hello.routing_version;
   it.reported.acked = io::from_wire(hello.reported);
@@ -236,6 +241,7 @@
   }
   status.leads = group_.is_leader();
   status.keeps_streams = true;
+  status.protocol = wire::link_protocol;
   status.routing_version = group_.state().routing_version;
   status.confirmed = to.confirmed;
   status.routers = static_cast<std::uint32_t>(routers_.size());
@@ -453,6 +459,7 @@
     drop_subscriber(connection, "silent");
   }
   complete_waiting();
+  release_held_reports();
   confirm_subscribers();
   refill_budgets(now);
   send_requested_texts();
@@ -460,6 +467,7 @@
     next_liveness_update_ = now + liveness_interval;
     send_unchanged_reports();
     update_silent_servers();
+    update_versions();
   }
   if (now >= next_removal_) {
     next_removal_ = now + removal_interval;
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -5,6 +5,7 @@
 #include "marigoldstep/dispatch.h"
 #include "marigoldstep/io/control_links.h"
 #include "marigoldstep/io/framed_connection.h"
+#include "marigoldstep/io/stream_store.h"
 #include "marigoldstep/request_quarantine.h"
 #include "marigoldstep/server_directory.h"
 #include "marigoldstep/stream_origins.h"
@@ -31,11 +32,12 @@
 struct link_limits {
   double link_bytes_per_ms = 0;       // bandwidth of this VM's network link; 0: no limit
   milliseconds silence_timeout{4000}; // a server without a report for longer is silent
+  std::string stream_directory; // of the store of stream records; empty: in memory only
 };
 
 // Publishes the routing configuration, the announced backend servers and the load of
-// the fleet to gateways, and the announced servers to the other control processes. Keeps
-// in memory which software version began each stream that callers may resume. Here,
+// the fleet to gateways, and the announced servers to the other control processes. Stores
+// which software version began each stream that callers may resume. Here,
 // router means a gateway; agents and the routers in front of them connect to service.h.
 class link_service : public QObject {
 public:
@@ -113,6 +115,7 @@
     std::string zone;
     bool takes_reports = false;
     std::uint32_t link_bytes_per_ms = 0; // 0: answers no reads
+    std::uint32_t protocol = 0;
     bool is_router = false;
     bool is_primary = false;   // this process sends it the repeated feed
     bool confirmed = false;    // a quorum confirmed this leader since the subscription
@@ -135,7 +138,25 @@
     acknowledged_callback done;
   };
 
+  // A report of a server whose version is not recorded yet.
+  struct held_report {
+    announced_server server;
+    time_point deadline{};
+    acknowledged_callback done;
+  };
+
   void accept(io::framed_connection* connection);
+  void open_streams();
+  void announce(const announced_server& server, acknowledged_callback done);
+  void propose_version(const service_version& it, bool retired);
+  // Returns false if no leader can record the version.
+  bool request_version(const announced_server& server);
+  void release_held_reports();
+  void update_versions();
+  [[nodiscard]] std::optional<std::string> prove_sole_version(const subscriber& to,
+                                                              const std::string& service,
+                                                              milliseconds window) const;
+  [[nodiscard]] std::vector<stream_record> records_in_use() const;
   void handle_frame(io::framed_connection* connection, byte_view buf);
   void handle_subscribe(io::framed_connection* connection, const wire::SubscribeT& hello);
   void handle_load(io::framed_connection* connection, const wire::RouterLoadT& load);
@@ -194,6 +215,13 @@
   link_limits limits_;
   server_directory directory_;
   stream_origins origins_;
+  io::stream_store stream_store_;
+  version_history versions_;
+  std::vector<held_report> held_reports_;
+  // Versions that this leader proposes, so that each is proposed once at a time.
+  std::set<service_version> proposed_versions_;
+  // Until when servers may have been announced before their version was recorded.
+  time_point versions_unproven_until_{};
   std::map<io::framed_connection*, subscriber> subscribers_;
   change_feed reported_;
   change_feed repeated_;
--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr std::string_view program = "mstep-control";
+// Of the store of stream records, in the data directory.
+constexpr std::string_view stream_directory = "/streams";
 // Time to send queued replies after SIGTERM.
 constexpr auto reply_drain_time = milliseconds(500);
 
@@ -29,7 +31,9 @@
       : links(group,
               {settings.node_id, false, settings.advertise_peer.host, settings.links.port,
                settings.zone, io::hosts_of(settings.peers)},
-              {settings.link_bytes_per_ms, settings.report_silence_timeout}, nullptr),
+              {settings.link_bytes_per_ms, settings.report_silence_timeout,
+               settings.data_dir + std::string(stream_directory)},
+              nullptr),
         api(group, links, nullptr) {
     group.on_changed = [this] { links.handle_state_changed(); };
     links.on_members = [&group](const std::set<std::string>& hosts) {
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -163,9 +163,12 @@
       entry.last_seen = now;
     }
     if (entry.server.state != announced_state::gone) {
-      record_version(versions_, entry.server, now);
+      record_version(versions_, {entry.server.service, entry.server.version}, now);
     }
   }
+  for (const auto& it : expired_versions(versions_, now)) {
+    remove_version(versions_, it);
+  }
 }
 
 void gateway::apply(const gateway_settings& settings) {
@@ -303,7 +306,7 @@
                    {"started", std::to_string(server.started)},
                    {"sequence", std::to_string(server.sequence)}});
     const auto& known = directory.entries.at(server.id).server;
-    record_version(versions_, known, now);
+    record_version(versions_, {known.service, known.version}, now);
     if (server.state != announced_state::ready) {
       pool.close_idle({known.host, known.port});
     }
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -96,8 +96,6 @@
   void send_load(bool with_loads);
   bool add_loads(wire::RouterLoadT& message);
   void refresh_last_seen();
-  [[nodiscard]] std::optional<std::string> find_sole_version(const std::string& service,
-                                                             milliseconds window) const;
   void remove_silent_servers();
   void update_readiness();
   void check_stop();
--- a/tools/gateway/streams.cpp
+++ b/tools/gateway/streams.cpp
@@ -5,14 +5,6 @@
 
 namespace marigoldstep::gateway {
 
-namespace {
-
-// A new link brings all servers within some round trips, or after a message was lost and
-// sent again. Control keeps servers that left for longer than a stream lasts.
-constexpr auto directory_settle_time = milliseconds(1000);
-
-} // namespace
-
 void gateway::record_stream(const std::string& service, const std::string& request_id,
                             const std::string& version, milliseconds keep,
                             std::function<void(bool)> done) {
@@ -40,25 +32,19 @@
     finish("recorded", std::move(own));
     return;
   }
-  // A reply also proves that this gateway is in touch with control.
-  links_.find_stream(
-      stream, [this, service, window, finish](const io::stream_version& found) {
-        if (found.version) {
-          finish("recorded", found.version);
-          return;
-        }
-        auto sole = found.is_answered ? find_sole_version(service, window) : std::nullopt;
-        finish(sole ? "sole" : "unknown", std::move(sole));
-      });
-}
-
-// The servers of other versions that a stream may have begun at are known here, unless
-// contact with control has only just begun.
-std::optional<std::string> gateway::find_sole_version(const std::string& service,
-                                                      milliseconds window) const {
-  return links_.has_leader_since(directory_settle_time)
-             ? sole_version(versions_, service, io::now() - window)
-             : std::nullopt;
+  // A record that this process doesn't find may still exist, so without one the leader
+  // has to prove that the servers had one version all the time. This gateway may know of
+  // another one that was announced since.
+  links_.find_stream({stream, service, window}, [this, service, window, finish](
+                                                    const io::stream_version& found) {
+    if (found.version) {
+      finish("recorded", found.version);
+      return;
+    }
+    const auto known = sole_version(versions_, service, io::now() - window);
+    const bool is_sole = found.sole && known == found.sole;
+    finish(is_sole ? "sole" : "unknown", is_sole ? found.sole : std::nullopt);
+  });
 }
 
 } // namespace marigoldstep::gateway
