--- a/tests/soak/soak_control_faults.py
+++ b/tests/soak/soak_control_faults.py
@@ -1,5 +1,6 @@
 """Faults of the control processes of the soak test and of the connections to them."""
 import asyncio
+import contextlib
 import pathlib
 import resource
 import shutil
@@ -111,6 +112,29 @@
             it.start()
         await self.release_control(*processes)
 
+    async def kill_all_processes(self):
+        """Beside a change of the servers' versions, so that no process remembers which began a stream."""
+        if not self.reserve_all_control():
+            return
+        release = asyncio.create_task(self.release_servers())
+        await asyncio.sleep(self.random.uniform(0.0, 2.0))
+        async with contextlib.AsyncExitStack() as stack:
+            for it in self.gateways:
+                await stack.enter_async_context(it.lock)
+            self.record_event("kill all processes")
+            self.counts["killed_all"] += 1
+            processes = self.control + self.gateways
+            for it in processes:
+                it.signal(signal.SIGKILL)
+            for it in processes:
+                await it.wait_for_exit(5)
+            # Servers of the old version may be gone by the time that they are back.
+            await asyncio.sleep(self.random.choice([0.0, self.random.uniform(0.2, 1.5)]))
+            for it in processes:
+                it.start()
+        await release
+        await self.release_control(*self.control)
+
     async def fill_disk(self):
         """For some seconds writes to files of a control process fail, as on a full disk."""
         process = self.random.choice(self.control)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -32,6 +32,7 @@
 MAX_REDIRECTS = 2
 STOP_TIME_S = 4
 # Uses up the retry budget at times, so that callers resume their streams themselves.
+KILL_ALL_SHARE = 0.5  # of the bursts that end with the loss of all processes
 CUT_RATE = 0.25
 REPEAT_RATE = 0.25
 STATUS_RATE = 0.1
@@ -61,7 +62,7 @@
         self.counts = {"control": self.control_count, "gateways": self.gateway_count} | dict.fromkeys(
             ["calm_reads", "unread", "series", "silenced", "cut_off", "erased", "replaced", "asked", "answered",
              "refused", "failed", "faults", "versions", "handed_over", "leaving", "backoffs", "cut", "left",
-             "resumed", "second_at_once", "second_idle", "second_next", "second_nameless"], 0)
+             "resumed", "killed_all", "second_at_once", "second_idle", "second_next", "second_nameless"], 0)
         self.stopping = False
         self.leaving_told = {}  # by gateway and server: when a response said that it leaves
         self.drain_s = 0.5
@@ -191,11 +192,14 @@
             burst_end = min(until, time.monotonic() + self.random.uniform(*BURST_S))
             await self.inject_until(burst_end, PROCESS_FAULT_RATE, [
                 self.kill_gateway, self.stop_gateway, self.pause_gateway, self.pause_control, self.kill_control,
-                self.stop_control, self.erase_control_data, self.replace_control, self.kill_all_control, self.fill_disk,
+                self.stop_control, self.erase_control_data, self.replace_control, self.kill_all_control,
+                self.kill_all_processes, self.fill_disk,
                 self.append_torn_record, self.inject_control_link_faults, self.cut_off_control,
                 self.cut_off_all_control, self.silence_control, self.silence_all_control, self.silence_gateways,
                 self.inject_series])
             await self.inject_series()
+            if self.random.random() < KILL_ALL_SHARE:
+                await self.kill_all_processes()
             if time.monotonic() < until:
                 await self.wait_for_calm()
                 await self.operator.read_in_calm("between the faults")
