Don't count the others' requests at services with few slots

Cause: a router refuses, and weighs servers, by what all routers have in flight there. At a plain service with fewer slots than routers those counts are older than the requests are long, include time on the network, and are the same for all routers, which then crowd the server that had least.

A service is scarce if it has fewer slots than the fleet has routers. There a router counts its own requests and what a server reported within 60 ms, and has no preference for its availability zone. Other services: as before.

--- a/include/marigoldstep/dispatch.h
+++ b/include/marigoldstep/dispatch.h
@@ -127,6 +127,9 @@
   double load_bound_ratio = 1.25;
   // Requests that may queue at a server, as a fraction of its slots.
   double queue_fraction = 0.2;
+  // Routers of the fleet; 0: unknown. A plain service with fewer slots than routers is
+  // scarce: what the others have in flight there is known only when it has ended.
+  std::uint32_t routers = 0;
 };
 
 struct dispatch_request {
@@ -174,6 +177,9 @@
 // report of the server, whichever is higher.
 std::uint32_t estimated_load(const server_stats& stats, time_point now);
 
+// The same for a server of a scarce service, without the counts of the others.
+std::uint32_t estimated_scarce_load(const server_stats& stats, time_point now);
+
 // Chooses a server. A request with a prompt goes to the home of its largest shared
 // part, by rendezvous hashing with bounded loads (Mirrokni, Thorup and
 // Zadimoghaddam, 2018), so that cached prefixes are reused. Other requests go to a
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -25,6 +25,8 @@
 // Part of its slots up to which a server of the own availability zone is preferred to all
 // others. Loads that are known late hardly fill the rest.
 constexpr double light_load_fraction = 0.34;
+// The same at a server of a scarce service, whose requests are shorter.
+constexpr auto max_scarce_report_age = milliseconds(60);
 // The load of a server that has just started counts twice. It is slower by a factor
 // that no message reports.
 constexpr std::uint32_t warmup_load_factor = 2;
@@ -118,12 +120,34 @@
   });
 }
 
+bool is_scarce(const std::vector<detail::indexed_server>& all,
+               const dispatch_request& request, const dispatch_limits& limits) {
+  if (limits.routers == 0 || !request.prompt.empty() || request.batch.slots != 0 ||
+      all.size() >= limits.routers) {
+    return false;
+  }
+  std::uint64_t slots = 0;
+  for (const auto& it : all) {
+    slots += it.entry->server.slots;
+  }
+  return slots < limits.routers;
+}
+
+using load_function = std::uint32_t (*)(const server_stats&, time_point);
+
+load_function load_estimate(const std::vector<detail::indexed_server>& all,
+                            const dispatch_request& request,
+                            const dispatch_limits& limits) {
+  return is_scarce(all, request, limits) ? estimated_scarce_load : estimated_load;
+}
+
 // Servers with a recent update that are neither ejected, avoided nor outliers. A single
 // pass, because the entries are scattered in memory and reading them takes most of the
 // time of a decision.
 std::vector<candidate> find_healthy(const std::vector<detail::indexed_server>& all,
                                     const dispatch_request& request,
                                     const dispatch_limits& limits, time_point now) {
+  const auto estimate = load_estimate(all, request, limits);
   std::vector<candidate> out;
   out.reserve(all.size());
   double failures = 0;
@@ -140,7 +164,7 @@
     if (is_usable(*it.entry, limits.silence_timeout, now) && stats.ejected_until <= now &&
         stats.avoided_until <= now && !is_closed_at(it, now) &&
         !is_being_probed(it, now)) {
-      const auto load = estimated_load(stats, now);
+      const auto load = estimate(stats, now);
       out.push_back(
           {&it, is_cold(*it.entry, stats, now) ? warmup_load_factor * load : load});
     }
@@ -153,11 +177,13 @@
 
 // All servers not tried yet that take requests, used when none is healthy.
 std::vector<candidate> find_untried(const std::vector<detail::indexed_server>& all,
-                                    const dispatch_request& request, time_point now) {
+                                    const dispatch_request& request,
+                                    const dispatch_limits& limits, time_point now) {
+  const auto estimate = load_estimate(all, request, limits);
   std::vector<candidate> out;
   for (const auto& it : all) {
     if (!was_tried(request, it.entry->server.id) && !is_closed_at(it, now)) {
-      out.push_back({&it, estimated_load(*it.stats, now)});
+      out.push_back({&it, estimate(*it.stats, now)});
     }
   }
   return out;
@@ -484,6 +510,12 @@
   return fresh ? std::max(counted, stats.reported_requests) : counted;
 }
 
+std::uint32_t estimated_scarce_load(const server_stats& stats, time_point now) {
+  const bool fresh = now - stats.reported_at <= max_scarce_report_age;
+  return fresh ? std::max(stats.local_load.requests, stats.reported_requests)
+               : stats.local_load.requests;
+}
+
 dispatch_choice choose_backend(const server_directory& directory, dispatch_state& state,
                                const dispatch_request& request,
                                const dispatch_limits& limits, time_point now,
@@ -496,7 +528,7 @@
   keep_requested_version(list, request);
   const bool last_resort = list.empty();
   if (last_resort) {
-    list = find_untried(all, request, now);
+    list = find_untried(all, request, limits, now);
     if (out.candidates == 0) {
       out.candidates = list.size();
       out.mean_load = mean_load(list);
@@ -542,7 +574,7 @@
   } else if (chosen != nullptr) {
     out.reason = chosen == home.home ? dispatch_reason::home : dispatch_reason::bounded;
   } else {
-    if (request.prompt.empty()) {
+    if (request.prompt.empty() && !is_scarce(all, request, limits)) {
       list = prefer_own_zone(list, request);
     }
     chosen = choose_least_loaded(list, request, random);
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -181,6 +181,7 @@
   settings_.seeds = settings.seeds;
   settings_.retries = settings.retries;
   settings_.dispatch = settings.dispatch;
+  settings_.dispatch.routers = retries.routers;
   settings_.stop_time = settings.stop_time;
   settings_.memory_bytes = settings.memory_bytes;
   retries.limits = settings.retries;
@@ -343,6 +344,7 @@
     max_routers = std::max(max_routers, n);
   }
   set_routers(retries, max_routers);
+  settings_.dispatch.routers = retries.routers;
 }
 
 void gateway::apply_fleet_load(const wire::FleetLoadT& fleet_load) {
