--- a/tests/soak/soak_operator.py
+++ b/tests/soak/soak_operator.py
@@ -5,6 +5,8 @@
 import time
 
 from soak_callers import KEY
+from soak_evacuations import Evacuations
+from soak_server_faults import ZONES
 
 # Required by the users: a confirmed configuration is in force within this time on
 # undisturbed gateways, and later reads never return an older one.
@@ -13,6 +15,7 @@
 STABLE_WINDOW_S = 3.0
 READ_LIMIT_S = 1.0
 READ_INTERVAL_S = 0.05
+MAX_EVACUATION_S = 10.0
 
 
 class Operator:
@@ -21,6 +24,7 @@
         self.confirmed = []  # (time, version)
         self.version = 0
         self.confirmation = asyncio.Event()
+        self.evacuations = Evacuations(fleet)
 
     def configuration(self, version):
         """Each version has one more route."""
@@ -40,6 +44,10 @@
             await self.store(self.version + 1)
             await asyncio.sleep(self.fleet.random.uniform(0.2, 1.0))
 
+    async def evacuate_zone(self):
+        zone = self.fleet.random.choice(ZONES)
+        await self.evacuations.evacuate(zone, self.fleet.random.uniform(0.5, MAX_EVACUATION_S))
+
     async def store(self, version):
         hosts = self.fleet.control_hosts
         for host in self.fleet.random.sample(hosts, len(hosts)):
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -187,7 +187,8 @@
         server_faults = asyncio.create_task(self.inject_until(until, SERVER_FAULT_RATE, [
             self.inject_server_faults, self.inject_server_faults, self.inject_server_link_fault,
             self.inject_server_link_fault, self.crash_server, self.drain_server, self.announce_leaving,
-            self.ask_for_silence, self.silence_service, self.release_servers, self.release_servers]))
+            self.ask_for_silence, self.silence_service, self.release_servers, self.release_servers,
+            self.operator.evacuate_zone]))
         while time.monotonic() < until:
             burst_end = min(until, time.monotonic() + self.random.uniform(*BURST_S))
             await self.inject_until(burst_end, PROCESS_FAULT_RATE, [
--- a/tests/soak/soak_server_faults.py
+++ b/tests/soak/soak_server_faults.py
@@ -4,6 +4,7 @@
 from soak_servers import Server
 
 SERVERS = 9
+ZONES = ["z", "y"]  # each with servers of both services; gateways are in the first
 
 
 class ServerFaults:
@@ -94,7 +95,8 @@
         n = self.callers.next_number()
         version = version or self.versions.names[index // 3 % len(self.versions.names)]
         service = "web" if index % 3 == 0 else "engine"
-        server = Server(self, f"i-{index}-{n}", service, version, self.seed * 1000 + n)
+        zone = ZONES[index // 3 % len(ZONES)]
+        server = Server(self, f"i-{index}-{n}", service, version, zone, self.seed * 1000 + n)
         await server.start()
         self.started_servers.append(server)
         return server
--- a/tests/soak/soak_servers.py
+++ b/tests/soak/soak_servers.py
@@ -55,8 +55,8 @@
 class Server:
     """A backend server that counts runs by request id and injects faults into its responses."""
 
-    def __init__(self, fleet, name, service, version, seed):
-        self.fleet, self.name, self.service, self.version = fleet, name, service, version
+    def __init__(self, fleet, name, service, version, zone, seed):
+        self.fleet, self.name, self.service, self.version, self.zone = fleet, name, service, version, zone
         self.random = random.Random(seed)
         self.started = int(time.time() * 1000)
         self.sequence = 0
@@ -83,7 +83,7 @@
     async def report(self):
         self.sequence += 1
         body = json.dumps({
-            "service": self.service, "address": self.address, "zone": "z", "version": self.version,
+            "service": self.service, "address": self.address, "zone": self.zone, "version": self.version,
             "slots": SLOTS, "state": self.state, "warmup_left_ms": 0, "seq": self.sequence,
             "born": self.started})
         hosts = self.random.sample(self.fleet.control_hosts, len(self.fleet.control_hosts))
@@ -174,6 +174,7 @@
         if told and told["child"] is gateway.child and call.sent_at > told["at"] + self.fleet.drain_s \
                 and gateway.last_disturbed < told["at"]:
             self.fleet.report_problem(f"{gateway.name} sent {request} to {self.name}, which is leaving")
+        self.fleet.operator.evacuations.check(self, call)
         for it in self.backoffs:
             # The gateway may not have got the refusal over a faulty connection.
             if it["gateway"] is gateway and it["child"] is gateway.child and it["from"] < now < it["until"] \
--- a/tests/soak/soak_versions.py
+++ b/tests/soak/soak_versions.py
@@ -32,7 +32,8 @@
         if not call.gateway.is_undisturbed() or not all(it.is_undisturbed() for it in self.fleet.control):
             return False, False
         servers = [it for it in self.fleet.started_servers
-                   if it.alive and it.service == "engine" and call.version in (it.version, None)]
+                   if it.alive and it.service == "engine" and call.version in (it.version, None)
+                   and it.zone not in self.fleet.operator.evacuations.ordered]
         reachable = [it for it in servers if not it.backoff_s and it.proxy.last_fault_at < time.monotonic()]
         known_since = (time.time() - MAX_DISCOVERY_S) * 1000
         serving = [it for it in reachable if it.started < known_since and it.state == "ready" and not it.leaving]
