--- a/tests/platform_messages_test.cpp
+++ b/tests/platform_messages_test.cpp
@@ -159,6 +159,32 @@
   CHECK(parse("POST", "/elsewhere").operation == control_operation::unknown);
 }
 
+// Guards against cold servers that get all requests because their limit was misread, and
+// against a limit that nobody asked for.
+TEST_CASE("a service may name how many requests a cold server takes") {
+  std::string problem;
+  const auto parse = [&](const std::string& fields) {
+    return platform::parse_routing_config(
+        replace_once(valid_routing, R"("name": "s",)", R"("name": "s",)" + fields),
+        problem);
+  };
+  auto config = parse(R"("warmup_s": 2.5, "warmup_per_s": 14.0,)");
+  REQUIRE(problem.empty());
+  CHECK(config.services[0].cold_requests_per_s == 14);
+  CHECK(config.services[0].warmup_time == milliseconds(2500));
+  CHECK(config.services[1].cold_requests_per_s == 0);
+  CHECK(config.services[1].warmup_time == milliseconds(0));
+  config = parse(R"("warmup_s": null, "warmup_per_s": 0,)");
+  CHECK(problem.empty());
+  CHECK(config.services[0].cold_requests_per_s == 0);
+  for (const std::string bad : {"-1", "1e9", "\"14\"", "[]"}) {
+    parse(R"("warmup_per_s": )" + bad + ",");
+    CHECK(problem.find("warmup_per_s") != std::string::npos);
+    parse(R"("warmup_s": )" + bad + ",");
+    CHECK(problem.find("warmup_s") != std::string::npos);
+  }
+}
+
 TEST_CASE("a caller's request head is parsed and malformed headers are ignored") {
   const auto metadata = platform::parse_request_head(
       make_head({{"Marigoldstep-Request-Id", "9c41"},
