Start servers cold in the soak

Most cold servers get little there, so the check of the limit is stressed by dispatch_evacuation_test rather than here.

--- a/tests/soak/soak_operator.py
+++ b/tests/soak/soak_operator.py
@@ -7,6 +7,7 @@
 from soak_callers import KEY
 from soak_evacuations import Evacuations
 from soak_server_faults import ZONES
+from soak_servers import COLD_PER_S, COLD_S
 
 # Required by the users: a confirmed configuration is in force within this time on
 # undisturbed gateways, and later reads never return an older one.
@@ -36,7 +37,8 @@
                   route("stream", "streaming", "engine", 1), route("resume", "streaming", "engine")]
         routes += [route(f"v{i}", "safe", "web") for i in range(1, version + 1)]
         return json.dumps({"version": version, "routes": routes,
-                           "services": [{"name": "web"}, {"name": "engine"}],
+                           "services": [{"name": it, "warmup_s": COLD_S, "warmup_per_s": COLD_PER_S}
+                                        for it in ("web", "engine")],
                            "tenants": [{"name": "w", "api_keys": [KEY]}]})
 
     async def run(self):
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -62,7 +62,7 @@
         self.counts = {"control": self.control_count, "gateways": self.gateway_count} | dict.fromkeys(
             ["calm_reads", "unread", "series", "silenced", "cut_off", "erased", "replaced", "asked", "answered",
              "refused", "failed", "faults", "versions", "handed_over", "leaving", "backoffs", "cut", "left",
-             "resumed", "killed_all", "second_at_once", "second_idle", "second_next", "second_nameless"], 0)
+             "resumed", "killed_all", "cold_starts", "cold_arrivals", "second_at_once", "second_idle", "second_next", "second_nameless"], 0)
         self.stopping = False
         self.leaving_told = {}  # by gateway and server: when a response said that it leaves
         self.drain_s = 0.5
--- a/tests/soak/soak_server_faults.py
+++ b/tests/soak/soak_server_faults.py
@@ -1,7 +1,8 @@
 """Faults and planned work on the backend servers of the soak test."""
 import asyncio
+import time
 
-from soak_servers import Server
+from soak_servers import COLD_S, Server
 
 SERVERS = 9
 ZONES = ["z", "y"]  # each with servers of both services; gateways are in the first
@@ -25,7 +26,7 @@
         await old.crash()
         await asyncio.sleep(self.random.uniform(0.1, 1.0))
         if self.servers[index] is old:
-            self.servers[index] = await self.new_server(index, old.version)
+            self.servers[index] = await self.new_server(index, old.version, is_cold=True)
 
     async def drain_server(self):
         index = self.random.randrange(SERVERS)
@@ -46,7 +47,7 @@
         ends = []
         for i in indices[:self.random.randint(1, len(indices))]:
             replaced = self.servers[i]
-            self.servers[i] = await self.new_server(i, new)
+            self.servers[i] = await self.new_server(i, new, is_cold=self.random.random() < 0.5)
             ends.append(asyncio.create_task(self.end_server(replaced)))
             await asyncio.sleep(self.random.uniform(0.0, 0.5))
         await asyncio.gather(*ends)
@@ -91,12 +92,15 @@
     async def start_servers(self):
         self.servers = [await self.new_server(i) for i in range(SERVERS)]
 
-    async def new_server(self, index, version=None):
+    async def new_server(self, index, version=None, is_cold=False):
         n = self.callers.next_number()
         version = version or self.versions.names[index // 3 % len(self.versions.names)]
         service = "web" if index % 3 == 0 else "engine"
         zone = ZONES[index // 3 % len(ZONES)]
         server = Server(self, f"i-{index}-{n}", service, version, zone, self.seed * 1000 + n)
+        if is_cold:
+            self.counts["cold_starts"] += 1
+            server.cold_until = time.monotonic() + COLD_S
         await server.start()
         self.started_servers.append(server)
         return server
--- a/tests/soak/soak_servers.py
+++ b/tests/soak/soak_servers.py
@@ -10,6 +10,10 @@
 
 REPORT_INTERVAL_S = 0.5
 SLOTS = 16
+COLD_S = 2.0
+COLD_PER_S = 8.0  # named in the configuration
+# What the users allow beyond that in any second.
+COLD_OVERSHOOT, COLD_SLACK = 1.5, 5
 # Gateways buffer smaller responses in whole.
 BUFFERED_BYTES = 256 << 10
 # Short enough that gateways keep most connections open meanwhile.
@@ -65,6 +69,8 @@
         self.leaving = False  # says so in every response
         self.backoff_s = 0.0  # refuses every request and asks for none for so long
         self.backoffs = []  # of this server, as dictionaries
+        self.cold_until = 0.0
+        self.cold_arrivals = []  # within the last second
         self.alive = True
         self.has_deregistered = False
         self.next_report_address = None  # (host, port) named by the last confirmation
@@ -84,7 +90,8 @@
         self.sequence += 1
         body = json.dumps({
             "service": self.service, "address": self.address, "zone": self.zone, "version": self.version,
-            "slots": SLOTS, "state": self.state, "warmup_left_ms": 0, "seq": self.sequence,
+            "slots": SLOTS, "state": self.state,
+            "warmup_left_ms": max(0, round((self.cold_until - time.monotonic()) * 1000)), "seq": self.sequence,
             "born": self.started})
         hosts = self.random.sample(self.fleet.control_hosts, len(self.fleet.control_hosts))
         addresses = [(host, self.fleet.api_port) for host in hosts]
@@ -164,6 +171,17 @@
             self.backoffs.append({"gateway": call.gateway, "child": call.child, "from": now + 0.5,
                                   "began": now, "until": now + self.backoff_s, "requests": 0})
 
+    def check_cold(self, request):
+        """Checks that all gateways together keep to the limit of a cold server."""
+        now = time.monotonic()
+        if now > self.cold_until:
+            return
+        self.fleet.counts["cold_arrivals"] += 1
+        self.cold_arrivals = [it for it in self.cold_arrivals if it > now - 1] + [now]
+        if len(self.cold_arrivals) > COLD_PER_S * COLD_OVERSHOOT + COLD_SLACK:
+            self.fleet.report_problem(f"{self.name} got {len(self.cold_arrivals)} requests within a second while "
+                                      f"cold, the last one {request}")
+
     def check_notices(self, request):
         """Checks that a gateway that was told to send nothing sends nothing."""
         call = self.fleet.callers.calls.get(request)
@@ -192,6 +210,7 @@
                           f"Marigoldstep-Request-Id: {request}\r\nContent-Length: 0\r\n\r\n").encode())
             return True
         self.check_notices(request)
+        self.check_cold(request)
         if self.leaving:
             head += "Server-Leaving: 1\r\n"
         if self.backoff_s:
