--- a/tests/programs/fleet_links_test.cpp
+++ b/tests/programs/fleet_links_test.cpp
@@ -37,6 +37,7 @@
   std::vector<std::string> silent_ids; // announced as silent by control
   std::set<std::string> member_hosts;  // as sent by control
   std::vector<wire::FleetLoadT> loads; // of the fleet, as received
+  std::function<void()> on_applied;    // called before an update is acknowledged
   io::control_links links;
   gateway::report_receiver reports;
 
@@ -51,6 +52,9 @@
           silent_ids.push_back(it->id);
         }
       }
+      if (on_applied) {
+        on_applied();
+      }
     };
     links.on_fleet_load = [this](const wire::FleetLoadT& load) { loads.push_back(load); };
     links.on_members = [this](const auto& hosts) { member_hosts = hosts; };
@@ -175,6 +179,36 @@
   CHECK(it.all_routers_have("s7", announced_state::draining));
 }
 
+// Guards against a drain that waits until earlier changes have used less than their part
+// of the link, for routers that had yet to acknowledge those when it was reported.
+TEST_CASE("a drain reported while routers acknowledge other changes is confirmed") {
+  fleet it(30, slow_link());
+  for (int i = 0; i < 20; ++i) {
+    auto server = make_server("s" + std::to_string(i), 1);
+    server.port = static_cast<std::uint16_t>(80 + i);
+    it.links->handle_report(server, [](bool) {});
+  }
+  std::optional<bool> confirmed;
+  bool is_reported = false;
+  const auto report_drain = [&] {
+    if (!std::exchange(is_reported, true)) {
+      auto draining = make_server("s7", 2, announced_state::draining);
+      draining.port = 87;
+      it.links->handle_report(draining, [&](bool ok) { confirmed = ok; });
+    }
+  };
+  for (auto& router : it.routers) {
+    router->on_applied = [&, router = router.get()] {
+      if (router->has_server("s19", announced_state::ready)) {
+        report_drain();
+      }
+    };
+  }
+  REQUIRE(wait_until([&] { return confirmed.has_value(); }));
+  CHECK(*confirmed);
+  CHECK(it.all_routers_have("s7", announced_state::draining));
+}
+
 TEST_CASE("lost routers that should forward a change delay the others only briefly") {
   fleet it(30, slow_link());
   it.links->handle_report(make_server("s", 1), [](bool) {});
--- a/tools/control/link_routing.cpp
+++ b/tools/control/link_routing.cpp
@@ -130,6 +130,12 @@
   });
 }
 
+// Whether a report of a server that is no longer ready waits for acknowledgements.
+bool link_service::has_waiting_reports() const {
+  return std::any_of(waiting_.begin(), waiting_.end(),
+                     [](const auto& it) { return it.number > 0; });
+}
+
 void link_service::complete_waiting() {
   const auto now = io::now();
   std::vector<std::pair<acknowledged_callback, bool>> ended;
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -481,8 +481,12 @@
     next_removal_ = now + removal_interval;
     remove_silent_servers();
   }
-  if (change_budget_ > 0) {
+  // Somebody waits for the confirmation of a server that leaves, and receivers that had
+  // yet to acknowledge an earlier change didn't get it at once.
+  if (change_budget_ > 0 || has_waiting_reports()) {
     push_changes(feed::reported);
+  }
+  if (change_budget_ > 0) {
     push_changes(feed::repeated);
   }
   if (now >= next_load_update_) {
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -218,6 +218,7 @@
   // Hashes of the software versions of the servers that take requests, by service.
   [[nodiscard]] std::map<std::uint32_t, std::set<std::uint32_t>> ready_versions() const;
   void complete_waiting();
+  [[nodiscard]] bool has_waiting_reports() const;
   [[nodiscard]] milliseconds heartbeat_interval() const;
   [[nodiscard]] bool is_acknowledged(const acknowledgement_waiter& it) const;
   void drop_subscriber(io::framed_connection* connection, std::string_view reason);
