Move prompt homes and server limits out of dispatch.cpp

The homes of prompts and the sources of copies are now in dispatch_homes, the limits of single servers in dispatch_limits.cpp; no change of behaviour. The tests of dispatch pass.

--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -1,12 +1,15 @@
 #include "marigoldstep/dispatch.h"
 
+#include "marigoldstep/dispatch_homes.h"
+
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <iterator>
 
 namespace marigoldstep {
 
+using detail::candidate;
+
 namespace {
 
 constexpr unsigned min_responses = 10;
@@ -37,24 +40,6 @@
 // Part of max_connections that is used. A server may accept fewer connections while
 // its queue is long, and each one that it resets was opened for nothing.
 constexpr double usable_connection_fraction = 0.9;
-// All control processes have sent their servers to a router that has just started within
-// this time, so servers that become known less far apart may have started together.
-constexpr auto join_margin = milliseconds(2000);
-
-struct candidate {
-  const detail::indexed_server* indexed = nullptr;
-  std::uint32_t load = 0;
-
-  [[nodiscard]] const announced_server& server() const { return indexed->entry->server; }
-  [[nodiscard]] const server_stats& stats() const { return *indexed->stats; }
-};
-
-const server_stats& find_stats(const dispatch_state& state, const std::string& id) {
-  static const server_stats none;
-  const auto it = state.stats.find(id);
-  return it == state.stats.end() ? none : it->second;
-}
-
 bool was_tried(const dispatch_request& request, const std::string& id) {
   return std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
 }
@@ -238,21 +223,6 @@
   return sum / static_cast<double>(choice.candidates + found->second.size());
 }
 
-// The server with this id if it can still serve a copy, else null. A draining server
-// can for a while.
-const announced_server* find_holder(const server_directory& directory,
-                                    const dispatch_state& state, const std::string& id,
-                                    const dispatch_limits& limits, time_point now) {
-  const auto entry = directory.entries.find(id);
-  if (entry == directory.entries.end() ||
-      entry->second.server.state == announced_state::gone ||
-      now - entry->second.last_seen > limits.silence_timeout ||
-      find_stats(state, id).ejected_until > now) {
-    return nullptr;
-  }
-  return &entry->second.server;
-}
-
 std::uint64_t capacity(std::uint32_t slots, const dispatch_request& request,
                        const dispatch_limits& limits) {
   const auto room = static_cast<std::uint64_t>(
@@ -273,168 +243,6 @@
   return list.empty() ? 0 : sum / static_cast<double>(list.size());
 }
 
-// Combines two hashes with the finalizer of splitmix64 (Steele, Lea and Flood, 2014).
-std::uint64_t mix(std::uint64_t left, std::uint64_t right) {
-  std::uint64_t x = left + 0x9e3779b97f4a7c15ULL * (right + 1);
-  x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27U)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31U);
-}
-
-// home has the highest score of all candidates; chosen has the highest score of those
-// that stay within the load bound with one more request.
-struct home_choice {
-  const candidate* home = nullptr;
-  const candidate* chosen = nullptr;
-};
-
-home_choice choose_home(const std::vector<candidate>& list,
-                        const dispatch_request& request, double load_bound) {
-  const auto key = detail::home_key(request.prompt);
-  home_choice out;
-  std::uint64_t home_best = 0;
-  std::uint64_t chosen_best = 0;
-  for (const auto& it : list) {
-    const auto score = mix(it.indexed->id_hash, key);
-    if (out.home == nullptr || score > home_best) {
-      out.home = &it;
-      home_best = score;
-    }
-    if (it.load + 1 <= load_bound && (out.chosen == nullptr || score > chosen_best)) {
-      out.chosen = &it;
-      chosen_best = score;
-    }
-  }
-  return out;
-}
-
-// Whether the server can serve a copy of what it has cached.
-bool can_serve_copy(const detail::indexed_server& it, const dispatch_limits& limits,
-                    time_point now) {
-  return now - it.entry->last_seen <= limits.silence_timeout &&
-         it.stats->ejected_until <= now;
-}
-
-// The server with the highest score that may hold the prefix, of those whose score is
-// above min_score or that have been known for longer than the chosen server by a margin.
-class holder_search {
-public:
-  holder_search(std::uint64_t key, const candidate& chosen, const dispatch_limits& limits,
-                time_point now)
-      : key_(key), chosen_(chosen.indexed), limits_(limits), now_(now),
-        min_score_(mix(chosen.indexed->id_hash, key)),
-        older_than_(chosen.indexed->entry->known_since - join_margin) {}
-
-  void consider(const detail::indexed_server& it) {
-    const auto score = mix(it.id_hash, key_);
-    const bool may_hold = score > min_score_ || it.entry->known_since < older_than_;
-    const bool fits = it.entry->server.version == chosen_->entry->server.version;
-    if (may_hold && fits && score > best_score_ && &it != chosen_ &&
-        can_serve_copy(it, limits_, now_)) {
-      best_ = &it;
-      best_score_ = score;
-    }
-  }
-
-  [[nodiscard]] const announced_server* best() const {
-    return best_ == nullptr ? nullptr : &best_->entry->server;
-  }
-
-private:
-  std::uint64_t key_;
-  const detail::indexed_server* chosen_;
-  const dispatch_limits& limits_;
-  time_point now_;
-  std::uint64_t min_score_;
-  time_point older_than_;
-  const detail::indexed_server* best_ = nullptr;
-  std::uint64_t best_score_ = 0;
-};
-
-// The server that probably has the shared prefix cached. This is where this router last
-// sent a prompt with the same largest shared part. For a part that this router has not
-// sent, it is the home if that is another server, the previous home if that drains or
-// has closed itself to requests, or the home before the chosen server joined. Null if it
-// is the chosen server, has another software version or cannot serve a copy.
-const announced_server* find_copy_source(const server_directory& directory,
-                                         const dispatch_state& state,
-                                         const dispatch_request& request,
-                                         const dispatch_limits& limits,
-                                         const candidate& chosen, time_point now) {
-  const auto key = detail::home_key(request.prompt);
-  const auto location = state.prefix_locations.find(key);
-  if (location != state.prefix_locations.end() &&
-      now - location->second.sent_at <= detail::prefix_location_ttl) {
-    const auto* holder =
-        find_holder(directory, state, location->second.server, limits, now);
-    const bool fits = holder != nullptr && holder->id != chosen.server().id &&
-                      holder->version == chosen.server().version;
-    return fits ? holder : nullptr;
-  }
-  holder_search search(key, chosen, limits, now);
-  for (const auto* services :
-       {&state.index.services, &state.index.draining, &state.index.evacuated}) {
-    const auto list = services->find(request.service);
-    if (list != services->end()) {
-      for (const auto& it : list->second) {
-        search.consider(it);
-      }
-    }
-  }
-  return search.best();
-}
-
-// Number of homes of a part: as many as keep the load that its requests add to a mean
-// server within half of its room; the other half is for random variation. Their load
-// follows from Little's law, because the part's share of the requests is also its share
-// of the load.
-std::size_t home_count(const dispatch_state& state, const dispatch_request& request,
-                       double mean, std::size_t servers, double load_bound) {
-  if (state.popular_parts.empty()) {
-    return 1;
-  }
-  const auto it = state.popular_parts.find(
-      {service_hash(request.service), detail::home_key(request.prompt)});
-  if (it == state.popular_parts.end()) {
-    return 1;
-  }
-  constexpr double min_room_requests = 1;
-  const double load = it->second * mean * static_cast<double>(servers);
-  const double room = std::max(min_room_requests, (load_bound - mean) / 2);
-  return std::clamp<std::size_t>(static_cast<std::size_t>(std::ceil(load / room)), 1,
-                                 servers);
-}
-
-// One of the n candidates with the highest scores, drawn with weights by their room
-// within the load bound; null if all are above it. Routers that draw overload no home
-// between two reports of its load, unlike routers that all choose the same one.
-const candidate* draw_home(const std::vector<candidate>& list,
-                           const dispatch_request& request, std::size_t n,
-                           double load_bound, std::mt19937_64& random) {
-  const auto key = detail::home_key(request.prompt);
-  std::vector<std::pair<std::uint64_t, const candidate*>> homes;
-  homes.reserve(list.size());
-  for (const auto& it : list) {
-    homes.emplace_back(mix(it.indexed->id_hash, key), &it);
-  }
-  n = std::min(n, homes.size());
-  std::partial_sort(homes.begin(), homes.begin() + static_cast<std::ptrdiff_t>(n),
-                    homes.end(), std::greater<>());
-  double sum = 0;
-  for (std::size_t i = 0; i < n; ++i) {
-    sum += std::max(0.0, load_bound - homes[i].second->load);
-  }
-  double draw = std::uniform_real_distribution<double>(0, 1)(random) * sum;
-  for (std::size_t i = 0; i < n; ++i) {
-    const double room = std::max(0.0, load_bound - homes[i].second->load);
-    if (draw < room) {
-      return homes[i].second;
-    }
-    draw -= room;
-  }
-  return nullptr;
-}
-
 double load_per_slot(const candidate& it, const dispatch_request& request) {
   const double slots = std::max(1U, it.server().slots);
   const double zone_load = it.server().zone == request.zone ? 0 : zone_penalty_requests;
@@ -552,7 +360,7 @@
     }
     return out;
   }
-  home_choice home;
+  detail::home_choice home;
   const candidate* drawn = nullptr;
   if (!request.prompt.empty()) {
     // The bound applies to the mean load including this request.
@@ -561,11 +369,11 @@
         1.0 / static_cast<double>(out.candidates);
     const double load_bound =
         limits.load_bound_ratio * mean_with_request + load_slack_requests;
-    home = choose_home(list, request, load_bound);
+    home = detail::choose_home(list, request, load_bound);
     const auto homes =
-        home_count(state, request, out.mean_load, out.candidates, load_bound);
+        detail::home_count(state, request, out.mean_load, out.candidates, load_bound);
     if (homes > 1) {
-      drawn = draw_home(list, request, homes, load_bound, random);
+      drawn = detail::draw_home(list, request, homes, load_bound, random);
     }
   }
   const auto* chosen = drawn != nullptr ? drawn : home.chosen;
@@ -586,36 +394,10 @@
   out.server = &chosen->server();
   out.load = chosen->load;
   if (home.home != nullptr) {
-    out.copy_from = find_copy_source(directory, state, request, limits, *chosen, now);
+    out.copy_from =
+        detail::find_copy_source(directory, state, request, limits, *chosen, now);
   }
   return out;
 }
 
-bool may_send_to(const dispatch_state& state, const announced_server& server,
-                 time_point now) {
-  return !is_closed(
-             admission(find_stats(state, server.id).notice, server.started, now)) &&
-         !is_evacuated(state.evacuations, server.zone);
-}
-
-bool is_cold(const directory_entry& entry, const server_stats& stats, time_point now) {
-  return now < std::max(entry.warmup_ends_at, stats.assumed_cold_until);
-}
-
-void limit_cold_server(dispatch_state& state, const directory_entry& entry,
-                       double per_second, std::uint32_t routers,
-                       std::uint64_t random_value, time_point now) {
-  auto& stats = state.stats[entry.server.id];
-  const bool is_limited = per_second > 0 && is_cold(entry, stats, now);
-  set_request_limit(stats.cold_limit, entry.server.started,
-                    is_limited ? std::optional(per_second) : std::nullopt, routers,
-                    random_value, now);
-}
-
-void use_limits(dispatch_state& state, const announced_server& server, time_point now) {
-  auto& stats = state.stats[server.id];
-  use_request_limit(stats.limit, server.started, now);
-  use_request_limit(stats.cold_limit, server.started, now);
-}
-
 } // namespace marigoldstep
