Use Qt's own event loop in place of GLib's

A gateway has some 280 open sockets, and each pass of GLib's loop keeps books for all of them: 17% of the samples in user space of a gateway of the soak were in GLib.

--- a/src/io/program.cpp
+++ b/src/io/program.cpp
@@ -184,6 +184,8 @@
   if (options.done) {
     return options;
   }
+  // Qt's own event loop polls the same sockets, with less bookkeeping for each.
+  qputenv("QT_NO_GLIB", "1");
   const bool valid = load_settings(options.config_path, parse);
   options.done = !valid || options.check_only;
   options.exit_status = valid ? exit_ok : exit_bad_usage;
