Send responses, stream pieces and requests at once

Cause: QTcpSocket::write() only queues. The write happened in a further pass of the event loop, with a second notifier, for each piece of each stream. A response was also followed by a pass that looked for a next request that hadn't come.

Output is flushed where it is written. A write that fails is reported from the event loop, as the writers don't expect a callback.

--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -95,6 +95,7 @@
   enum class state { connecting, open, closed };
 
   void handle_connected();
+  void write(const std::string& request);
   void read();
   void read_response();
   void handle_end();
@@ -120,6 +121,7 @@
   std::uint64_t skipped_bytes_ = 0;
   bool paused_ = false;
   bool keep_alive_ = false;
+  bool is_writing_ = false;
   unsigned exchange_count_ = 0;
   std::vector<std::uint64_t> request_ids_;
 };
--- a/include/marigoldstep/io/http_connection.h
+++ b/include/marigoldstep/io/http_connection.h
@@ -75,6 +75,8 @@
   void end_response();
   void linger();
   void handle_closed();
+  void flush();
+  void append_body(std::string_view piece);
   void write_head(unsigned status, const std::vector<http_field>& fields);
 
   QTcpSocket* socket_;
@@ -91,6 +93,7 @@
   bool has_no_body_ = false; // of the response in progress
   bool close_after_ = false;
   bool continue_sent_ = false;
+  bool is_flushing_ = false;
 };
 
 // Accepts connections and passes their requests to on_request.
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -93,9 +93,18 @@
   socket_->setReadBufferSize(read_buffer_bytes);
   connect(socket_, &QTcpSocket::connected, this, [this] { handle_connected(); });
   connect(socket_, &QTcpSocket::readyRead, this, [this] { read(); });
-  connect(socket_, &QTcpSocket::disconnected, this, [this] { handle_end(); });
+  connect(socket_, &QTcpSocket::disconnected, this, [this] {
+    if (!is_writing_) {
+      handle_end();
+    }
+  });
   connect(socket_, &QTcpSocket::errorOccurred, this,
           [this](QAbstractSocket::SocketError error) {
+            if (is_writing_) {
+              QMetaObject::invokeMethod(
+                  this, [this] { fail(exchange_failure::closed); }, Qt::QueuedConnection);
+              return;
+            }
             // An orderly close is handled on disconnected, after the last bytes.
             if (error == QAbstractSocket::RemoteHostClosedError) {
               return;
@@ -131,11 +140,19 @@
     return;
   }
   if (busy_) {
-    socket_->write(request_.data(), static_cast<qint64>(request_.size()));
+    write(request_);
     request_.clear();
   }
 }
 
+// A failure is reported later, since the sender may not expect a callback.
+void backend_connection::write(const std::string& request) {
+  is_writing_ = true;
+  socket_->write(request.data(), static_cast<qint64>(request.size()));
+  socket_->flush();
+  is_writing_ = false;
+}
+
 void backend_connection::send(std::string request, bool is_head_request) {
   busy_ = true;
   is_head_request_ = is_head_request;
@@ -148,7 +165,7 @@
   parser_ = http_parser(http_role::response, {}, !is_head_request);
   duplicate_fd_ = detail::file_descriptor();
   if (state_ == state::open) {
-    socket_->write(request.data(), static_cast<qint64>(request.size()));
+    write(request);
   } else if (state_ == state::connecting) {
     request_ = std::move(request);
   } else {
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -45,7 +45,14 @@
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   socket_->setReadBufferSize(read_buffer_bytes);
   connect(socket_, &QTcpSocket::readyRead, this, [this] { read(); });
-  connect(socket_, &QTcpSocket::disconnected, this, [this] { handle_closed(); });
+  connect(socket_, &QTcpSocket::disconnected, this, [this] {
+    if (!is_flushing_) {
+      handle_closed();
+      return;
+    }
+    QMetaObject::invokeMethod(
+        this, [this] { handle_closed(); }, Qt::QueuedConnection);
+  });
   connect(socket_, &QTcpSocket::bytesWritten, this, [this](qint64) {
     if (phase_ == phase::idle || phase_ == phase::lingering) {
       phase_since_ = io::now(); // the client still reads the last response
@@ -154,13 +161,20 @@
   socket_->write(out.data(), static_cast<qint64>(out.size()));
 }
 
+// A failure is reported later, since the writer may not expect a callback.
+void http_connection::flush() {
+  is_flushing_ = true;
+  socket_->flush();
+  is_flushing_ = false;
+}
+
 void http_connection::respond(unsigned status, const std::vector<http_field>& fields,
                               std::string_view body) {
   if (phase_ != phase::responding) {
     return;
   }
   begin(status, fields, body.size());
-  write_body(body);
+  append_body(body);
   finish();
 }
 
@@ -183,6 +197,11 @@
 }
 
 void http_connection::write_body(std::string_view piece) {
+  append_body(piece);
+  flush();
+}
+
+void http_connection::append_body(std::string_view piece) {
   if (phase_ != phase::responding || piece.empty() || has_no_body_) {
     return;
   }
@@ -205,6 +224,7 @@
   if (chunked_ && !has_no_body_) {
     socket_->write("0\r\n\r\n");
   }
+  flush();
   end_response();
 }
 
@@ -217,6 +237,9 @@
     return;
   }
   phase_ = phase::idle;
+  if (input_.empty() && socket_->bytesAvailable() == 0) {
+    return;
+  }
   QMetaObject::invokeMethod(
       this,
       [this] {
