Keep the number of routers in the replicated log

Cause: routers share the limit of a cold server, and the retry budget, by the number that the leader tells them.

The leader records the number when it changes, at most once a second, and counts no fewer until its process has run for 15 s.

--- a/include/marigoldstep/fleet_state.h
+++ b/include/marigoldstep/fleet_state.h
@@ -29,6 +29,8 @@
   // Evacuated availability zones, with the time since when, and the number of changes.
   std::map<std::string, unix_seconds> evacuated_zones;
   std::uint64_t evacuation_number = 0;
+  // Routers of the fleet, as a leader recorded last; 0: not recorded yet.
+  std::uint32_t router_count = 0;
 };
 
 // Whether the servers of the service are recorded to have had the version.
--- a/src/fleet_state.cpp
+++ b/src/fleet_state.cpp
@@ -189,6 +189,7 @@
     out.evacuated_zones.push_back(std::move(entry));
   }
   out.evacuation_number = state.evacuation_number;
+  out.router_count = state.router_count;
 }
 
 void unpack_servers_state(const wire::FleetEntryT& in, fleet_state& state) {
@@ -199,6 +200,7 @@
     state.evacuated_zones[it->zone] = it->since_s;
   }
   state.evacuation_number = in.evacuation_number;
+  state.router_count = in.router_count;
 }
 
 wire::ControlBodyUnion apply_body(fleet_state& state, const wire::ControlBodyUnion& body,
@@ -218,6 +220,8 @@
     apply_version(state, *version);
   } else if (const auto* evacuation = body.AsStoreEvacuation()) {
     reply.Set(apply_evacuation(state, *evacuation));
+  } else if (const auto* count = body.AsStoreRouterCount()) {
+    state.router_count = count->routers;
   }
   return reply;
 }
--- a/tests/programs/fleet_links_test.cpp
+++ b/tests/programs/fleet_links_test.cpp
@@ -36,6 +36,7 @@
   server_directory directory;
   std::vector<std::string> silent_ids; // announced as silent by control
   std::set<std::string> member_hosts;  // as sent by control
+  std::vector<std::uint32_t> counts;   // of routers, as sent by the leader
   std::vector<wire::FleetLoadT> loads; // of the fleet, as received
   std::function<void()> on_applied;    // called before an update is acknowledged
   io::control_links links;
@@ -57,6 +58,9 @@
       }
     };
     links.on_fleet_load = [this](const wire::FleetLoadT& load) { loads.push_back(load); };
+    links.on_leader_status = [this](std::uint32_t routers, milliseconds) {
+      counts.push_back(routers);
+    };
     links.on_members = [this](const auto& hosts) { member_hosts = hosts; };
     links.takes_reports = [] { return true; };
     links.on_unknown_servers = [this](const auto& servers) {
@@ -247,6 +251,22 @@
   REQUIRE(wait_until([&] { return it.routers[0]->links.is_server_reporting(hash); }));
 }
 
+// Guards against routers that take too large a share of a common limit (of a cold server,
+// of the retry budget) after the loss of every process, while their leader has heard from
+// a few of them only.
+TEST_CASE("a restarted leader counts the routers that have yet to reconnect") {
+  fleet it(6, {});
+  REQUIRE(wait_until([&] { return it.group->state().router_count == 6; }));
+  it.links.reset();
+  it.group.reset();
+  it.routers.resize(1);
+  auto& counts = it.routers[0]->counts;
+  counts.clear();
+  it.start_control({});
+  REQUIRE(wait_until([&] { return !counts.empty(); }));
+  CHECK(counts.front() == 6);
+}
+
 TEST_CASE("a router that reconnects learns the changes that it missed") {
   fleet it(1, {});
   it.links->handle_report(make_server("s", 1), [](bool) {});
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -47,8 +47,6 @@
 // Bytes of loads that one router forwards, a few percent of the second's bandwidth of a
 // 10 Mbit/s link.
 constexpr std::size_t max_forwarded_load_bytes = 64U << 10U;
-// Routers that left still count, since they may have used their part of the retry budget.
-constexpr auto router_retention = milliseconds(15'000);
 // The connection of a slower reader is closed; its next one starts with a full update.
 constexpr std::size_t max_queued_bytes = 4U << 20U;
 
@@ -252,7 +250,7 @@
   status.evacuation_number = group_.state().evacuation_number;
   status.routing_version = group_.state().routing_version;
   status.confirmed = to.confirmed;
-  status.routers = static_cast<std::uint32_t>(routers_.size());
+  status.routers = router_count();
   status.load_interval_ms = static_cast<std::uint32_t>(load_interval_.count());
   to.next_status = io::now() + heartbeat_interval();
   status.heartbeat_ms = static_cast<std::uint32_t>(heartbeat_interval().count());
@@ -400,8 +398,7 @@
 void link_service::send_fleet_load() {
   const auto now = io::now();
   next_load_update_ = now + min_load_interval;
-  std::erase_if(routers_,
-                [&](const auto& it) { return now - it.second > router_retention; });
+  update_router_count();
   if (!group_.is_leader()) {
     return;
   }
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -217,6 +217,8 @@
   void update_quarantine();
   // Hashes of the software versions of the servers that take requests, by service.
   [[nodiscard]] std::map<std::uint32_t, std::set<std::uint32_t>> ready_versions() const;
+  [[nodiscard]] std::uint32_t router_count() const;
+  void update_router_count();
   void complete_waiting();
   [[nodiscard]] bool has_waiting_reports() const;
   [[nodiscard]] milliseconds heartbeat_interval() const;
@@ -254,6 +256,7 @@
   double change_budget_ = 0;
   time_point budgets_refilled_at_{};
   std::map<std::string, time_point> routers_; // time of the last frame by node id
+  time_point next_count_record_{};
   std::uint64_t observed_version_ = 0;
   std::uint64_t observed_evacuations_ = 0; // number
   time_point started_at_{};
