--- a/include/marigoldstep/io/http_connection.h
+++ b/include/marigoldstep/io/http_connection.h
@@ -94,6 +94,7 @@
   bool close_after_ = false;
   bool continue_sent_ = false;
   bool is_flushing_ = false;
+  bool is_lost_ = false; // the client's end was found closed while flushing
 };
 
 // Accepts connections and passes their requests to on_request.
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -50,6 +50,7 @@
       handle_closed();
       return;
     }
+    is_lost_ = true;
     QMetaObject::invokeMethod(
         this, [this] { handle_closed(); }, Qt::QueuedConnection);
   });
@@ -161,7 +162,7 @@
   socket_->write(out.data(), static_cast<qint64>(out.size()));
 }
 
-// A failure is reported later, since the writer may not expect a callback.
+// A failure is reported later, since the writer of a piece goes on using the connection.
 void http_connection::flush() {
   is_flushing_ = true;
   socket_->flush();
@@ -202,7 +203,7 @@
 }
 
 void http_connection::append_body(std::string_view piece) {
-  if (phase_ != phase::responding || piece.empty() || has_no_body_) {
+  if (phase_ != phase::responding || piece.empty() || has_no_body_ || is_lost_) {
     return;
   }
   if (!chunked_) {
@@ -221,11 +222,15 @@
   if (phase_ != phase::responding) {
     return;
   }
-  if (chunked_ && !has_no_body_) {
+  if (chunked_ && !has_no_body_ && !is_lost_) {
     socket_->write("0\r\n\r\n");
   }
   flush();
-  end_response();
+  if (is_lost_) {
+    handle_closed(); // before the response can count as sent
+  } else {
+    end_response();
+  }
 }
 
 void http_connection::end_response() {
