--- a/tools/control/link_routers.cpp
+++ b/tools/control/link_routers.cpp
@@ -37,14 +37,13 @@
   next_count_record_ = now + record_interval;
   wire::StoreRouterCountT request;
   request.routers = count;
-  group_.propose(
-      encode_command(wire::control_frame(std::move(request), 0), io::wall_clock()),
-      [count](std::error_code ec, const auto& /*reply*/) {
-        io::log_event(ec ? io::log_level::warning : io::log_level::info,
-                      "router_count_recorded",
-                      {{"routers", std::to_string(count)},
-                       {"result", ec ? ec.message() : "committed"}});
-      });
+  group_.propose(encode_command(wire::control_frame(request, 0), io::wall_clock()),
+                 [count](std::error_code ec, const auto& /*reply*/) {
+                   io::log_event(ec ? io::log_level::warning : io::log_level::info,
+                                 "router_count_recorded",
+                                 {{"routers", std::to_string(count)},
+                                  {"result", ec ? ec.message() : "committed"}});
+                 });
 }
 
 } // namespace marigoldstep::control
