Don't send requests whose callers have closed their connections

Cause: a router reads a request when its processor allows, after a restart seconds late, and sent it on although its caller had closed the connection meanwhile: the close is reported by the event loop after the bytes.

The caller's end is looked at before each attempt, and again once a connection to a server is open.

--- a/include/marigoldstep/io/http_connection.h
+++ b/include/marigoldstep/io/http_connection.h
@@ -58,6 +58,8 @@
 
   [[nodiscard]] bool is_responding() const { return phase_ == phase::responding; }
   [[nodiscard]] bool has_begun() const { return begun_; }
+  // Whether the client has closed its end, also if the event loop has yet to report it.
+  [[nodiscard]] bool has_client_left() const;
   [[nodiscard]] std::size_t queued_bytes() const;
   [[nodiscard]] std::size_t buffered_bytes() const {
     return body_.size() + input_.size();
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -9,6 +9,7 @@
 #include <QTimer>
 
 #include <array>
+#include <cerrno>
 #include <cstdio>
 #include <sys/socket.h>
 
@@ -300,6 +301,13 @@
   }
 }
 
+bool http_connection::has_client_left() const {
+  char byte = 0;
+  const auto n = ::recv(static_cast<int>(socket_->socketDescriptor()), &byte, 1,
+                        MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 std::size_t http_connection::queued_bytes() const {
   return static_cast<std::size_t>(socket_->bytesToWrite());
 }
--- a/tests/programs/gateway_test.cpp
+++ b/tests/programs/gateway_test.cpp
@@ -490,3 +490,24 @@
   run_event_loop(std::chrono::milliseconds(100));
   CHECK(it.subject->table()->config.version == 5);
 }
+
+// Guards against requests that a busy gateway reads only after their callers have left.
+TEST_CASE("a request is not sent to a server once its caller has closed the connection") {
+  gateway_fixture it({{{write_text(response_text("first"))},
+                       {write_text(response_text("late"))}}});
+  // Leaves an open connection to the server.
+  test_caller first(it.address);
+  first.send(request_text("POST", "/safe/", "r0", "", "x"));
+  REQUIRE(first.wait_for("first"));
+  QTcpSocket caller;
+  caller.connectToHost(QString::fromStdString(it.address.host), it.address.port);
+  REQUIRE(wait_until([&] { return caller.state() == QAbstractSocket::ConnectedState; }));
+  run_event_loop(std::chrono::milliseconds(50));
+  // The gateway runs in this thread, so it reads the request after the close.
+  caller.write(QByteArray::fromStdString(request_text("POST", "/safe/", "r1", "", "x")));
+  caller.flush();
+  caller.disconnectFromHost();
+  run_event_loop(std::chrono::milliseconds(200));
+  CHECK(it.servers[0]->requests.size() == 1);
+  CHECK(it.subject->metrics.request_ended("left").Value() == 1);
+}
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -171,6 +171,11 @@
 }
 
 void relay::send_attempt() {
+  // A busy router may read a request, and end an attempt, long after the caller has left.
+  if (has_caller() && caller_->has_client_left()) {
+    abandon();
+    return;
+  }
   const auto request = make_dispatch_request();
   if (const auto trait = owner_.refuse_quarantined(traits_)) {
     refuse_quarantined(*trait);
@@ -232,7 +237,8 @@
   }
   it.connection = open_connection({server.host, server.port});
   it.connection->may_send = [this] {
-    return may_send_to(owner_.dispatch, attempt_->server, io::now());
+    return may_send_to(owner_.dispatch, attempt_->server, io::now()) &&
+           !(has_caller() && caller_->has_client_left());
   };
   it.connection->on_head = [this](const io::http_head& head) { handle_head(head); };
   it.connection->on_body = [this](std::string piece) { handle_body(std::move(piece)); };
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -80,6 +80,7 @@
   void respond(unsigned status, std::string_view text, std::optional<milliseconds> retry);
   void respond_not_run(std::string_view text, milliseconds retry);
   void abort_response(std::string_view why);
+  void abandon();
   void finish(std::string_view outcome, std::string_view detail);
 
   [[nodiscard]] bool has_caller() const { return !caller_.isNull(); }
--- a/tools/gateway/relay_end.cpp
+++ b/tools/gateway/relay_end.cpp
@@ -329,6 +329,15 @@
   }
 }
 
+// Ends a request whose caller has left before it could be sent.
+void relay::abandon() {
+  const auto caller = caller_;
+  finish("left", "before it was sent");
+  if (caller) {
+    caller->abort();
+  }
+}
+
 void relay::finish(std::string_view outcome, std::string_view detail) {
   if (done_) {
     return;
