--- a/tests/programs/gateway_test.cpp
+++ b/tests/programs/gateway_test.cpp
@@ -493,8 +493,8 @@
 
 // Guards against requests that a busy gateway reads only after their callers have left.
 TEST_CASE("a request is not sent to a server once its caller has closed the connection") {
-  gateway_fixture it({{{write_text(response_text("first"))},
-                       {write_text(response_text("late"))}}});
+  gateway_fixture it(
+      {{{write_text(response_text("first"))}, {write_text(response_text("late"))}}});
   // Leaves an open connection to the server.
   test_caller first(it.address);
   first.send(request_text("POST", "/safe/", "r0", "", "x"));
