--- a/review/3/case.py
+++ b/review/3/case.py
@@ -35,7 +35,7 @@
         try:
             if writer is None:
                 reader, writer = await asyncio.open_connection(gateway.host, fleet.front_port)
-            writer.write(f.request_head("/work/x", request_id))
+            writer.write(f.request_head("/job/x", request_id))
             line, headers = await asyncio.wait_for(f.read_head(reader), 3)
             await f.read_body(reader, headers)
             outcome = line.split(" ")[1]
@@ -51,7 +51,7 @@
 async def case(record):
     fleet = f.Fleet(record, gateways=2)
     try:
-        await fleet.start(f.configuration(1, [f.route("work", "app")], ["app"]))
+        await fleet.start(f.configuration(1, [f.route("job", "app")], ["app"]))
         stays = f.Server(fleet, "app-stays", "app", "z-a", 8, answer)
         leaves = f.Server(fleet, "app-leaves", "app", "z-a", 8, answer)
         await stays.start()
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -20,8 +20,8 @@
 
 def make_request(i, coding):
     """A request with a body that looks like a request, and the body."""
-    body = f.request_head("/work/inner", f"inner-{i}")
-    head = f.request_head("/work/outer", f"outer-{i}")
+    body = f.request_head("/job/inner", f"inner-{i}")
+    head = f.request_head("/job/outer", f"outer-{i}")
     if f.TROUBLE:
         return head.replace(b"Content-Length: 0", f"Transfer-Encoding: {coding}".encode()) + body, body
     chunks = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
@@ -31,7 +31,7 @@
 async def case(record):
     fleet = f.Fleet(record)
     try:
-        await fleet.start(f.configuration(1, [f.route("work", "app")], ["app"]))
+        await fleet.start(f.configuration(1, [f.route("job", "app")], ["app"]))
         server = f.Server(fleet, "app-1", "app", "z-a", 64, answer)
         server.ran = []
         await server.start()
