Give each test program a loopback network of its own

Cause: the processes of a group share their ports and differ in the address 127.66.0.N, so a port has to be free at several addresses. It was taken as free at the address that belongs to the test program alone, and then used at addresses that all test programs share. Whoever of two programs that run at the same time got a port twice failed.

All tests that listened on fixed addresses use it.

--- a/tests/programs/control_group.h
+++ b/tests/programs/control_group.h
@@ -6,6 +6,7 @@
 #include "control/link_service.h"
 #include "event_loop.h"
 #include "gateway_fixture.h"
+#include "loopback_address.h"
 #include "loopback_proxy.h"
 
 #include <QTemporaryDir>
@@ -46,9 +47,14 @@
   std::uint16_t link_port = gateway::test::gateway_fixture::free_address().port;
   std::map<int, process> processes;
 
-  static std::string host(int i) { return "127.66.0." + std::to_string(i); }
+  static constexpr int first_inner_host = 20;
+  static constexpr int first_gateway_host = 40;
+  static std::string host(int i) { return own_network_host(i); }
   // Where a process listens behind its proxies.
-  static std::string inner_host(int i) { return "127.66.2." + std::to_string(i); }
+  static std::string inner_host(int i) { return own_network_host(first_inner_host + i); }
+  static std::string gateway_host(int i) {
+    return own_network_host(first_gateway_host + i);
+  }
 
   void start(int i, int seed) {
     control_settings settings;
--- a/tests/programs/crashing_fleet.h
+++ b/tests/programs/crashing_fleet.h
@@ -63,8 +63,7 @@
   static constexpr int event_interval_ms = 30;
 
   void start() {
-    const auto host = QHostAddress("127.68.0." + QString::number(index_));
-    REQUIRE(server_.listen(host, port_));
+    REQUIRE(server_.listen(QHostAddress(QString::fromStdString(host())), port_));
     port_ = server_.serverPort();
     ++starts_;
     sequence_ = 0;
@@ -72,13 +71,18 @@
     report_timer_.start(report_interval_ms);
   }
 
+  [[nodiscard]] std::string host() const {
+    constexpr int first_server_host = 100;
+    return own_network_host(first_server_host + index_);
+  }
+
   void send_report() {
     announced_server out;
     out.id = "s" + std::to_string(index_) + "-" + std::to_string(starts_);
     out.started = starts_;
     out.sequence = ++sequence_;
     out.service = "s";
-    out.host = "127.68.0." + std::to_string(index_);
+    out.host = host();
     out.port = port_;
     out.zone = "z";
     out.slots = 8;
@@ -216,7 +220,7 @@
     gateway::gateway_settings settings;
     settings.node_id = "g" + std::to_string(i);
     settings.zone = "z";
-    settings.host = "127.67.2." + std::to_string(i);
+    settings.host = control_group::gateway_host(i);
     settings.listen = gateway_fixture::free_address();
     settings.listen_ready = gateway_fixture::free_address();
     settings.first_port = static_cast<std::uint16_t>(
--- a/tests/programs/evacuation_test.cpp
+++ b/tests/programs/evacuation_test.cpp
@@ -95,7 +95,7 @@
   io::control_links links(
       {"g",
        true,
-       "127.66.3.1",
+       control_group::gateway_host(1),
        group.link_port,
        "z",
        {control_group::host(1), control_group::host(2), control_group::host(3)}},
--- a/tests/programs/fleet_links_test.cpp
+++ b/tests/programs/fleet_links_test.cpp
@@ -14,7 +14,14 @@
 
 namespace {
 
-constexpr const char* control_host = "127.66.1.1";
+std::string control_host() {
+  return own_network_host(1);
+}
+
+std::string router_host(int i) {
+  constexpr int first_router_host = 100;
+  return own_network_host(first_router_host + i);
+}
 
 announced_server make_server(const std::string& id, std::uint64_t sequence,
                              announced_state state = announced_state::ready) {
@@ -43,7 +50,7 @@
   gateway::report_receiver reports;
 
   router(const std::string& host, std::uint16_t port)
-      : links({host, true, host, port, "z", {control_host}}, nullptr),
+      : links({host, true, host, port, "z", {control_host()}}, nullptr),
         reports(links, nullptr) {
     links.on_server_update = [this](const wire::ServerUpdateT& update) {
       for (const auto& it : update.servers) {
@@ -107,7 +114,7 @@
     start_control(limits);
     REQUIRE(wait_until([&] { return group->is_leader(); }));
     for (int i = 1; i <= router_count; ++i) {
-      routers.push_back(std::make_unique<router>("127.67.1." + std::to_string(i), port));
+      routers.push_back(std::make_unique<router>(router_host(i), port));
     }
     REQUIRE(wait_until([&] {
       return std::all_of(routers.begin(), routers.end(),
@@ -122,13 +129,14 @@
     settings.repair = repair_settings{0, milliseconds(2500), milliseconds(1500)};
     group = std::make_unique<control::replica>(settings, nullptr);
     links = std::make_unique<control::link_service>(
-        *group, io::link_settings{"c", false, control_host, port, "z", {control_host}},
+        *group,
+        io::link_settings{"c", false, control_host(), port, "z", {control_host()}},
         limits, nullptr);
     std::error_code ec;
     std::string detail;
-    group->start({control_host, port}, ec, detail);
+    group->start({control_host(), port}, ec, detail);
     REQUIRE_FALSE(ec);
-    REQUIRE_FALSE(links->listen({control_host, port}));
+    REQUIRE_FALSE(links->listen({control_host(), port}));
     REQUIRE_FALSE(links->start());
   }
 
@@ -158,7 +166,7 @@
 
 // Returns the status line's version and code of the first router's response to a report.
 std::string report_to_router(fleet& it, const std::string& text) {
-  test_caller caller({"127.67.1.1", static_cast<std::uint16_t>(it.port + 2)});
+  test_caller caller({router_host(1), static_cast<std::uint16_t>(it.port + 2)});
   caller.send(text);
   REQUIRE(caller.wait_for("\r\n\r\n"));
   return caller.received.substr(0, 12);
@@ -277,7 +285,7 @@
   auto next = make_server("t", 1);
   next.port = 81;
   it.links->handle_report(next, [](bool) {});
-  it.routers[0]->links.set_seeds({control_host});
+  it.routers[0]->links.set_seeds({control_host()});
   REQUIRE(wait_until([&] { return it.all_routers_have("t", announced_state::ready); }));
 }
 
@@ -286,7 +294,7 @@
   it.links.reset();
   it.group.reset();
   it.start_control({});
-  router early("127.67.1.1", it.port);
+  router early(router_host(1), it.port);
   REQUIRE(wait_until([&] { return early.links.has_initial_servers(); }));
   REQUIRE_FALSE(it.group->is_ready());
   REQUIRE(wait_until([&] { return it.group->is_ready(); }));
@@ -302,7 +310,9 @@
   CHECK_FALSE(it.links->next_report_address(make_server("s", 1)).has_value());
   const auto next = it.links->next_report_address(make_server("s", 1));
   REQUIRE(next.has_value());
-  CHECK(next->host.starts_with("127.67.1."));
+  const std::set<std::string> router_hosts{router_host(1), router_host(2),
+                                           router_host(3)};
+  CHECK(router_hosts.contains(next->host));
   CHECK(next->port == it.port + 2);
   CHECK(it.links->next_report_address(make_server("s", 2)) == next);
   CHECK_FALSE(
@@ -392,14 +402,14 @@
   auto old = newest;
   old.number = 1;
   old.loads = io::to_wire({{io::server_hash("s"), load_count{999, 0}}});
-  other.send({"127.67.1.1"}, io::encode_fan_out(old));
+  other.send({router_host(1)}, io::encode_fan_out(old));
   run_event_loop(std::chrono::milliseconds(500));
   CHECK(std::none_of(first.loads.begin(), first.loads.end(), [](const auto& load) {
     return find_load(io::from_wire(load), io::server_hash("s"), 0).requests == 999;
   }));
   auto next = newest;
   next.number = newest.number + 1000;
-  other.send({"127.67.1.1"}, io::encode_fan_out(next));
+  other.send({router_host(1)}, io::encode_fan_out(next));
   CHECK(wait_until([&] {
     return std::any_of(first.loads.begin(), first.loads.end(),
                        [&](const auto& load) { return load.number == next.number; });
--- a/tests/programs/reload_test.cpp
+++ b/tests/programs/reload_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "event_loop.h"
+#include "loopback_address.h"
 
 #include <QFile>
 #include <QProcess>
@@ -20,7 +21,7 @@
   gateway_process() {
     test_application();
     QTcpServer probe;
-    probe.listen(QHostAddress("127.0.0.3"), 0);
+    probe.listen(QHostAddress(QString::fromStdString(host())), 0);
     port_ = probe.serverPort();
     probe.close();
     write(settings("127.0.0.2:9", "0.2"));
@@ -34,14 +35,15 @@
     process_.waitForFinished();
   }
 
+  static std::string host() { return own_network_host(1); }
   // ports start above the port for callers.
   [[nodiscard]] std::string settings(const std::string& seed, const std::string& ratio,
                                      const std::string& zone = "a") const {
     const auto at = [this](int offset) { return std::to_string(port_ + offset); };
-    return "node_id: g\nzone: " + zone + "\nhost: 127.0.0.3\nlisten: 127.0.0.3:" + at(0) +
-           "\nlisten_ready: 127.0.0.3:" + at(1) + "\nports: [\"" + at(2) + "\", \"" +
-           at(9) + "\"]\nseeds: [\"" + seed + "\"]\nretry_budget: {ratio: " + ratio +
-           "}\n";
+    return "node_id: g\nzone: " + zone + "\nhost: " + host() + "\nlisten: " + host() +
+           ":" + at(0) + "\nlisten_ready: " + host() + ":" + at(1) + "\nports: [\"" +
+           at(2) + "\", \"" + at(9) + "\"]\nseeds: [\"" + seed +
+           "\"]\nretry_budget: {ratio: " + ratio + "}\n";
   }
 
   void write(const std::string& text) {
@@ -123,7 +125,7 @@
 TEST_CASE("connections stay open through a series of reloads") {
   gateway_process it;
   QTcpSocket caller;
-  caller.connectToHost("127.0.0.3", it.port());
+  caller.connectToHost(QString::fromStdString(gateway_process::host()), it.port());
   REQUIRE(wait_until([&] { return caller.state() == QAbstractSocket::ConnectedState; }));
   for (int i = 0; i < 20; ++i) {
     it.write(it.settings("127.0.0.2:" + std::to_string(10 + i), "0.3"));
--- a/tests/programs/routing_read_test.cpp
+++ b/tests/programs/routing_read_test.cpp
@@ -15,7 +15,6 @@
 constexpr auto operator_wait = milliseconds(1000);
 constexpr const char* read_call =
     "GET /v1/Config.Read HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n";
-constexpr const char* gateway_host = "127.67.2.1";
 constexpr double control_bytes_per_ms = 100;
 constexpr std::uint32_t gateway_bytes_per_ms = 1000;
 
@@ -76,7 +75,7 @@
 // Reads the configuration as the operator does, who follows two redirects.
 std::string read_as_operator(io::endpoint from) {
   for (int redirects = 0;; ++redirects) {
-    const bool is_gateway = from.host == gateway_host;
+    const bool is_gateway = from.host == control_group::gateway_host(1);
     auto response =
         read_over_link(from, is_gateway ? gateway_bytes_per_ms : control_bytes_per_ms);
     if (!starts_with_status(response, "307") || redirects == 2) {
@@ -98,7 +97,7 @@
     control.start_all(3);
     gateway::gateway_settings settings;
     settings.node_id = "g";
-    settings.host = gateway_host;
+    settings.host = control_group::gateway_host(1);
     settings.listen = gateway_fixture::free_address();
     settings.listen_ready = gateway_fixture::free_address();
     settings.first_port = static_cast<std::uint16_t>(
@@ -121,7 +120,7 @@
     return {control_group::host(i), control.api_port};
   }
   [[nodiscard]] io::endpoint gateway_address() const {
-    return {gateway_host,
+    return {control_group::gateway_host(1),
             io::port_of(gateway->settings().first_port, io::fleet_port::reports)};
   }
 };
--- a/tests/programs/stream_records_test.cpp
+++ b/tests/programs/stream_records_test.cpp
@@ -22,7 +22,9 @@
   io::control_links links;
 
   explicit gateway_links(const control_group& group)
-      : links({"g", true, "127.66.3.1", group.link_port, "z", hosts(group)}, nullptr) {
+      : links({"g", true, control_group::gateway_host(1), group.link_port, "z",
+               hosts(group)},
+              nullptr) {
     REQUIRE_FALSE(links.start());
     REQUIRE(wait_until([&] { return links.open_links() == group.processes.size(); }));
     REQUIRE(wait_until([&] { return links.has_leader_link(); }));
