Accept a message only if the end of its body is certain

Cause: Boost.Beast sets its chunked flag if the last coding of one field is chunked, and otherwise ignores Transfer-Encoding: a request without Content-Length then ends with its header. Nothing looked at the field after that. For responses the same: one with "identity" and a length, or with gzip under chunked, was forwarded as whole.

Change: check_framing() in the parser that callers, backend servers, the operator's and servers' calls at control, and agents' servers share. Without a certain end a request gets 400 and its connection closes; a coding under chunked and CONNECT get 501; a response counts as malformed, before its head is used. Each rejection is logged. Why it suffices: the check refuses every Transfer-Encoding that isn't exactly chunked, once, in HTTP/1.1, without a length, and so every case in which Beast's choice differs from the RFC's.

--- a/include/marigoldstep/error.h
+++ b/include/marigoldstep/error.h
@@ -56,6 +56,7 @@
   storage_failed,
   bad_setting,
   internal_error,
+  not_implemented,
 };
 
 // Stable machine-readable name, sent to callers in the field "code".
--- a/include/marigoldstep/io/http_parser.h
+++ b/include/marigoldstep/io/http_parser.h
@@ -10,6 +10,10 @@
 
 namespace marigoldstep::io {
 
+// HTTP versions, as ten times their number.
+inline constexpr unsigned http_1_0 = 10;
+inline constexpr unsigned http_1_1 = 11;
+
 struct http_field {
   std::string name;
   std::string value;
@@ -20,6 +24,7 @@
 // Start line and header of a message. method and target are set for requests, status
 // for responses.
 struct http_head {
+  unsigned version = http_1_1;
   std::string method;
   std::string target;
   unsigned status = 0;
@@ -47,6 +52,12 @@
 
 enum class http_role { request, response };
 
+// Checks that the end of the body is certain, so that no part of it can be taken for the
+// next message of the connection (RFC 9112, sections 6.1 to 6.3). The only transfer
+// coding that is understood is chunked. Errors: errc::malformed_message;
+// errc::not_implemented for another coding under chunked, and for CONNECT.
+std::error_code check_framing(http_role role, const http_head& head);
+
 // Limits of one message. An unset body_bytes allows any size.
 struct http_limits {
   std::uint32_t header_bytes = 16U
@@ -66,7 +77,8 @@
   // Parses bytes and returns how many were consumed. The caller passes the rest again,
   // followed by newly received bytes. Errors: errc::message_too_large for a header, a
   // chunk header or trailers over the limit, errc::body_too_large,
-  // errc::malformed_message.
+  // errc::malformed_message and the errors of check_framing(). A message with an error
+  // has no head, unless the error is in its body, and no certain end.
   std::size_t feed(std::string_view buf, std::error_code& ec);
   // Call when the connection was closed in an orderly way. Completes a body without a
   // length; sets ec to errc::answer_truncated if the message is still incomplete.
--- a/include/marigoldstep/io/http_status.h
+++ b/include/marigoldstep/io/http_status.h
@@ -3,6 +3,7 @@
 // Status codes that this project sends or checks (RFC 9110, section 15).
 namespace marigoldstep::io::http_status {
 
+inline constexpr unsigned switching_protocols = 101;
 inline constexpr unsigned ok = 200; // the first 2xx status; 2xx ends below redirect
 inline constexpr unsigned no_content = 204;
 inline constexpr unsigned redirect = 300;
@@ -15,6 +16,7 @@
 inline constexpr unsigned misdirected = 421;
 inline constexpr unsigned header_too_large = 431;
 inline constexpr unsigned server_error = 500; // the first 5xx status
+inline constexpr unsigned not_implemented = 501;
 inline constexpr unsigned bad_gateway = 502;
 inline constexpr unsigned unavailable = 503;
 inline constexpr unsigned gateway_timeout = 504;
--- a/src/error.cpp
+++ b/src/error.cpp
@@ -82,6 +82,8 @@
       {errc::storage_failed, "storage_failed", "writing or syncing to the disk failed"},
       {errc::bad_setting, "bad_setting", "a setting is invalid"},
       {errc::internal_error, "internal_error", "internal error"},
+      {errc::not_implemented, "not_implemented",
+       "the method or a transfer coding is not implemented"},
   };
   return table;
 }
@@ -92,7 +94,7 @@
   const auto& table = errc_table();
   auto it = std::find_if(table.begin(), table.end(),
                          [code](const errc_entry& entry) { return entry.code == code; });
-  return it == table.end() ? table.back() : *it;
+  return it == table.end() ? find_entry(errc::internal_error) : *it;
 }
 
 struct category final : std::error_category {
@@ -123,7 +125,7 @@
 }
 
 errc errc_from_number(unsigned number) {
-  constexpr auto last = static_cast<unsigned>(errc::internal_error);
+  constexpr auto last = static_cast<unsigned>(errc::not_implemented);
   return number > last ? errc::internal_error : static_cast<errc>(number);
 }
 
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -32,6 +32,9 @@
   if (ec == errc::message_too_large) {
     return http_status::header_too_large;
   }
+  if (ec == errc::not_implemented) {
+    return http_status::not_implemented;
+  }
   return ec == errc::body_too_large ? http_status::content_too_large
                                     : http_status::bad_request;
 }
@@ -146,6 +149,9 @@
   const auto code = ec.category() == marigoldstep_category()
                         ? static_cast<errc>(ec.value())
                         : errc::malformed_message;
+  log_event(log_level::warning, "request_rejected",
+            {{"client", socket_->peerAddress().toString().toStdString()},
+             {"error", std::string(name(code))}});
   respond(status_of(ec), {}, std::string(name(code)) + "\n");
 }
 
--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -1,6 +1,7 @@
 #include "marigoldstep/io/http_parser.h"
 
 #include "marigoldstep/error.h"
+#include "marigoldstep/io/http_status.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -9,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <optional>
 
 namespace marigoldstep::io {
 
@@ -24,24 +26,52 @@
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
+// Removes the first element of a comma-separated list, and returns it without the blanks
+// around it.
+std::string_view take_element(std::string_view& list) {
+  const auto comma = std::min(list.find(','), list.size());
+  auto out = list.substr(0, comma);
+  list.remove_prefix(std::min(comma + 1, list.size()));
+  while (!out.empty() && (out.front() == ' ' || out.front() == '\t')) {
+    out.remove_prefix(1);
+  }
+  while (!out.empty() && (out.back() == ' ' || out.back() == '\t')) {
+    out.remove_suffix(1);
+  }
+  return out;
+}
+
 bool has_token(std::string_view list, std::string_view token) {
   while (!list.empty()) {
-    const auto comma = std::min(list.find(','), list.size());
-    auto it = list.substr(0, comma);
-    list.remove_prefix(std::min(comma + 1, list.size()));
-    while (!it.empty() && (it.front() == ' ' || it.front() == '\t')) {
-      it.remove_prefix(1);
-    }
-    while (!it.empty() && (it.back() == ' ' || it.back() == '\t')) {
-      it.remove_suffix(1);
-    }
-    if (equal_ignoring_case(it, token)) {
+    if (equal_ignoring_case(take_element(list), token)) {
       return true;
     }
   }
   return false;
 }
 
+bool is_chunked_coding(std::string_view coding) {
+  return equal_ignoring_case(coding, "chunked");
+}
+
+// The codings of all Transfer-Encoding fields, in the order in which they were applied;
+// nothing if there is no such field.
+std::optional<std::vector<std::string_view>> transfer_codings(const http_head& head) {
+  std::optional<std::vector<std::string_view>> out;
+  for (const auto& it : head.fields) {
+    if (!equal_ignoring_case(it.name, "transfer-encoding")) {
+      continue;
+    }
+    if (!out) {
+      out.emplace();
+    }
+    for (std::string_view list = it.value; !list.empty();) {
+      out->push_back(take_element(list));
+    }
+  }
+  return out;
+}
+
 // Whether more bytes must arrive before Beast may see a last chunk: Boost 1.74 ends the
 // process when it gets fewer than five bytes after it has read the chunk's size.
 bool is_cut_last_chunk(std::string_view buf) {
@@ -60,14 +90,17 @@
   virtual ~parser_base() = default;
   virtual std::size_t put(std::string_view buf, boost::beast::error_code& ec) = 0;
   virtual void put_eof(boost::beast::error_code& ec) = 0;
+  // Whether the header was read and found valid.
+  [[nodiscard]] bool has_head() const { return is_header_read() && !framing_error; }
   // Whether the next bytes are a chunk header, not the data of a chunk.
   [[nodiscard]] bool is_between_chunks() const {
     return has_head() && head.is_chunked && chunk_bytes_left == 0;
   }
-  [[nodiscard]] virtual bool has_head() const = 0;
+  [[nodiscard]] virtual bool is_header_read() const = 0;
   [[nodiscard]] virtual bool is_done() const = 0;
 
   http_head head;
+  std::error_code framing_error; // of the header
   std::string body;
   std::uint64_t chunk_bytes_left = 0;
 };
@@ -92,30 +125,37 @@
     return base::put(boost::asio::const_buffer(buf.data(), buf.size()), ec);
   }
   void put_eof(error& ec) override { base::put_eof(ec); }
-  [[nodiscard]] bool has_head() const override { return base::is_header_done(); }
+  [[nodiscard]] bool is_header_read() const override { return base::is_header_done(); }
   [[nodiscard]] bool is_done() const override { return base::is_done(); }
 
 private:
   void on_request_impl(http::verb /*verb*/, beast_view method, beast_view target,
-                       int /*version*/, error& /*ec*/) override {
+                       int version, error& /*ec*/) override {
+    head.version = static_cast<unsigned>(version);
     head.method = to_string(method);
     head.target = to_string(target);
   }
-  void on_response_impl(int code, beast_view /*reason*/, int /*version*/,
+  void on_response_impl(int code, beast_view /*reason*/, int version,
                         error& /*ec*/) override {
+    head.version = static_cast<unsigned>(version);
     head.status = static_cast<unsigned>(code);
   }
   void on_field_impl(http::field /*field*/, beast_view name, beast_view value,
                      error& /*ec*/) override {
     head.fields.push_back({to_string(name), to_string(value)});
   }
-  void on_header_impl(error& /*ec*/) override {
+  void on_header_impl(error& ec) override {
     head.keep_alive = base::keep_alive();
     head.is_chunked = base::chunked();
     const auto length = base::content_length();
     if (length) {
       head.length = *length;
     }
+    framing_error =
+        check_framing(is_request ? http_role::request : http_role::response, head);
+    if (framing_error) {
+      ec = http::error::bad_transfer_encoding;
+    }
   }
   void on_body_init_impl(boost::optional<std::uint64_t> const& /*length*/,
                          error& /*ec*/) override {}
@@ -150,6 +190,31 @@
   return it == head.fields.end() ? nullptr : &it->value;
 }
 
+std::error_code check_framing(http_role role, const http_head& head) {
+  // A response to CONNECT has no body, and what follows the header of a response 101 is
+  // no HTTP.
+  if (role == http_role::request && head.method == "CONNECT") {
+    return errc::not_implemented;
+  }
+  if (role == http_role::response && head.status == http_status::switching_protocols) {
+    return errc::malformed_message;
+  }
+  const auto codings = transfer_codings(head);
+  if (!codings) {
+    return {};
+  }
+  const bool is_chunked_last_only =
+      !codings->empty() && is_chunked_coding(codings->back()) &&
+      std::count_if(codings->begin(), codings->end(), is_chunked_coding) == 1;
+  if (!is_chunked_last_only || head.length || head.version < http_1_1) {
+    return errc::malformed_message;
+  }
+  if (codings->size() > 1) {
+    return errc::not_implemented;
+  }
+  return {};
+}
+
 bool is_hop_by_hop(const http_head& head, std::string_view name) {
   static constexpr std::array<std::string_view, 9> names = {
       "connection",        "keep-alive", "proxy-connection", "proxy-authenticate", "te",
@@ -182,7 +247,10 @@
 http_parser& http_parser::operator=(http_parser&&) noexcept = default;
 
 std::size_t http_parser::feed(std::string_view buf, std::error_code& ec) {
-  ec.clear();
+  ec = parser_->framing_error;
+  if (ec) {
+    return 0;
+  }
   const auto used = parse(buf, ec);
   // Beast consumes a chunk header and the trailers only as a whole, and limits neither.
   if (!ec && !parser_->is_done() && buf.size() - used > max_framing_bytes_) {
@@ -200,6 +268,10 @@
     boost::beast::error_code problem;
     const auto n = parser_->put(buf.substr(used), problem);
     used += n;
+    if (parser_->framing_error) {
+      ec = parser_->framing_error;
+      return used;
+    }
     if (problem == http::error::need_more) {
       return used;
     }
