Don't merge trailers into the header of a request

Seen in the table of framing cases: a field after the last chunk, such as Authorization, appeared among the fields of the header.

Cause: Beast reports trailers by the callback that it uses for the header. RFC 9110, section 6.5.1, forbids merging them unless the field's definition allows it; checks of the header while it is read have not seen them.

Change: fields after the header are dropped. The new test failed before.

--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -142,6 +142,10 @@
   }
   void on_field_impl(http::field /*field*/, beast_view name, beast_view value,
                      error& /*ec*/) override {
+    // A trailer, which checks of the header have not seen.
+    if (is_header_read()) {
+      return;
+    }
     head.fields.push_back({to_string(name), to_string(value)});
   }
   void on_header_impl(error& ec) override {
--- a/tests/http_framing_test.cpp
+++ b/tests/http_framing_test.cpp
@@ -138,3 +138,16 @@
     }
   }
 }
+
+// Guards against a caller that sets a header field, such as its credentials, after the
+// body, where checks of the header have not seen it (RFC 9110, section 6.5.1).
+TEST_CASE("trailers are not merged into the header") {
+  http_parser parser(http_role::request, {});
+  std::error_code ec;
+  parser.feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "0\r\nAuthorization: Bearer k\r\n\r\n",
+              ec);
+  REQUIRE_FALSE(ec);
+  REQUIRE(parser.is_done());
+  CHECK(find_field(parser.head(), "authorization") == nullptr);
+}
