End responses as the request's method, status and version ask

Seen when the table of framing cases was applied to what callers are sent: a streamed 304 was followed by its chunks and "0 CRLF CRLF", which the caller takes for the start of the next response on that connection; a 304 bore a Content-Length; a response to HEAD bore "Content-Length: 0" whatever the length; and an HTTP/1.0 caller got chunks, whose sizes it reads as the body.

Cause: http_connection::begin() knew only 204 as a status without a body, and not the request's version (RFC 9112, sections 6.1 and 6.3).

Change: 204 and 304 end with their header; HEAD names no length that isn't known; a stream to an HTTP/1.0 caller ends with its connection, which is reset if the stream was cut, so that it doesn't look whole.

--- a/include/marigoldstep/io/http_connection.h
+++ b/include/marigoldstep/io/http_connection.h
@@ -42,7 +42,8 @@
   // Writes a complete response.
   void respond(unsigned status, const std::vector<http_field>& fields,
                std::string_view body);
-  // Begins a response whose body follows in pieces; chunked when length is unset.
+  // Begins a response whose body follows in pieces. Without a length it is chunked or, for
+  // an HTTP/1.0 client, ends with the connection.
   void begin(unsigned status, const std::vector<http_field>& fields,
              std::optional<std::uint64_t> length);
   void write_body(std::string_view piece);
@@ -92,6 +93,8 @@
   std::size_t bytes_since_ = 0; // of the body since then
   bool begun_ = false;
   bool chunked_ = false;
+  bool ends_with_connection_ = false; // the body of the response in progress
+  unsigned version_ = http_1_1;       // of the request in progress
   bool has_no_body_ = false; // of the response in progress
   bool close_after_ = false;
   bool continue_sent_ = false;
--- a/include/marigoldstep/io/http_status.h
+++ b/include/marigoldstep/io/http_status.h
@@ -7,6 +7,7 @@
 inline constexpr unsigned ok = 200; // the first 2xx status; 2xx ends below redirect
 inline constexpr unsigned no_content = 204;
 inline constexpr unsigned redirect = 300;
+inline constexpr unsigned not_modified = 304;
 inline constexpr unsigned temporary_redirect = 307;
 inline constexpr unsigned bad_request = 400;
 inline constexpr unsigned unauthorized = 401;
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -39,6 +39,15 @@
                                     : http_status::bad_request;
 }
 
+// Without a reset the client takes a body that ends with its connection for whole.
+void reset_on_close(const QTcpSocket& socket) {
+  const linger reset{1, 0};
+  if (::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET, SO_LINGER,
+                   &reset, sizeof(reset)) != 0) {
+    log_event(log_level::warning, "reset_failed", {{"errno", std::to_string(errno)}});
+  }
+}
+
 } // namespace
 
 http_connection::http_connection(QTcpSocket* socket, const http_server_limits& limits,
@@ -137,6 +146,7 @@
   continue_sent_ = false;
   has_no_body_ = request.head.method == "HEAD";
   close_after_ = close_after_ || !request.head.keep_alive;
+  version_ = request.head.version;
   parser_ = http_parser(http_role::request, limits_.message);
   if (on_request) {
     on_request(*this, std::move(request));
@@ -192,14 +202,19 @@
     return;
   }
   auto all = fields;
-  if (status == http_status::no_content) {
-    has_no_body_ = true;
-  } else if (length) {
-    all.push_back({"Content-Length", std::to_string(*length)});
-  } else {
+  const bool never_has_body =
+      status == http_status::no_content || status == http_status::not_modified;
+  // The body of the GET that corresponds to a HEAD may have any length.
+  const bool is_length_unknown = has_no_body_ && length.value_or(0) == 0;
+  has_no_body_ = has_no_body_ || never_has_body;
+  chunked_ = !length && !has_no_body_ && version_ >= http_1_1;
+  if (chunked_) {
     all.push_back({"Transfer-Encoding", "chunked"});
+  } else if (length && !never_has_body && !is_length_unknown) {
+    all.push_back({"Content-Length", std::to_string(*length)});
   }
-  chunked_ = !length;
+  ends_with_connection_ = !chunked_ && !length && !has_no_body_;
+  close_after_ = close_after_ || ends_with_connection_;
   begun_ = true;
   write_head(status, all);
 }
@@ -229,7 +244,7 @@
   if (phase_ != phase::responding) {
     return;
   }
-  if (chunked_ && !has_no_body_ && !is_lost_) {
+  if (chunked_ && !is_lost_) {
     socket_->write("0\r\n\r\n");
   }
   flush();
@@ -279,6 +294,9 @@
   }
   // QTcpSocket::abort() discards what is not written yet.
   socket_->flush();
+  if (phase_ == phase::responding && ends_with_connection_) {
+    reset_on_close(*socket_);
+  }
   socket_->abort();
   handle_closed();
 }
