Read mstep-router's and the admin ports' requests with the common parser

Seen: the table of framing cases against mstep-router and an admin port of the unchanged code: 16 of 31 requests without a certain end got two responses, so that a part of the body was taken for another request; the first part was handled in all 31. Besides Transfer-Encoding these were Content-Length fields that differ, are signed, empty or lists, and chunks whose size is no number, too large or wrong. On an admin port the second request may be an order or a drain.

Cause: Qt's HTTP server decides where a request ends. It takes a length that it can't read for 0, and data after a chunk for the next request. A check of the header after Qt has parsed it can't see the chunks.

Change: caller_server and admin_server use http_listener, as the gateway and control do. It gains what mstep-router needs: the sum of buffered requests, the form of rejections, and no request read before the response to the one before it. The sum is kept as it changes instead of being computed.

--- a/include/marigoldstep/io/http_connection.h
+++ b/include/marigoldstep/io/http_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marigoldstep/error.h"
 #include "marigoldstep/io/http_parser.h"
 #include "marigoldstep/types.h"
 
@@ -25,6 +26,18 @@
   milliseconds header_timeout{3000};
   milliseconds idle_timeout{15'000}; // between requests
   std::size_t max_connections = 2000;
+  // Of incomplete requests on all connections; a connection that exceeds it is reset.
+  std::optional<std::size_t> max_buffered_bytes;
+  // Whether a request may follow before the response to the one before it. If not, the
+  // connection closes after that response and the later request isn't read.
+  bool allows_pipelining = true;
+};
+
+// Response to a request that can't be read.
+struct http_rejection {
+  unsigned status = 0;
+  std::vector<http_field> fields;
+  std::string body;
 };
 
 // The server's side of one connection. Reads one request at a time, and the next only
@@ -36,14 +49,20 @@
   std::function<void(http_connection&, http_request)> on_request;
   // Either side closed the connection; a response in progress cannot be finished.
   std::function<void()> on_closed;
+  // Makes the response to a request that can't be read; unset: its text is the error's
+  // name.
+  std::function<http_rejection(errc)> make_rejection;
+  // The bytes of the request being read changed in number. Returns whether they may be
+  // kept.
+  std::function<bool(std::size_t before, std::size_t now)> on_buffered;
   // Some queued output was passed to the operating system.
   std::function<void()> on_drained;
 
   // Writes a complete response.
   void respond(unsigned status, const std::vector<http_field>& fields,
                std::string_view body);
-  // Begins a response whose body follows in pieces. Without a length it is chunked or, for
-  // an HTTP/1.0 client, ends with the connection.
+  // Begins a response whose body follows in pieces. Without a length it is chunked or,
+  // for an HTTP/1.0 client, ends with the connection.
   void begin(unsigned status, const std::vector<http_field>& fields,
              std::optional<std::uint64_t> length);
   void write_body(std::string_view piece);
@@ -75,6 +94,7 @@
   void record_progress(std::size_t n);
   void send_continue();
   void reject(std::error_code ec);
+  [[nodiscard]] bool report_buffered();
   void end_response();
   void linger();
   void handle_closed();
@@ -90,12 +110,13 @@
   phase phase_ = phase::idle;
   time_point phase_since_; // or, while a body arrives, of its latest 16 kB
   bool has_head_ = false;
-  std::size_t bytes_since_ = 0; // of the body since then
+  std::size_t bytes_since_ = 0;    // of the body since then
+  std::size_t reported_bytes_ = 0; // in the last call of on_buffered
   bool begun_ = false;
   bool chunked_ = false;
   bool ends_with_connection_ = false; // the body of the response in progress
   unsigned version_ = http_1_1;       // of the request in progress
-  bool has_no_body_ = false; // of the response in progress
+  bool has_no_body_ = false;          // of the response in progress
   bool close_after_ = false;
   bool continue_sent_ = false;
   bool is_flushing_ = false;
@@ -109,6 +130,7 @@
 
   http_server_limits limits;
   std::function<void(http_connection&, http_request)> on_request;
+  std::function<http_rejection(errc)> make_rejection; // see http_connection
 
   std::error_code listen(const std::string& host, std::uint16_t port);
   [[nodiscard]] std::uint16_t port() const;
@@ -120,7 +142,7 @@
   // Connections with a response in progress.
   [[nodiscard]] std::size_t busy_connections() const;
   // Bytes of requests buffered in memory.
-  [[nodiscard]] std::size_t buffered_bytes() const;
+  [[nodiscard]] std::size_t buffered_bytes() const { return buffered_bytes_; }
 
 private:
   void accept();
@@ -129,6 +151,7 @@
 
   QTcpServer server_;
   std::set<http_connection*> open_;
+  std::size_t buffered_bytes_ = 0;
   time_point limit_logged_at_{};
   bool closing_ = false;
 };
--- a/include/marigoldstep/io/http_status.h
+++ b/include/marigoldstep/io/http_status.h
@@ -5,6 +5,7 @@
 
 inline constexpr unsigned switching_protocols = 101;
 inline constexpr unsigned ok = 200; // the first 2xx status; 2xx ends below redirect
+inline constexpr unsigned accepted = 202;
 inline constexpr unsigned no_content = 204;
 inline constexpr unsigned redirect = 300;
 inline constexpr unsigned not_modified = 304;
@@ -13,6 +14,7 @@
 inline constexpr unsigned unauthorized = 401;
 inline constexpr unsigned not_found = 404;
 inline constexpr unsigned request_timeout = 408;
+inline constexpr unsigned conflict = 409;
 inline constexpr unsigned content_too_large = 413;
 inline constexpr unsigned misdirected = 421;
 inline constexpr unsigned header_too_large = 431;
--- a/src/io/admin_server.cpp
+++ b/src/io/admin_server.cpp
@@ -1,43 +1,66 @@
 #include "marigoldstep/io/admin_server.h"
 
+#include "marigoldstep/io/http_status.h"
+
 #include <prometheus/text_serializer.h>
 
 namespace marigoldstep::io {
 
-using status = QHttpServerResponder::StatusCode;
+namespace {
+
+void respond_text(http_connection& to, unsigned status, const std::string& type,
+                  std::string_view body) {
+  to.respond(status, {{"Content-Type", type}}, body);
+}
+
+} // namespace
 
 admin_server::admin_server(QObject* parent)
-    : http_server(parent), registry_(std::make_shared<prometheus::Registry>()) {
-  on_request = [this](const QHttpServerRequest& request, QTcpSocket* socket) {
-    serve(request, socket);
+    : QObject(parent), listener_(this),
+      registry_(std::make_shared<prometheus::Registry>()) {
+  listener_.on_request = [this](http_connection& from, http_request request) {
+    serve(from, std::move(request));
   };
 }
 
-QByteArray admin_server::metrics_text() {
+std::error_code admin_server::start(const std::string& host, std::uint16_t port) {
+  return listener_.listen(host, port);
+}
+
+std::string admin_server::metrics_text() {
   if (before_collect) {
     before_collect();
   }
   const prometheus::TextSerializer serializer;
-  return QByteArray::fromStdString(serializer.Serialize(registry_->Collect()));
+  return serializer.Serialize(registry_->Collect());
+}
+
+void admin_server::serve(http_connection& from, http_request request) {
+  const auto path =
+      std::string_view(request.head.target).substr(0, request.head.target.find('?'));
+  if (request.head.method == "DELETE") {
+    const bool is_deleted = on_delete && on_delete(path);
+    from.respond(is_deleted ? http_status::ok : http_status::not_found, {}, "");
+  } else if (request.head.method == "POST" && on_post) {
+    on_post(from, path, std::move(request.body));
+  } else {
+    serve_get(from, path);
+  }
 }
 
-void admin_server::serve(const QHttpServerRequest& request, QTcpSocket* socket) {
-  auto reply = responder(request, socket);
-  const auto path = request.url().path();
-  if (request.method() == QHttpServerRequest::Method::Delete) {
-    reply.write(on_delete && on_delete(path) ? status::Ok : status::NotFound);
-  } else if (path == "/metrics") {
-    reply.write(metrics_text(), "text/plain; version=0.0.4");
+void admin_server::serve_get(http_connection& from, std::string_view path) {
+  if (path == "/metrics") {
+    respond_text(from, http_status::ok, "text/plain; version=0.0.4", metrics_text());
   } else if (path == "/healthz") {
-    reply.write("ok\n", "text/plain");
+    respond_text(from, http_status::ok, "text/plain", "ok\n");
   } else if (path == "/readyz") {
     const bool ready = !is_ready || is_ready();
-    reply.write(ready ? "ready\n" : "not ready\n", "text/plain",
-                ready ? status::Ok : status::ServiceUnavailable);
-  } else if (auto text = extra ? extra(path) : QByteArray(); !text.isEmpty()) {
-    reply.write(text, "application/json");
+    respond_text(from, ready ? http_status::ok : http_status::unavailable, "text/plain",
+                 ready ? "ready\n" : "not ready\n");
+  } else if (const auto text = extra ? extra(path) : std::string(); !text.empty()) {
+    respond_text(from, http_status::ok, "application/json", text);
   } else {
-    reply.write(status::NotFound);
+    from.respond(http_status::not_found, {}, "");
   }
 }
 
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -112,11 +112,21 @@
     reject(ec);
   } else if (parser_.is_done()) {
     handle_request();
+  } else if (!report_buffered()) {
+    log_event(log_level::warning, "request_buffers_full",
+              {{"client", socket_->peerAddress().toString().toStdString()}});
+    abort();
   } else if (parser_.has_head()) {
     send_continue();
   }
 }
 
+bool http_connection::report_buffered() {
+  const auto n = phase_ == phase::closed ? 0 : buffered_bytes();
+  const auto before = std::exchange(reported_bytes_, n);
+  return !on_buffered || on_buffered(before, n);
+}
+
 // Gives a body that arrives steadily the time that it needs.
 void http_connection::record_progress(std::size_t n) {
   const bool is_first = parser_.has_head() && !has_head_;
@@ -140,6 +150,7 @@
 void http_connection::handle_request() {
   http_request request{parser_.head(), std::move(body_)};
   body_.clear();
+  static_cast<void>(report_buffered());
   has_head_ = false;
   phase_ = phase::responding;
   begun_ = false;
@@ -162,7 +173,12 @@
   log_event(log_level::warning, "request_rejected",
             {{"client", socket_->peerAddress().toString().toStdString()},
              {"error", std::string(name(code))}});
-  respond(status_of(ec), {}, std::string(name(code)) + "\n");
+  if (make_rejection) {
+    const auto rejection = make_rejection(code);
+    respond(rejection.status, rejection.fields, rejection.body);
+  } else {
+    respond(status_of(ec), {}, std::string(name(code)) + "\n");
+  }
 }
 
 void http_connection::write_head(unsigned status, const std::vector<http_field>& fields) {
@@ -267,6 +283,12 @@
   if (input_.empty() && socket_->bytesAvailable() == 0) {
     return;
   }
+  if (!limits_.allows_pipelining) {
+    log_event(log_level::warning, "pipelined_request_dropped",
+              {{"client", socket_->peerAddress().toString().toStdString()}});
+    linger();
+    return;
+  }
   QMetaObject::invokeMethod(
       this,
       [this] {
@@ -341,6 +363,7 @@
     return;
   }
   phase_ = phase::closed;
+  static_cast<void>(report_buffered());
   if (on_closed) {
     on_closed();
   }
@@ -393,14 +416,6 @@
   return n;
 }
 
-std::size_t http_listener::buffered_bytes() const {
-  std::size_t n = 0;
-  for (const auto* it : open_) {
-    n += it->buffered_bytes();
-  }
-  return n;
-}
-
 void http_listener::accept() {
   while (auto* socket = server_.nextPendingConnection()) {
     if (open_.size() >= limits.max_connections) {
@@ -413,6 +428,11 @@
     open_.insert(connection);
     connect(connection, &QObject::destroyed, this,
             [this, connection] { open_.erase(connection); });
+    connection->make_rejection = make_rejection;
+    connection->on_buffered = [this](std::size_t before, std::size_t n) {
+      buffered_bytes_ = buffered_bytes_ - before + n;
+      return !limits.max_buffered_bytes || buffered_bytes_ <= *limits.max_buffered_bytes;
+    };
     connection->on_request = [this](http_connection& from, http_request request) {
       if (on_request) {
         on_request(from, std::move(request));
@@ -435,7 +455,7 @@
 
 void http_listener::tick() {
   const auto now = io::now();
-  const auto open = open_;
+  const std::vector<http_connection*> open(open_.begin(), open_.end());
   for (auto* it : open) {
     it->tick(now);
   }
--- a/tools/agent/agent.cpp
+++ b/tools/agent/agent.cpp
@@ -1,6 +1,7 @@
 #include "agent/agent.h"
 
 #include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/http_status.h"
 #include "marigoldstep/io/logging.h"
 
 #include <cmath>
@@ -79,27 +80,20 @@
     metrics_.mean.Set(runner_.mean_milli() / milli_per_unit);
     metrics_.retained_bytes.Set(static_cast<double>(runner_.store().retained_bytes()));
   };
-  admin_.on_request = [this, serve_get = admin_.on_request](
-                          const QHttpServerRequest& request, QTcpSocket* socket) {
-    if (request.method() == QHttpServerRequest::Method::Post) {
-      serve_post(request, socket);
-    } else {
-      serve_get(request, socket);
-    }
-  };
+  admin_.on_post = [this](io::http_connection& from, std::string_view path,
+                          std::string body) { serve_post(from, path, std::move(body)); };
 }
 
-void agent::serve_post(const QHttpServerRequest& request, QTcpSocket* socket) {
-  auto responder = admin_.responder(request, socket);
-  const auto path = request.url().path();
+void agent::serve_post(io::http_connection& from, std::string_view path,
+                       std::string body) {
   if (path == "/drain") {
-    responder.write("{\"draining\":true}", "application/json",
-                    QHttpServerResponder::StatusCode::Accepted);
+    from.respond(io::http_status::accepted, {{"Content-Type", "application/json"}},
+                 R"({"draining":true})");
     drain();
   } else if (path == "/orders") {
-    orders_.submit(request.body(), std::move(responder), socket);
+    orders_.submit(QByteArray::fromStdString(body), from);
   } else {
-    responder.write(QHttpServerResponder::StatusCode::NotFound);
+    from.respond(io::http_status::not_found, {}, "");
   }
 }
 
@@ -108,8 +102,7 @@
   if (auto ec = listener_.listen(host, settings_.listen.port)) {
     return ec;
   }
-  const auto admin_host = QString::fromStdString(settings_.admin.host);
-  if (auto ec = admin_.start(admin_host, settings_.admin.port)) {
+  if (auto ec = admin_.start(settings_.admin.host, settings_.admin.port)) {
     return ec;
   }
   if (settings_.advertise.port == 0) {
--- a/tools/agent/agent.h
+++ b/tools/agent/agent.h
@@ -44,7 +44,7 @@
   void handle_body(router_link& link, wire::DataFrameT& frame);
   [[nodiscard]] frame_metadata make_frame_metadata() const;
   void log_summary();
-  void serve_post(const QHttpServerRequest& request, QTcpSocket* socket);
+  void serve_post(io::http_connection& from, std::string_view path, std::string body);
   void check_drained();
 
   agent_settings settings_;
--- a/tools/agent/orders.cpp
+++ b/tools/agent/orders.cpp
@@ -1,5 +1,6 @@
 #include "agent/orders.h"
 
+#include "marigoldstep/io/http_status.h"
 #include "marigoldstep/io/logging.h"
 #include "marigoldstep/verdict.h"
 
@@ -10,14 +11,11 @@
 
 namespace {
 
-using status_code = QHttpServerResponder::StatusCode;
-
 constexpr std::size_t max_pending_orders = 16;
 // 2^53 - 1, because JSON numbers represent only 53 bits exactly.
 constexpr double max_exact_integer = 9007199254740991.0;
 
-void write_problem(QHttpServerResponder& responder, status_code status,
-                   const outcome& result) {
+void write_problem(io::http_connection& to, unsigned status, const outcome& result) {
   const auto code = errc_from_number(static_cast<unsigned>(result.error.value()));
   const auto text = std::string(message(code));
   const QJsonObject body{
@@ -26,8 +24,8 @@
       {"status", static_cast<int>(status)},
       {"code", QString::fromStdString(std::string(name(code)))},
       {"verdict", QString::fromStdString(std::string(name(result.result)))}};
-  responder.write(QJsonDocument(body).toJson(QJsonDocument::Compact),
-                  "application/problem+json", status);
+  to.respond(status, {{"Content-Type", "application/problem+json"}},
+             QJsonDocument(body).toJson(QJsonDocument::Compact).toStdString());
 }
 
 backend_request make_call(const order& from) {
@@ -68,25 +66,24 @@
                static_cast<std::uint64_t>(fencing)};
 }
 
-void order_forwarder::submit(const QByteArray& body, QHttpServerResponder responder,
-                             QTcpSocket* socket) {
+void order_forwarder::submit(const QByteArray& body, io::http_connection& from) {
   const auto command = parse_order(body);
   if (!command) {
-    write_problem(responder, status_code::BadRequest, not_run(errc::bad_request));
+    write_problem(from, io::http_status::bad_request, not_run(errc::bad_request));
     return;
   }
   const bool checked_here = !server_checks_fencing || !server_checks_fencing();
   if (checked_here && command->fencing <= last_fencing_) {
     log_order(*command, name(errc::stale_fencing_token));
-    write_problem(responder, status_code::Conflict, not_run(errc::stale_fencing_token));
+    write_problem(from, io::http_status::conflict, not_run(errc::stale_fencing_token));
     return;
   }
   if (pending_.size() >= max_pending_orders) {
-    write_problem(responder, status_code::ServiceUnavailable, not_run(errc::queue_full));
+    write_problem(from, io::http_status::unavailable, not_run(errc::queue_full));
     return;
   }
   last_fencing_ = std::max(last_fencing_, command->fencing);
-  pending_.push_back({*command, std::move(responder), socket, 0, {}});
+  pending_.push_back({*command, &from, 0, {}});
   send_next();
 }
 
@@ -99,8 +96,7 @@
     pending_.front().status = head.status;
   };
   call_->on_data = [this](byte_view chunk) {
-    pending_.front().response.append(reinterpret_cast<const char*>(chunk.data()),
-                                     static_cast<qsizetype>(chunk.size()));
+    pending_.front().response += as_text(chunk);
   };
   call_->on_end = [this](backend_result result, const std::string&) { finish(result); };
 }
@@ -113,11 +109,11 @@
   const bool is_complete = result == backend_result::complete;
   log_order(done.command,
             is_complete ? "status " + std::to_string(done.status) : "failed");
-  if (done.socket != nullptr && is_complete) {
-    done.responder.write(done.response, "application/json",
-                         static_cast<status_code>(done.status));
-  } else if (done.socket != nullptr) {
-    write_problem(done.responder, status_code::BadGateway,
+  if (done.from && is_complete) {
+    done.from->respond(done.status, {{"Content-Type", "application/json"}},
+                       done.response);
+  } else if (done.from) {
+    write_problem(*done.from, io::http_status::bad_gateway,
                   result == backend_result::not_reached
                       ? not_run(errc::server_unreachable)
                       : may_have_run(errc::answer_truncated));
--- a/tools/agent/orders.h
+++ b/tools/agent/orders.h
@@ -2,10 +2,9 @@
 
 #include "agent/backend_call.h"
 #include "marigoldstep/error.h"
+#include "marigoldstep/io/http_connection.h"
 
-#include <QHttpServerResponder>
 #include <QPointer>
-#include <QTcpSocket>
 
 #include <deque>
 #include <memory>
@@ -37,15 +36,14 @@
   std::function<bool()> server_checks_fencing;
 
   // Responds with the status and body of the backend server's response, or with an error.
-  void submit(const QByteArray& body, QHttpServerResponder responder, QTcpSocket* socket);
+  void submit(const QByteArray& body, io::http_connection& from);
 
 private:
   struct pending_order {
     order command;
-    QHttpServerResponder responder;
-    QPointer<QTcpSocket> socket;
+    QPointer<io::http_connection> from;
     std::uint16_t status = 0;
-    QByteArray response;
+    std::string response;
   };
 
   void send_next();
--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -70,18 +70,17 @@
 // Shows evacuated zones, and shows and lifts the quarantine of prompt parts and requests,
 // that at the leader only.
 void serve_operator_pages(io::admin_server& admin, control::link_service& links) {
-  static const QString list_path = "/quarantine";
-  static const QString evacuations_path = "/evacuations";
-  admin.extra = [&links](const QString& path) {
-    return path == list_path ? QByteArray::fromStdString(links.quarantine_json())
-           : path == evacuations_path
-               ? QByteArray::fromStdString(links.evacuations_json())
-               : QByteArray();
+  static constexpr std::string_view list_path = "/quarantine";
+  static constexpr std::string_view entry_prefix = "/quarantine/";
+  static constexpr std::string_view evacuations_path = "/evacuations";
+  admin.extra = [&links](std::string_view path) {
+    return path == list_path          ? links.quarantine_json()
+           : path == evacuations_path ? links.evacuations_json()
+                                      : std::string();
   };
-  admin.on_delete = [&links](const QString& path) {
-    const auto prefix = list_path + "/";
-    return path.startsWith(prefix) &&
-           links.lift_quarantined(path.mid(prefix.size()).toStdString());
+  admin.on_delete = [&links](std::string_view path) {
+    return path.starts_with(entry_prefix) &&
+           links.lift_quarantined(path.substr(entry_prefix.size()));
   };
 }
 
@@ -98,7 +97,7 @@
   io::admin_server admin(nullptr);
   ec = service.listen(settings.listen);
   if (!ec) {
-    ec = admin.start(QString::fromStdString(settings.admin.host), settings.admin.port);
+    ec = admin.start(settings.admin.host, settings.admin.port);
   }
   if (ec) {
     std::cerr << program << ": cannot listen: " << ec.message() << "\n";
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -22,7 +22,7 @@
   admin.is_ready = [&] { return gateway.is_ready(); };
   auto ec = gateway.start();
   if (!ec) {
-    ec = admin.start(QString::fromStdString(settings.host),
+    ec = admin.start(settings.host,
                      io::port_of(settings.first_port, io::fleet_port::metrics));
   }
   if (ec) {
--- a/tools/router/caller_request.cpp
+++ b/tools/router/caller_request.cpp
@@ -17,46 +17,47 @@
 const QString resume_prefix = "/v1/attempts/";
 const QString service_prefix = "/services/";
 
-constexpr std::array<std::string_view, 9> hop_by_hop_headers = {
-    "host",    "connection", "content-length", "transfer-encoding", "keep-alive", "te",
-    "trailer", "upgrade",    "expect"};
-
-std::string header(const QHttpServerRequest& request, const char* name) {
-  return request.value(name).trimmed().toStdString();
+constexpr std::array<std::string_view, 3> own_headers = {"host", "content-length",
+                                                         "expect"};
+constexpr std::array<std::string_view, 7> methods = {"GET",  "PUT",     "DELETE", "POST",
+                                                     "HEAD", "OPTIONS", "PATCH"};
+
+template <std::size_t n>
+bool contains(const std::array<std::string_view, n>& list, std::string_view it) {
+  return std::find(list.begin(), list.end(), it) != list.end();
 }
 
-std::string method_name(QHttpServerRequest::Method method) {
-  switch (method) {
-  case QHttpServerRequest::Method::Get:
-    return "GET";
-  case QHttpServerRequest::Method::Put:
-    return "PUT";
-  case QHttpServerRequest::Method::Delete:
-    return "DELETE";
-  case QHttpServerRequest::Method::Post:
-    return "POST";
-  case QHttpServerRequest::Method::Head:
-    return "HEAD";
-  case QHttpServerRequest::Method::Options:
-    return "OPTIONS";
-  case QHttpServerRequest::Method::Patch:
-    return "PATCH";
-  default:
-    return {};
+// The values of all fields of that name, joined as one list (RFC 9110, section 5.3).
+std::string header(const io::http_request& request, std::string_view name) {
+  std::string out;
+  for (const auto& it : request.head.fields) {
+    if (io::equal_ignoring_case(it.name, name)) {
+      out += out.empty() ? it.value : ", " + it.value;
+    }
   }
+  return out;
+}
+
+std::string to_lower(const std::string& name) {
+  return QByteArray::fromStdString(name).toLower().toStdString();
+}
+
+// An absolute target names its own host; any other starts with the path.
+QUrl parse_target(const std::string& target) {
+  const auto text = target.starts_with('/') ? "http://router" + target : target;
+  return QUrl::fromEncoded(QByteArray::fromStdString(text));
 }
 
-void copy_headers(const QHttpServerRequest& request, wire::StartAttemptT& start) {
-  for (const auto& [name, value] : request.headers()) {
-    const auto lower = name.toLower().toStdString();
-    const bool is_own = lower.starts_with("x-marigoldstep-");
-    if (is_own || std::find(hop_by_hop_headers.begin(), hop_by_hop_headers.end(),
-                            lower) != hop_by_hop_headers.end()) {
+void copy_headers(const io::http_request& request, wire::StartAttemptT& start) {
+  for (const auto& it : request.head.fields) {
+    auto name = to_lower(it.name);
+    if (name.starts_with("x-marigoldstep-") || contains(own_headers, name) ||
+        io::is_hop_by_hop(request.head, name)) {
       continue;
     }
     auto entry = std::make_unique<wire::HeaderT>();
-    entry->name = lower;
-    entry->value = value.toStdString();
+    entry->name = std::move(name);
+    entry->value = it.value;
     start.headers.push_back(std::move(entry));
   }
 }
@@ -100,41 +101,41 @@
 
 } // namespace
 
-call_kind classify_request(const QHttpServerRequest& request) {
-  using method = QHttpServerRequest::Method;
-  const auto path = request.url().path();
-  if (path == chat_path && request.method() == method::Post) {
+call_kind classify_request(const io::http_request& request) {
+  const auto path = parse_target(request.head.target).path();
+  const auto& method = request.head.method;
+  if (path == chat_path && method == "POST") {
     return call_kind::chat;
   }
-  if (path == cancel_path && request.method() == method::Post) {
+  if (path == cancel_path && method == "POST") {
     return call_kind::cancel;
   }
-  if (path.startsWith(resume_prefix) && request.method() == method::Get) {
+  if (path.startsWith(resume_prefix) && method == "GET") {
     return call_kind::resume;
   }
-  if (path.startsWith(service_prefix) && !method_name(request.method()).empty()) {
+  if (path.startsWith(service_prefix) && contains(methods, method)) {
     return call_kind::service;
   }
   return call_kind::unknown;
 }
 
-parsed_call parse_call(const QHttpServerRequest& request, call_kind kind) {
+parsed_call parse_call(const io::http_request& request, call_kind kind) {
   parsed_call call;
   auto& fields = call.fields;
-  const auto body = request.body();
+  const auto& body = request.body;
   fields.workspace = header(request, "X-Marigoldstep-Workspace");
   fields.chat_id = header(request, "X-Marigoldstep-Chat");
   fields.deadline_ms = header(request, "X-Marigoldstep-Deadline-Ms");
   fields.priority = header(request, "X-Marigoldstep-Priority");
   fields.idempotency_key = header(request, "Idempotency-Key");
-  fields.method = method_name(request.method());
-  fields.body_bytes = static_cast<std::size_t>(body.size());
+  fields.method = request.head.method;
+  fields.body_bytes = body.size();
   if (kind == call_kind::chat) {
     fields.path = chat_path.toStdString();
     call.start.path = fields.path;
-    call.error = read_chat_body(body, fields);
+    call.error = read_chat_body(QByteArray::fromStdString(body), fields);
   } else {
-    call.error = read_service_path(request.url(), call);
+    call.error = read_service_path(parse_target(request.head.target), call);
   }
   call.start.method = fields.method;
   copy_headers(request, call.start);
@@ -154,11 +155,12 @@
   start.stream = request.stream;
 }
 
-parsed_resume parse_resume(const QHttpServerRequest& request) {
+parsed_resume parse_resume(const io::http_request& request) {
   parsed_resume out;
-  const auto text = request.url().path().mid(resume_prefix.size()).toStdString();
+  const auto url = parse_target(request.head.target);
+  const auto text = url.path().mid(resume_prefix.size()).toStdString();
   const auto token = parse_resume_token(text);
-  const auto offset = request.query().queryItemValue("offset");
+  const auto offset = QUrlQuery(url).queryItemValue("offset");
   bool offset_ok = true;
   if (!offset.isEmpty()) {
     out.offset = offset.toULongLong(&offset_ok);
@@ -171,9 +173,10 @@
   return out;
 }
 
-parsed_cancel parse_cancel(const QHttpServerRequest& request) {
+parsed_cancel parse_cancel(const io::http_request& request) {
   parsed_cancel out;
-  const auto root = QJsonDocument::fromJson(request.body()).object();
+  const auto root =
+      QJsonDocument::fromJson(QByteArray::fromStdString(request.body)).object();
   out.workspace = header(request, "X-Marigoldstep-Workspace");
   out.key = header(request, "Idempotency-Key");
   out.service = root["service"].toString().toStdString();
--- a/tools/router/caller_response.cpp
+++ b/tools/router/caller_response.cpp
@@ -5,14 +5,11 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace marigoldstep::router {
 
 namespace {
 
-using status_code = QHttpServerResponder::StatusCode;
-
 constexpr std::array<std::string_view, 8> unforwarded_headers = {
     "connection", "transfer-encoding", "content-length", "keep-alive",
     "te",         "trailer",           "upgrade",        "proxy-authenticate"};
@@ -26,14 +23,19 @@
          !lower.starts_with("x-marigoldstep-");
 }
 
-QByteArray to_bytes(const std::string& text) {
-  return QByteArray::fromStdString(text);
-}
-
-bool has_no_body(int status) {
-  constexpr int no_content = 204;
-  constexpr int not_modified = 304;
-  return status < 200 || status == no_content || status == not_modified;
+std::vector<io::http_field> make_fields(const wire::AttemptHeadT& head,
+                                        const response_ids& ids) {
+  std::vector<io::http_field> out;
+  for (const auto& it : head.headers) {
+    if (is_forwarded(it->name)) {
+      out.push_back({it->name, it->value});
+    }
+  }
+  out.push_back({"X-Marigoldstep-Request-Id", ids.request_id});
+  if (!ids.resume_token.empty()) {
+    out.push_back({"X-Marigoldstep-Resume", ids.resume_token});
+  }
+  return out;
 }
 
 struct status_entry {
@@ -41,7 +43,7 @@
   int status;
 };
 
-constexpr std::array<status_entry, 26> statuses = {{
+constexpr std::array<status_entry, 27> statuses = {{
     {errc::bad_request, 400},
     {errc::body_too_large, 413},
     {errc::unknown_workspace, 403},
@@ -68,6 +70,7 @@
     {errc::control_unavailable, 503},
     {errc::unknown_attempt, 404},
     {errc::attempt_expired, 410},
+    {errc::not_implemented, 501},
 }};
 
 } // namespace
@@ -80,68 +83,46 @@
   return it == statuses.end() ? bad_gateway : it->status;
 }
 
-caller_response::caller_response(QHttpServerResponder responder,
-                                 caller_connection& connection)
-    : responder_(std::move(responder)), connection_(&connection) {}
-
-void caller_response::write_head(const wire::AttemptHeadT& head,
-                                 const response_ids& ids) {
-  responder_.writeStatusLine(static_cast<status_code>(head.status));
-  for (const auto& it : head.headers) {
-    if (is_forwarded(it->name)) {
-      responder_.writeHeader(to_bytes(it->name), to_bytes(it->value));
-    }
-  }
-  responder_.writeHeader("X-Marigoldstep-Request-Id", to_bytes(ids.request_id));
-  if (!ids.resume_token.empty()) {
-    responder_.writeHeader("X-Marigoldstep-Resume", to_bytes(ids.resume_token));
+std::string make_problem(const outcome& result, const std::string& request_id) {
+  const auto code = errc_from_number(static_cast<unsigned>(result.error.value()));
+  const auto text = [](std::string_view it) {
+    return QString::fromUtf8(it.data(), static_cast<qsizetype>(it.size()));
+  };
+  QJsonObject problem;
+  problem["type"] = "about:blank";
+  problem["title"] = text(message(code));
+  problem["status"] = http_status(result);
+  problem["code"] = text(name(code));
+  problem["verdict"] = text(name(result.result));
+  if (!request_id.empty()) {
+    problem["request_id"] = QString::fromStdString(request_id);
   }
+  return QJsonDocument(problem).toJson(QJsonDocument::Compact).toStdString();
 }
 
 void caller_response::begin(const wire::AttemptHeadT& head, const response_ids& ids) {
-  if (!is_open()) {
-    return;
+  if (is_open()) {
+    connection_->http->begin(head.status, make_fields(head, ids), std::nullopt);
   }
-  write_head(head, ids);
-  responder_.writeHeader("Transfer-Encoding", "chunked");
-  responder_.writeBody(QByteArray());
 }
 
 void caller_response::write_chunk(byte_view data) {
-  if (!is_open() || data.empty()) {
-    return;
+  if (is_open()) {
+    connection_->http->write_body(as_text(data));
   }
-  std::array<char, 20> size{};
-  auto [end, ec] = std::to_chars(size.data(), size.data() + size.size(), data.size(), 16);
-  QByteArray chunk;
-  const auto needed = data.size() + size.size() + 4;
-  chunk.reserve(qsizetype(needed));
-  chunk.append(size.data(), end - size.data());
-  chunk.append("\r\n");
-  chunk.append(reinterpret_cast<const char*>(data.data()),
-               static_cast<qsizetype>(data.size()));
-  chunk.append("\r\n");
-  responder_.writeBody(chunk);
 }
 
 void caller_response::end() {
   if (is_open()) {
-    responder_.writeBody("0\r\n\r\n");
+    connection_->http->finish();
   }
 }
 
 void caller_response::write_complete(const wire::AttemptHeadT& head, byte_view body,
-                                     bool is_head, const response_ids& ids) {
-  if (!is_open()) {
-    return;
-  }
-  write_head(head, ids);
-  const bool without_body = is_head || has_no_body(head.status);
-  if (!without_body) {
-    responder_.writeHeader("Content-Length", QByteArray::number(quint64(body.size())));
+                                     const response_ids& ids) {
+  if (is_open()) {
+    connection_->http->respond(head.status, make_fields(head, ids), as_text(body));
   }
-  const auto* data = reinterpret_cast<const char*>(body.data());
-  responder_.writeBody(data, without_body ? 0 : static_cast<qint64>(body.size()));
 }
 
 void caller_response::write_problem(const outcome& result,
@@ -149,30 +130,16 @@
   if (!is_open()) {
     return;
   }
-  const auto code = errc_from_number(static_cast<unsigned>(result.error.value()));
-  const auto text = [](std::string_view it) {
-    return QString::fromUtf8(it.data(), static_cast<qsizetype>(it.size()));
-  };
-  const int status = http_status(result);
-  QJsonObject problem;
-  problem["type"] = "about:blank";
-  problem["title"] = text(message(code));
-  problem["status"] = status;
-  problem["code"] = text(name(code));
-  problem["verdict"] = text(name(result.result));
-  problem["request_id"] = QString::fromStdString(request_id);
-  const auto body = QJsonDocument(problem).toJson(QJsonDocument::Compact);
-  responder_.writeStatusLine(static_cast<status_code>(status));
-  responder_.writeHeader("Content-Type", "application/problem+json");
-  responder_.writeHeader("X-Marigoldstep-Request-Id", to_bytes(request_id));
+  std::vector<io::http_field> fields = {{"Content-Type", problem_media_type},
+                                        {"X-Marigoldstep-Request-Id", request_id}};
   if (result.retry_after.count() > 0) {
     // The header has a resolution of one second. Rounded up, because callers would
     // otherwise retry too early.
     const auto seconds = (result.retry_after.count() + 999) / 1000;
-    responder_.writeHeader("Retry-After", QByteArray::number(qint64(seconds)));
+    fields.push_back({"Retry-After", std::to_string(seconds)});
   }
-  responder_.writeHeader("Content-Length", QByteArray::number(body.size()));
-  responder_.writeBody(body);
+  connection_->http->respond(static_cast<unsigned>(http_status(result)), fields,
+                             make_problem(result, request_id));
 }
 
 void caller_response::close_incomplete() {
@@ -182,13 +149,7 @@
   auto* connection = connection_;
   connection_ = nullptr;
   connection->handler = nullptr;
-  connection->socket->disconnectFromHost();
-}
-
-void caller_response::flush() {
-  if (is_open()) {
-    connection_->socket->flush();
-  }
+  connection->http->abort();
 }
 
 void caller_response::release() {
@@ -200,7 +161,7 @@
 }
 
 std::uint64_t caller_response::queued_bytes() const {
-  return is_open() ? static_cast<std::uint64_t>(connection_->socket->bytesToWrite()) : 0;
+  return is_open() ? connection_->http->queued_bytes() : 0;
 }
 
 } // namespace marigoldstep::router
--- a/tools/router/caller_response.h
+++ b/tools/router/caller_response.h
@@ -9,6 +9,11 @@
 // HTTP status for an outcome without a response from a backend server.
 int http_status(const outcome& result);
 
+// The outcome as a problem document (RFC 9457); without the request's id if that is
+// empty.
+inline constexpr const char* problem_media_type = "application/problem+json";
+std::string make_problem(const outcome& result, const std::string& request_id);
+
 // Ids sent to the caller as response headers.
 struct response_ids {
   std::string request_id;
@@ -19,23 +24,20 @@
 // connection was lost, closed or released.
 class caller_response {
 public:
-  caller_response(QHttpServerResponder responder, caller_connection& connection);
+  explicit caller_response(caller_connection& connection) : connection_(&connection) {}
 
   // Writes the head of a chunked response.
   void begin(const wire::AttemptHeadT& head, const response_ids& ids);
   void write_chunk(byte_view data);
   // Writes the last chunk, by which the caller knows that the response is complete.
   void end();
-  // Writes a complete response. is_head: the request method was HEAD.
-  void write_complete(const wire::AttemptHeadT& head, byte_view body, bool is_head,
+  void write_complete(const wire::AttemptHeadT& head, byte_view body,
                       const response_ids& ids);
   // Writes an error as application/problem+json.
   void write_problem(const outcome& result, const std::string& request_id);
   // Closes the connection without the last chunk.
   void close_incomplete();
 
-  // Writes as much buffered data as possible to the operating system.
-  void flush();
   // Must be called when the connection was lost.
   void clear_connection() { connection_ = nullptr; }
   // Makes the connection available for the next request.
@@ -46,9 +48,6 @@
   [[nodiscard]] caller_connection* connection() const { return connection_; }
 
 private:
-  void write_head(const wire::AttemptHeadT& head, const response_ids& ids);
-
-  QHttpServerResponder responder_;
   caller_connection* connection_;
 };
 
--- a/tools/router/relay_end.cpp
+++ b/tools/router/relay_end.cpp
@@ -98,13 +98,13 @@
   if (state_.response_forwarded) {
     response_.end();
   } else {
-    const bool is_head = job_.start.method == "HEAD";
-    response_.write_complete(ensure_head(), as_bytes(buffered_), is_head,
-                             {job_.request_id, {}});
+    response_.write_complete(ensure_head(), as_bytes(buffered_), {job_.request_id, {}});
   }
   // The final acknowledgement lets the agent drop the response, which it keeps for
   // resumes until it is delivered.
-  response_.flush();
+  if (finished_) {
+    return; // the caller was found to be gone
+  }
   acknowledge(1);
   response_.release();
   finish_request(completed(), "ok");
--- a/tools/router/router.cpp
+++ b/tools/router/router.cpp
@@ -9,8 +9,9 @@
 
 // Timer resolution for deadlines and backoff.
 constexpr auto wakeup_interval = milliseconds(5);
-// Added to the body size limit for the headers of a request.
-constexpr std::uint64_t header_allowance_bytes = 64U << 10U;
+// A body that is larger than allowed by up to this much is read, so that its rejection
+// names the limit of the configuration.
+constexpr std::uint64_t body_allowance_bytes = 64U << 10U;
 // Older contacts are no evidence that a suspect server is alive.
 constexpr auto contact_lifetime = milliseconds(1500);
 
@@ -40,7 +41,7 @@
       admin_(this), callers_(settings.limits, this), metrics_(admin_.registry()) {
   retry_budget_.refilled_at = io::now();
   summary_.started_at = io::now();
-  callers_.on_request = [this](const QHttpServerRequest& request,
+  callers_.on_request = [this](const io::http_request& request,
                                caller_connection& connection) {
     handle_request(request, connection);
   };
@@ -74,8 +75,7 @@
   if (auto ec = callers_.start(settings_.listen)) {
     return ec;
   }
-  const auto host = QString::fromStdString(settings_.admin.host);
-  if (auto ec = admin_.start(host, settings_.admin.port)) {
+  if (auto ec = admin_.start(settings_.admin.host, settings_.admin.port)) {
     return ec;
   }
   session_.start();
@@ -144,7 +144,7 @@
 }
 
 void router::handle_configuration(const std::shared_ptr<const configuration>& config) {
-  callers_.max_request_bytes = config->limits.max_body_bytes + header_allowance_bytes;
+  callers_.set_max_body_bytes(config->limits.max_body_bytes + body_allowance_bytes);
   newest_version_ = std::max(newest_version_, config->version);
   const auto running = relays_;
   for (const auto& [key, it] : running) {
--- a/tools/router/router.h
+++ b/tools/router/router.h
@@ -60,17 +60,16 @@
   void remove(relay& which);
 
 private:
-  void handle_request(const QHttpServerRequest& request, caller_connection& connection);
-  void handle_call(const QHttpServerRequest& request, caller_connection& connection,
+  void handle_request(const io::http_request& request, caller_connection& connection);
+  void handle_call(const io::http_request& request, caller_connection& connection,
                    std::string request_id);
-  void handle_resume(const QHttpServerRequest& request, caller_connection& connection,
+  void handle_resume(const io::http_request& request, caller_connection& connection,
                      std::string request_id);
-  void handle_cancel(const QHttpServerRequest& request, caller_connection& connection,
+  void handle_cancel(const io::http_request& request, caller_connection& connection,
                      std::string request_id);
-  void refuse(const QHttpServerRequest& request, caller_connection& connection,
-              const std::string& request_id, const outcome& result);
-  std::shared_ptr<relay> add_relay(relay_job job, const QHttpServerRequest& request,
-                                   caller_connection& connection);
+  void refuse(caller_connection& connection, const std::string& request_id,
+              const outcome& result);
+  std::shared_ptr<relay> add_relay(relay_job job, caller_connection& connection);
   void handle_configuration(const std::shared_ptr<const configuration>& config);
   void handle_membership(const membership_view& view);
   void handle_agent_frame(const std::string& node_id, const wire::DataFrameT& frame);
--- a/tools/router/router_calls.cpp
+++ b/tools/router/router_calls.cpp
@@ -71,7 +71,7 @@
         result.result == verdict::completed || result.error == errc::request_cancelled;
     if (decided) {
       const auto body = cancel_body(result, request_id_);
-      response_.write_complete(json_head(), as_bytes(body), false, {request_id_, {}});
+      response_.write_complete(json_head(), as_bytes(body), {request_id_, {}});
     } else {
       response_.write_problem(result, request_id_);
     }
@@ -85,30 +85,27 @@
 
 } // namespace
 
-void router::refuse(const QHttpServerRequest& request, caller_connection& connection,
-                    const std::string& request_id, const outcome& result) {
+void router::refuse(caller_connection& connection, const std::string& request_id,
+                    const outcome& result) {
   const auto code = name(errc_from_number(static_cast<unsigned>(result.error.value())));
   io::log_decision({request_id, "refuse", "", std::string(code), {}});
   metrics_.count_request(name(result.result), code);
-  caller_response response(callers_.responder(request, connection), connection);
+  caller_response response(connection);
   response.write_problem(result, request_id);
-  response.release();
 }
 
-void router::handle_request(const QHttpServerRequest& request,
+void router::handle_request(const io::http_request& request,
                             caller_connection& connection) {
   auto request_id = to_string(io::make_attempt_id());
   const auto kind = classify_request(request);
   if (kind == call_kind::unknown) {
-    refuse(request, connection, request_id, not_run(errc::bad_request));
+    refuse(connection, request_id, not_run(errc::bad_request));
   } else if (!session_.config()) {
-    refuse(request, connection, request_id,
-           not_run(errc::no_configuration, busy_retry_after));
+    refuse(connection, request_id, not_run(errc::no_configuration, busy_retry_after));
   } else if (stopping_ && kind != call_kind::resume) {
-    refuse(request, connection, request_id,
-           not_run(errc::server_draining, busy_retry_after));
+    refuse(connection, request_id, not_run(errc::server_draining, busy_retry_after));
   } else if (relays_.size() >= settings_.limits.max_requests || is_buffer_full()) {
-    refuse(request, connection, request_id, not_run(errc::queue_full, busy_retry_after));
+    refuse(connection, request_id, not_run(errc::queue_full, busy_retry_after));
   } else if (kind == call_kind::resume) {
     handle_resume(request, connection, std::move(request_id));
   } else if (kind == call_kind::cancel) {
@@ -118,20 +115,18 @@
   }
 }
 
-std::shared_ptr<relay> router::add_relay(relay_job job, const QHttpServerRequest& request,
-                                         caller_connection& connection) {
-  caller_response response(callers_.responder(request, connection), connection);
-  auto made = std::make_shared<relay>(*this, std::move(job), std::move(response));
+std::shared_ptr<relay> router::add_relay(relay_job job, caller_connection& connection) {
+  auto made = std::make_shared<relay>(*this, std::move(job), caller_response(connection));
   connection.handler = made.get();
   relays_.emplace(made.get(), made);
   return made;
 }
 
-void router::handle_call(const QHttpServerRequest& request, caller_connection& connection,
+void router::handle_call(const io::http_request& request, caller_connection& connection,
                          std::string request_id) {
   auto call = parse_call(request, classify_request(request));
   if (call.error) {
-    refuse(request, connection, request_id, {verdict::not_run, call.error, {}});
+    refuse(connection, request_id, {verdict::not_run, call.error, {}});
     return;
   }
   const auto wall_clock = io::wall_clock();
@@ -139,21 +134,21 @@
   if (checked.error) {
     const bool expired = checked.error == errc::idempotency_key_expired;
     const auto result = expired ? verdict::may_have_run : verdict::not_run;
-    refuse(request, connection, request_id, {result, checked.error, {}});
+    refuse(connection, request_id, {result, checked.error, {}});
     return;
   }
   fill_start(call.start, checked.request);
   call.start.request_id = request_id;
   relay_job job{std::move(request_id), std::move(checked.request), std::move(call.start),
                 io::now()};
-  add_relay(std::move(job), request, connection)->begin();
+  add_relay(std::move(job), connection)->begin();
 }
 
-void router::handle_resume(const QHttpServerRequest& request,
-                           caller_connection& connection, std::string request_id) {
+void router::handle_resume(const io::http_request& request, caller_connection& connection,
+                           std::string request_id) {
   const auto parsed = parse_resume(request);
   if (parsed.error) {
-    refuse(request, connection, request_id, not_run(errc::bad_request));
+    refuse(connection, request_id, not_run(errc::bad_request));
     return;
   }
   relay_job job;
@@ -164,12 +159,11 @@
   if (const auto* server = find_member(parsed.token.agent)) {
     job.request.service = server->service;
   }
-  add_relay(std::move(job), request, connection)
-      ->begin_resume(parsed.token, parsed.offset);
+  add_relay(std::move(job), connection)->begin_resume(parsed.token, parsed.offset);
 }
 
-void router::handle_cancel(const QHttpServerRequest& request,
-                           caller_connection& connection, std::string request_id) {
+void router::handle_cancel(const io::http_request& request, caller_connection& connection,
+                           std::string request_id) {
   const auto parsed = parse_cancel(request);
   const auto& config = *session_.config();
   auto problem = parsed.error;
@@ -187,7 +181,7 @@
   if (key.error) {
     // Nothing was cancelled, so an earlier attempt may still run.
     key.result = verdict::may_have_run;
-    refuse(request, connection, request_id, key);
+    refuse(connection, request_id, key);
     return;
   }
   wire::ClaimRequestT body;
@@ -195,8 +189,7 @@
   body.workspace = parsed.workspace;
   body.service = parsed.service;
   body.key = parsed.key;
-  caller_response response(callers_.responder(request, connection), connection);
-  auto call = std::make_shared<cancel_call>(request_id, std::move(response));
+  auto call = std::make_shared<cancel_call>(request_id, caller_response(connection));
   connection.handler = call.get();
   client().request(std::move(body), cancel_timeout,
                    [this, call](const io::control_result& reply) {
--- a/src/io/http_server.cpp
+++ b/tools/stand_in/http_server.cpp
@@ -1,8 +1,8 @@
-#include "marigoldstep/io/http_server.h"
+#include "stand_in/http_server.h"
 
 #include <QTcpServer>
 
-namespace marigoldstep::io {
+namespace marigoldstep::stand_in {
 
 std::error_code http_server::start(const QString& host, std::uint16_t port) {
   port_ = listen(QHostAddress(host), port);
@@ -30,4 +30,4 @@
   responder(request, socket).write(QHttpServerResponder::StatusCode::NotFound);
 }
 
-} // namespace marigoldstep::io
+} // namespace marigoldstep::stand_in
--- a/include/marigoldstep/io/http_server.h
+++ b/tools/stand_in/http_server.h
@@ -7,7 +7,7 @@
 #include <functional>
 #include <system_error>
 
-namespace marigoldstep::io {
+namespace marigoldstep::stand_in {
 
 // Qt's HTTP server, extended by the raw socket of each request, so that a handler can
 // stream its response and detect that the client disconnected.
@@ -36,4 +36,4 @@
   std::uint16_t port_ = 0;
 };
 
-} // namespace marigoldstep::io
+} // namespace marigoldstep::stand_in
--- a/tools/stand_in/response_writer.h
+++ b/tools/stand_in/response_writer.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "marigoldstep/io/http_server.h"
 #include "stand_in/faults.h"
+#include "stand_in/http_server.h"
 
 #include <QPointer>
 
--- a/tools/stand_in/stand_in_server.h
+++ b/tools/stand_in/stand_in_server.h
@@ -41,7 +41,7 @@
   void refuse_connections(milliseconds pause);
 
   io::endpoint listen_;
-  io::http_server http_;
+  http_server http_;
   std::uint16_t port_ = 0;
   fault_settings faults_;
 };
