Record the departures of servers before they are confirmed

Change: the group records departures in its replicated state (StoreDepartures) before a control process confirms them; followers ask the leader (RecordDepartures). The record drives the directories, also of a process that was cut off meanwhile. Reports of ready servers, also of one that starts anew under its id, need no commit. A leader of an older build records none; departures are then confirmed as that build confirms them.

A repeated report that a server is leaving now waits for the gateways and the record as the first one does.

Why it suffices: a departure is confirmed only when a quorum has it on disk, and no report is judged before everything that a quorum had is applied.

--- a/include/marigoldstep/fleet_state.h
+++ b/include/marigoldstep/fleet_state.h
@@ -3,11 +3,13 @@
 #include "marigoldstep/changes.h"
 #include "marigoldstep/claims.h"
 #include "marigoldstep/configuration.h"
+#include "marigoldstep/departures.h"
 #include "marigoldstep/operators.h"
 #include "marigoldstep/wire.h"
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 
@@ -29,6 +31,7 @@
   // Evacuated availability zones, with the time since when, and the number of changes.
   std::map<std::string, unix_seconds> evacuated_zones;
   std::uint64_t evacuation_number = 0;
+  departure_table departures;
   // Routers of the fleet, as a leader recorded last; 0: not recorded yet.
   std::uint32_t router_count = 0;
 };
@@ -46,6 +49,10 @@
 // entry changes nothing; the body is then empty.
 wire::ControlBodyUnion apply_command(fleet_state& state, byte_view command);
 
+// Conversion of a departure in the log; warmup_left is omitted.
+std::unique_ptr<wire::DepartureT> to_wire(const announced_server& server);
+announced_server from_wire(const wire::DepartureT& entry);
+
 // Encodes the whole state as a snapshot, and decodes it. Malformed input sets ec to
 // errc::storage_corrupt and returns an empty state.
 bytes encode_snapshot(const fleet_state& state);
--- a/include/marigoldstep/io/control_links.h
+++ b/include/marigoldstep/io/control_links.h
@@ -65,6 +65,8 @@
   // The number of routers that the leader counts, and the interval at which it wants
   // load reports; 0 for none.
   std::function<void(std::uint32_t routers, milliseconds load_interval)> on_leader_status;
+  // A leader that a quorum has confirmed has recorded so many departures of servers.
+  std::function<void(std::uint64_t)> on_departure_number;
   // The hosts of the group's members changed.
   std::function<void(const std::set<std::string>&)> on_members;
   // Hashes of servers whose latest report to another control process changed nothing.
@@ -117,6 +119,10 @@
   // Asks the leader to record a software version. Returns false if there is no leader, or
   // one of an older build, which records none.
   bool record_version(const std::string& service, const std::string& version);
+  // Asks the leader to record departures of servers. Returns false if there is no leader.
+  bool record_departures(const std::vector<announced_server>& servers);
+  // Whether a connected leader is of an older build, which records no departures.
+  [[nodiscard]] bool has_leader_without_departures() const;
   // Sends the hashes of servers whose report changed nothing. Returns false when no
   // control process is connected that knows a leader.
   bool send_unchanged_reports(const std::vector<std::uint32_t>& servers);
--- a/include/marigoldstep/server_directory.h
+++ b/include/marigoldstep/server_directory.h
@@ -40,6 +40,8 @@
   time_point last_seen{};
   time_point warmup_ends_at{}; // computed from the reported warmup_left
   time_point known_since{};    // time of the first report of this start
+  // Number of the first known report of this start with the server's state.
+  std::uint64_t state_sequence = 0;
 };
 
 // Entries by server id. The entry of a server that deregistered is kept for a
@@ -61,6 +63,11 @@
   changed,   // new server, routing_differs() from the previous report, or colder than it
 };
 
+// Whether the left report of a server replaces the right one: it is of a later start or,
+// within one start, has a higher sequence number. No report replaces that the server is
+// gone.
+bool is_newer(const announced_server& left, const announced_server& right);
+
 // Whether the two reports differ in a field that routing depends on.
 bool routing_differs(const announced_server& left, const announced_server& right);
 
--- a/include/marigoldstep/wire.h
+++ b/include/marigoldstep/wire.h
@@ -21,9 +21,11 @@
 // that bytes arrive.
 inline constexpr std::uint32_t data_protocol = 2;
 inline constexpr std::uint32_t acknowledging_data_protocol = 2;
-// Protocol of control links, and the first one with recorded versions and evacuations.
-inline constexpr std::uint32_t link_protocol = 1;
+// Protocol of control links, and the first ones with recorded versions and evacuations
+// and with recorded departures.
+inline constexpr std::uint32_t link_protocol = 2;
 inline constexpr std::uint32_t recording_link_protocol = 1;
+inline constexpr std::uint32_t departures_link_protocol = 2;
 
 // Size in bytes of the first frame in buf, length prefix included; 0 when buf doesn't
 // hold the whole frame yet. Sets ec to errc::message_too_large, and returns 0, for a
--- a/src/fleet_state.cpp
+++ b/src/fleet_state.cpp
@@ -173,6 +173,37 @@
   return reply;
 }
 
+void apply_departures(fleet_state& state, const wire::StoreDeparturesT& request) {
+  for (const auto& it : request.departures) {
+    if (it) {
+      record_departure(state.departures, marigoldstep::from_wire(*it), state.time);
+    }
+  }
+}
+
+void pack_departures(const departure_table& table, wire::FleetEntryT& out) {
+  out.departure_number = table.number;
+  for (const auto& [id, it] : table.by_id) {
+    auto entry = std::make_unique<wire::DepartureEntryT>();
+    entry->departure = marigoldstep::to_wire(it.server);
+    entry->number = it.number;
+    entry->recorded_s = it.recorded;
+    out.departures.push_back(std::move(entry));
+  }
+}
+
+departure_table unpack_departures(const wire::FleetEntryT& in) {
+  departure_table out;
+  out.number = in.departure_number;
+  for (const auto& it : in.departures) {
+    if (it->departure) {
+      const auto server = marigoldstep::from_wire(*it->departure);
+      out.by_id[server.id] = {server, it->number, it->recorded_s};
+    }
+  }
+  return out;
+}
+
 void pack_servers_state(const fleet_state& state, wire::FleetEntryT& out) {
   for (const auto& [service, versions] : state.server_versions) {
     for (const auto& version : versions) {
@@ -190,6 +221,7 @@
   }
   out.evacuation_number = state.evacuation_number;
   out.router_count = state.router_count;
+  pack_departures(state.departures, out);
 }
 
 void unpack_servers_state(const wire::FleetEntryT& in, fleet_state& state) {
@@ -201,6 +233,7 @@
   }
   state.evacuation_number = in.evacuation_number;
   state.router_count = in.router_count;
+  state.departures = unpack_departures(in);
 }
 
 wire::ControlBodyUnion apply_body(fleet_state& state, const wire::ControlBodyUnion& body,
@@ -222,6 +255,8 @@
     reply.Set(apply_evacuation(state, *evacuation));
   } else if (const auto* count = body.AsStoreRouterCount()) {
     state.router_count = count->routers;
+  } else if (const auto* departures = body.AsStoreDepartures()) {
+    apply_departures(state, *departures);
   }
   return reply;
 }
@@ -330,6 +365,36 @@
 
 } // namespace
 
+std::unique_ptr<wire::DepartureT> to_wire(const announced_server& server) {
+  auto out = std::make_unique<wire::DepartureT>();
+  out->id = server.id;
+  out->started_ms = server.started;
+  out->sequence = server.sequence;
+  out->gone = server.state == announced_state::gone;
+  out->service = server.service;
+  out->zone = server.zone;
+  out->host = server.host;
+  out->port = server.port;
+  out->slots = server.slots;
+  out->version = server.version;
+  return out;
+}
+
+announced_server from_wire(const wire::DepartureT& entry) {
+  announced_server out;
+  out.id = entry.id;
+  out.started = entry.started_ms;
+  out.sequence = entry.sequence;
+  out.service = entry.service;
+  out.zone = entry.zone;
+  out.host = entry.host;
+  out.port = entry.port;
+  out.slots = entry.slots;
+  out.state = entry.gone ? announced_state::gone : announced_state::draining;
+  out.version = entry.version;
+  return out;
+}
+
 bool has_version(const fleet_state& state, const std::string& service,
                  const std::string& version) {
   const auto it = state.server_versions.find(service);
--- a/src/io/control_link_requests.cpp
+++ b/src/io/control_link_requests.cpp
@@ -3,6 +3,8 @@
 
 #include "marigoldstep/io/clock.h"
 
+#include <algorithm>
+
 namespace marigoldstep::io {
 
 namespace {
@@ -146,6 +148,31 @@
   to->connection->send(wire::encode_link(std::move(message)));
 }
 
+bool control_links::record_departures(const std::vector<announced_server>& servers) {
+  auto* to = find_leader_link();
+  if (to == nullptr) {
+    return false;
+  }
+  const auto now = io::now();
+  wire::RecordDeparturesT message;
+  for (const auto& it : servers) {
+    message.servers.push_back(std::make_unique<wire::AnnouncedServerT>(
+        to_wire(directory_entry{.server = it, .last_seen = now}, now)));
+  }
+  to->connection->send(wire::encode_link(std::move(message)));
+  return true;
+}
+
+bool control_links::has_leader_without_departures() const {
+  const auto leads = [](const auto& it) {
+    return it.second.is_open && it.second.is_leader;
+  };
+  return std::any_of(links_.begin(), links_.end(), leads) &&
+         std::none_of(links_.begin(), links_.end(), [&](const auto& it) {
+           return leads(it) && it.second.protocol >= wire::departures_link_protocol;
+         });
+}
+
 void control_links::complete_forward(std::uint64_t token, bool settled) {
   const auto it = forwards_.find(token);
   if (it != forwards_.end()) {
--- a/src/io/control_links.cpp
+++ b/src/io/control_links.cpp
@@ -347,6 +347,9 @@
     on_evacuations({status.evacuation_number,
                     {status.evacuated_zones.begin(), status.evacuated_zones.end()}});
   }
+  if (status.leads && status.confirmed && on_departure_number) {
+    on_departure_number(status.departure_number);
+  }
   if (status.leads && on_leader_status) {
     on_leader_status(status.routers, milliseconds(status.load_interval_ms));
   }
--- a/src/server_directory.cpp
+++ b/src/server_directory.cpp
@@ -9,16 +9,6 @@
 // A later end of the warm-up is news only beyond the time that reports take.
 constexpr auto warmup_tolerance = milliseconds(500);
 
-bool is_newer(const announced_server& left, const announced_server& right) {
-  if (left.started != right.started) {
-    return left.started > right.started;
-  }
-  if ((left.state == announced_state::gone) != (right.state == announced_state::gone)) {
-    return left.state == announced_state::gone;
-  }
-  return left.sequence > right.sequence;
-}
-
 bool same_address(const announced_server& left, const announced_server& right) {
   return left.host == right.host && left.port == right.port;
 }
@@ -78,6 +68,16 @@
   return "gone";
 }
 
+bool is_newer(const announced_server& left, const announced_server& right) {
+  if (left.started != right.started) {
+    return left.started > right.started;
+  }
+  if ((left.state == announced_state::gone) != (right.state == announced_state::gone)) {
+    return left.state == announced_state::gone;
+  }
+  return left.sequence > right.sequence;
+}
+
 bool routing_differs(const announced_server& left, const announced_server& right) {
   return left.started != right.started || left.state != right.state ||
          left.service != right.service || !same_address(left, right) ||
@@ -120,6 +120,10 @@
   release_address(directory, before);
   entry.server =
       known ? merge_version(before, merge_deregistration(before, report)) : report;
+  if (!known || before.started != entry.server.started ||
+      before.state != entry.server.state) {
+    entry.state_sequence = report.sequence;
+  }
   if (entry.server.state != announced_state::gone) {
     directory.id_by_address[address_of(entry.server)] = entry.server.id;
   }
--- a/tests/programs/platform_control_test.cpp
+++ b/tests/programs/platform_control_test.cpp
@@ -351,3 +351,19 @@
     CHECK(starts_with_status(it.call("POST", "/v1/Replicas.Deregister/i-1"), "200"));
   }
 }
+
+// Guards against a server that leaves and is confirmed before every gateway knows it,
+// since its first report went without a confirmation.
+TEST_CASE("a repeated drain waits for the gateways as the first one does") {
+  const control_fixture it;
+  const link_client client(it.link_address);
+  it.call("POST", "/v1/Replicas.Heartbeat/i-1", report_body("ready", 1));
+  const auto drain = [&](int sequence) {
+    return it.call("POST", "/v1/Replicas.Heartbeat/i-1",
+                   report_body("draining", sequence));
+  };
+  CHECK(starts_with_status(drain(2), "503"));
+  // Otherwise the link counts as lost.
+  client.connection->send(wire::encode_link(wire::UpdateAckT()));
+  CHECK(starts_with_status(drain(3), "503"));
+}
--- a/tools/control/api.cpp
+++ b/tools/control/api.cpp
@@ -120,7 +120,9 @@
     }
     io::log_event(
         io::log_level::warning, "report_not_confirmed",
-        {{"server", server.id}, {"reason", "a router did not acknowledge in time"}});
+        {{"server", server.id},
+         {"reason",
+          "a router did not acknowledge, or the group did not record, in time"}});
     respond_error(from, io::http_status::unavailable, "not every router knows it yet");
   });
 }
--- a/tools/control/link_routing.cpp
+++ b/tools/control/link_routing.cpp
@@ -124,6 +124,9 @@
       return false;
     }
   }
+  if (it.departure && !is_settled(*it.departure)) {
+    return false;
+  }
   return std::all_of(subscribers_.begin(), subscribers_.end(), [&](const auto& to) {
     return !to.second.is_router || (to.second.version >= it.version &&
                                     to.second.evacuation_number >= it.evacuation_number);
@@ -159,6 +162,8 @@
       record_earlier_version(versions_, {service, version}, io::now());
     }
   }
+  apply_departures();
+  learn_earlier_departures();
   release_held_reports();
   const auto version = group_.state().routing_version;
   const auto evacuations = group_.state().evacuation_number;
--- a/tools/control/link_servers.cpp
+++ b/tools/control/link_servers.cpp
@@ -27,26 +27,40 @@
 // Servers that are silent for longer are removed from the directory.
 constexpr auto silent_retention = milliseconds(60'000);
 
-bool needs_acknowledgement(directory_change change, const announced_server& server) {
-  return change == directory_change::changed && server.state != announced_state::ready;
+// A server that doesn't say when it started has started by now.
+announced_server with_start_time(const server_directory& directory,
+                                 announced_server report) {
+  constexpr incarnation ms_per_second = 1000;
+  if (report.state == announced_state::gone && report.started == 0 &&
+      !directory.entries.contains(report.id)) {
+    report.started = (io::wall_clock() + 1) * ms_per_second;
+  }
+  return report;
 }
 
 } // namespace
 
-// A server is announced once its version is recorded, so that after the loss of every
-// process the versions that streams may have begun at are known.
+// A report waits until this process knows every departure that was confirmed before it
+// started, since it can't tell a delayed report from a new server's before. A server is
+// announced once its version is recorded, so that after the loss of every process the
+// versions that streams may have begun at are known.
 void link_service::handle_report(const announced_server& server,
                                  acknowledged_callback done) {
-  const bool is_recorded = server.state == announced_state::gone ||
-                           has_version(group_.state(), server.service, server.version);
-  if (is_recorded || !request_version(server)) {
+  if (knows_earlier_departures_ && (may_announce(server) || !request_version(server))) {
     announce(server, std::move(done));
     return;
   }
   held_reports_.push_back({server, io::now() + report_timeout, std::move(done)});
 }
 
-void link_service::announce(const announced_server& server, acknowledged_callback done) {
+bool link_service::may_announce(const announced_server& server) const {
+  return knows_earlier_departures_ &&
+         (server.state == announced_state::gone ||
+          has_version(group_.state(), server.service, server.version));
+}
+
+void link_service::announce(const announced_server& report, acknowledged_callback done) {
+  const auto server = with_start_time(directory_, report);
   const auto change = apply_report(directory_, server, milliseconds(0), io::now());
   if (change == directory_change::refreshed && contains(reported_, server.id)) {
     unchanged_.insert(server.id);
@@ -62,26 +76,31 @@
                    {"started", std::to_string(server.started)},
                    {"sequence", std::to_string(server.sequence)}});
   }
-  const bool is_resent_departure =
-      change == directory_change::stale && server.state != announced_state::ready;
-  if (is_resent_departure && !contains(reported_, server.id) &&
-      directory_.entries.contains(server.id)) {
+  if (server.state == announced_state::ready) {
+    done(true);
+  } else {
+    confirm_departure(server, std::move(done));
+  }
+}
+
+// A repeated report waits as the first one did, which may not have been confirmed.
+void link_service::confirm_departure(const announced_server& server,
+                                     acknowledged_callback done) {
+  if (!contains(reported_, server.id) && directory_.entries.contains(server.id)) {
     // Received from another control process before; the waiter below waits for the
     // reported feed, so the server must be in it.
     record_change(reported_, server.id);
   }
-  if (!needs_acknowledgement(change, server) && !is_resent_departure) {
-    done(true);
-    return;
-  }
   push_changes(feed::reported);
   acknowledgement_waiter it;
   it.deadline = io::now() + report_timeout;
   it.done = std::move(done);
   it.number = reported_.number;
+  it.departure = required_departure(directory_, server);
   for (const auto& [connection, to] : subscribers_) {
     it.receivers.insert(connection);
   }
+  request_departure(*it.departure);
   waiting_.push_back(std::move(it));
   complete_waiting();
 }
--- a/tools/control/link_service.cpp
+++ b/tools/control/link_service.cpp
@@ -52,6 +52,10 @@
   peers_.on_unchanged_reports = [this](const std::vector<std::uint32_t>& it) {
     handle_peer_unchanged_reports(it);
   };
+  peers_.on_departure_number = [this](std::uint64_t number) {
+    leader_departures_ = number;
+    learn_earlier_departures();
+  };
   peers_.routing_version = [this] { return group_.state().routing_version; };
   peers_.on_members = [this](const std::set<std::string>& hosts) {
     if (on_members) {
@@ -155,6 +159,8 @@
     propose_version({version->service, version->version}, false);
   } else if (const auto* order = frame->body.AsForwardEvacuation()) {
     handle_forwarded_evacuation(connection, *order);
+  } else if (const auto* departures = frame->body.AsRecordDepartures()) {
+    handle_requested_departures(*departures);
   }
 }
 
@@ -228,6 +234,7 @@
     status.evacuated_zones.push_back(zone);
   }
   status.evacuation_number = group_.state().evacuation_number;
+  status.departure_number = group_.state().departures.number;
   status.routing_version = group_.state().routing_version;
   status.confirmed = to.confirmed;
   status.routers = router_count();
@@ -357,6 +364,8 @@
   for (auto* connection : silent) {
     drop_subscriber(connection, "silent");
   }
+  learn_earlier_departures();
+  record_departures();
   complete_waiting();
   release_held_reports();
   confirm_subscribers();
--- a/tools/control/link_service.h
+++ b/tools/control/link_service.h
@@ -58,8 +58,8 @@
   using acknowledged_callback = std::function<void(bool)>;
 
   // Applies a report that a backend server sent to this process or to a router. Calls
-  // done when every subscriber has acknowledged a server that is no longer ready, and
-  // at once for all other reports.
+  // done when every subscriber has acknowledged a server that is no longer ready and its
+  // departure is recorded, and at once for all other reports.
   void handle_report(const announced_server& server, acknowledged_callback done);
   // Address for the next reports of a server that reported over HTTP: a router when
   // such reports exceed their part of this VM's link, and none otherwise.
@@ -144,11 +144,18 @@
     std::uint64_t number = 0;                   // change number in the reported feed
     std::uint64_t version = 0;
     std::uint64_t evacuation_number = 0;
+    std::optional<announced_server> departure; // that must be recorded
     time_point deadline{};
     acknowledged_callback done;
   };
+  // A departure to be recorded.
+  struct pending_departure {
+    announced_server server;
+    time_point deadline{};
+    time_point resend_at{};
+  };
 
-  // A report of a server whose version is not recorded yet.
+  // A report that can't be judged yet, or of a server whose version is not recorded yet.
   struct held_report {
     announced_server server;
     time_point deadline{};
@@ -157,7 +164,16 @@
 
   void accept(io::framed_connection* connection);
   void open_streams();
-  void announce(const announced_server& server, acknowledged_callback done);
+  void announce(const announced_server& report, acknowledged_callback done);
+  void confirm_departure(const announced_server& server, acknowledged_callback done);
+  void request_departure(const announced_server& server);
+  void handle_requested_departures(const wire::RecordDeparturesT& request);
+  void record_departures();
+  void propose_departures(const std::vector<announced_server>& servers);
+  void apply_departures();
+  void learn_earlier_departures();
+  [[nodiscard]] bool may_announce(const announced_server& server) const;
+  [[nodiscard]] bool is_settled(const announced_server& departure) const;
   void propose_version(const service_version& it, bool retired);
   // Returns false if no leader can record the version.
   bool request_version(const announced_server& server);
@@ -242,6 +258,12 @@
   std::set<service_version> proposed_versions_;
   // Until when servers may have been announced before their version was recorded.
   time_point versions_unproven_until_{};
+  std::map<std::string, pending_departure> pending_departures_; // by server id
+  bool is_recording_departures_ = false;  // as the leader, which awaits the commit
+  std::uint64_t observed_departures_ = 0; // number
+  std::optional<std::uint64_t> leader_departures_; // number, as a quorum confirmed
+  bool knows_earlier_departures_ = false;
+  bool is_learning_departures_ = false; // as the leader, which awaits the quorum
   std::map<io::framed_connection*, subscriber> subscribers_;
   change_feed reported_;
   change_feed repeated_;
--- a/tools/control/link_streams.cpp
+++ b/tools/control/link_streams.cpp
@@ -117,16 +117,14 @@
   const auto now = io::now();
   std::vector<held_report> ended;
   std::erase_if(held_reports_, [&](auto& it) {
-    const bool is_recorded =
-        has_version(group_.state(), it.server.service, it.server.version);
-    if (is_recorded || now >= it.deadline) {
+    if (may_announce(it.server) || now >= it.deadline) {
       ended.push_back(std::move(it));
       return true;
     }
     return false;
   });
   for (auto& it : ended) {
-    if (has_version(group_.state(), it.server.service, it.server.version)) {
+    if (may_announce(it.server)) {
       announce(it.server, std::move(it.done));
       continue;
     }
