--- a/include/marigoldstep/departures.h
+++ b/include/marigoldstep/departures.h
@@ -39,7 +39,7 @@
 void record_departure(departure_table& table, const announced_server& server,
                       unix_seconds now);
 
-// Whether this departure, or one that is as new, is recorded.
+// Whether a departure is recorded that this report, of any state, doesn't supersede.
 bool is_recorded(const departure_table& table, const announced_server& server);
 
 // The departures with a higher number, in the order in which they were recorded.
--- a/tests/framing_cases.h
+++ b/tests/framing_cases.h
@@ -115,6 +115,21 @@
   return cases;
 }
 
+// How the response to a faulty request begins.
+inline std::string rejection_line(const framing_case& it) {
+  return it.error == errc::not_implemented ? "HTTP/1.1 501 " : "HTTP/1.1 400 ";
+}
+
+inline std::size_t count_responses(const std::string& received) {
+  const std::string status_line = "HTTP/1.1 ";
+  std::size_t n = 0;
+  for (auto at = received.find(status_line); at != std::string::npos;
+       at = received.find(status_line, at + 1)) {
+    ++n;
+  }
+  return n;
+}
+
 // Text of a request; more are header fields, each with its end of line.
 inline std::string framing_request(const std::string& method, const std::string& target,
                                    const framing_case& it, const std::string& host,
--- a/tests/programs/http_framing_programs_test.cpp
+++ b/tests/programs/http_framing_programs_test.cpp
@@ -7,23 +7,14 @@
 
 using namespace marigoldstep;
 using namespace marigoldstep::gateway::test;
+using marigoldstep::test::count_responses;
 using marigoldstep::test::framing_case;
 using marigoldstep::test::framing_cases;
 using marigoldstep::test::framing_request;
+using marigoldstep::test::rejection_line;
 
 namespace {
 
-constexpr const char* status_line = "HTTP/1.1 ";
-
-std::size_t count_responses(const std::string& received) {
-  std::size_t n = 0;
-  for (auto at = received.find(status_line); at != std::string::npos;
-       at = received.find(status_line, at + 1)) {
-    ++n;
-  }
-  return n;
-}
-
 // Sends a request whose end is unknown, and checks that it gets one rejection and that no
 // byte after it is taken for another request.
 void check_rejection(const io::endpoint& target, const framing_case& it,
@@ -33,8 +24,7 @@
   caller.send(request);
   CHECK(caller.wait_closed());
   CHECK(count_responses(caller.received) == 1);
-  const auto* status = it.error == errc::not_implemented ? "501 " : "400 ";
-  CHECK(caller.received.starts_with(std::string(status_line) + status));
+  CHECK(caller.received.starts_with(rejection_line(it)));
 }
 
 std::vector<framing_case> select_cases(bool are_certain) {
--- a/tests/programs/router_framing_test.cpp
+++ b/tests/programs/router_framing_test.cpp
@@ -1,5 +1,4 @@
 // The table of framing cases against the listeners of mstep-router and of agents.
-#include "agent/orders.h"
 #include "framing_cases.h"
 #include "marigoldstep/io/admin_server.h"
 #include "router_fixture.h"
@@ -8,23 +7,14 @@
 
 using namespace marigoldstep;
 using namespace marigoldstep::router::test;
+using marigoldstep::test::count_responses;
 using marigoldstep::test::framing_case;
 using marigoldstep::test::framing_cases;
 using marigoldstep::test::framing_request;
+using marigoldstep::test::rejection_line;
 
 namespace {
 
-constexpr const char* status_line = "HTTP/1.1 ";
-
-std::size_t count_responses(const std::string& received) {
-  std::size_t n = 0;
-  for (auto at = received.find(status_line); at != std::string::npos;
-       at = received.find(status_line, at + 1)) {
-    ++n;
-  }
-  return n;
-}
-
 void check_rejection(std::uint16_t port, const framing_case& it,
                      const std::string& request) {
   CAPTURE(it.name);
@@ -32,8 +22,7 @@
   caller.socket.write(QByteArray::fromStdString(request));
   CHECK(wait_for([&] { return caller.is_closed(); }, 2000));
   CHECK(count_responses(caller.input) == 1);
-  const auto* status = it.error == errc::not_implemented ? "501 " : "400 ";
-  CHECK(caller.contains(std::string(status_line) + status));
+  CHECK(caller.input.starts_with(rejection_line(it)));
 }
 
 std::string service_request(const framing_case& it) {
--- a/tools/control/link_servers.cpp
+++ b/tools/control/link_servers.cpp
@@ -61,6 +61,15 @@
 
 void link_service::announce(const announced_server& report, acknowledged_callback done) {
   const auto server = with_start_time(directory_, report);
+  if (server.state == announced_state::ready &&
+      is_recorded(group_.state().departures, server)) {
+    io::log_event(io::log_level::info, "report_from_before_departure",
+                  {{"server", server.id},
+                   {"started", std::to_string(server.started)},
+                   {"sequence", std::to_string(server.sequence)}});
+    done(true);
+    return;
+  }
   const auto change = apply_report(directory_, server, milliseconds(0), io::now());
   if (change == directory_change::refreshed && contains(reported_, server.id)) {
     unchanged_.insert(server.id);
--- a/tools/router/relay.cpp
+++ b/tools/router/relay.cpp
@@ -64,7 +64,7 @@
 }
 
 relay::relay(router& owner, relay_job job, caller_response response)
-    : owner_(owner), job_(std::move(job)), response_(std::move(response)) {
+    : owner_(owner), job_(std::move(job)), response_(response) {
   state_.repeatable = job_.request.repeatable;
   deadline_ = job_.received_at + job_.request.deadline;
   last_progress_at_ = job_.received_at;
--- a/tools/router/router_calls.cpp
+++ b/tools/router/router_calls.cpp
@@ -62,7 +62,7 @@
 class cancel_call : public caller_handler {
 public:
   cancel_call(std::string request_id, caller_response response)
-      : request_id_(std::move(request_id)), response_(std::move(response)) {}
+      : request_id_(std::move(request_id)), response_(response) {}
   void on_caller_disconnected() override { response_.clear_connection(); }
   void on_bytes_sent() override {}
 
