Delay reports beyond departures in the soak

Change: a fifth of the reports of ready servers is sent once more, up to 6 s late; servers serve on for up to 8 s after their deregistration; a request that a calm fleet sends later than 0.5 s after a departure that a calm control group confirmed is a broken guarantee. Its random numbers are its own.

--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -13,6 +13,7 @@
 
 from soak_callers import KEY, Callers
 from soak_control_faults import ControlFaults
+from soak_departures import Departures
 from soak_operator import MAX_APPLY_S, Operator
 from soak_processes import MIN_SIGNAL_AGE_S, UNDISTURBED_S, Process
 from soak_proxies import Network
@@ -62,7 +63,7 @@
         self.counts = {"control": self.control_count, "gateways": self.gateway_count} | dict.fromkeys(
             ["calm_reads", "unread", "series", "silenced", "cut_off", "erased", "replaced", "asked", "answered",
              "refused", "failed", "faults", "versions", "handed_over", "leaving", "backoffs", "cut", "left",
-             "resumed", "killed_all", "cold_starts", "cold_arrivals", "second_at_once", "second_idle", "second_next", "second_nameless"], 0)
+             "resumed", "killed_all", "departed", "delayed", "cold_starts", "cold_arrivals", "second_at_once", "second_idle", "second_next", "second_nameless"], 0)
         self.stopping = False
         self.leaving_told = {}  # by gateway and server: when a response said that it leaves
         self.drain_s = 0.5
@@ -71,6 +72,7 @@
         self.operator = Operator(self)
         self.network = Network(self.random)
         self.versions = Versions(self)
+        self.departures = Departures(self)
         self.started_servers = []  # those that have ended included
 
     def record_run(self, request, server, last_event):
--- a/tests/soak/soak_server_faults.py
+++ b/tests/soak/soak_server_faults.py
@@ -59,7 +59,7 @@
             await asyncio.sleep(self.random.uniform(0.5, 2.0))
         await server.deregister()
         await asyncio.sleep(self.random.uniform(self.drain_s, 2.0))
-        await server.crash()
+        self.departures.end_later(server)
 
     async def announce_leaving(self):
         """A server says in its responses that it leaves, before or without reporting it."""
--- a/tests/soak/soak_servers.py
+++ b/tests/soak/soak_servers.py
@@ -93,6 +93,8 @@
             "slots": SLOTS, "state": self.state,
             "warmup_left_ms": max(0, round((self.cold_until - time.monotonic()) * 1000)), "seq": self.sequence,
             "born": self.started})
+        if self.state == "ready":
+            self.fleet.departures.delay_copy(self.name, body)
         hosts = self.random.sample(self.fleet.control_hosts, len(self.fleet.control_hosts))
         addresses = [(host, self.fleet.api_port) for host in hosts]
         if self.next_report_address:
@@ -113,6 +115,7 @@
         for host in self.random.sample(self.fleet.control_hosts, len(self.fleet.control_hosts)):
             status, _ = await self.fleet.call(host, "POST", f"/v1/Replicas.Deregister/{self.name}", body, limit_s=1)
             if status == 200:
+                self.fleet.departures.record_confirmation(self)
                 return
 
     def record_confirmation(self, text, address):
@@ -195,6 +198,7 @@
                 and gateway.last_disturbed < told["at"]:
             self.fleet.report_problem(f"{gateway.name} sent {request} to {self.name}, which is leaving")
         self.fleet.operator.evacuations.check(self, call)
+        self.fleet.departures.check(self, call)
         for it in self.backoffs:
             # The gateway may not have got the refusal over a faulty connection.
             if it["gateway"] is gateway and it["child"] is gateway.child and it["from"] < now < it["until"] \
