--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -9,6 +9,7 @@
 #include "marigoldstep/configuration.h"
 #include "marigoldstep/configuration_diff.h"
 #include "marigoldstep/crash_table.h"
+#include "marigoldstep/departures.h"
 #include "marigoldstep/dispatch.h"
 #include "marigoldstep/error.h"
 #include "marigoldstep/evacuation.h"
