--- a/tests/http_output_test.cpp
+++ b/tests/http_output_test.cpp
@@ -173,6 +173,7 @@
   CHECK(body_of(got.text).empty());
 }
 
+// Guards against a caller that stores a wrong length from the response to HEAD.
 TEST_CASE("a response to HEAD has no body and no length that isn't known") {
   const auto got =
       exchange("HEAD / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
--- a/tests/loopback_address_test.cpp
+++ b/tests/loopback_address_test.cpp
@@ -35,6 +35,7 @@
   CHECK(host.starts_with("127."));
 }
 
+// Guards against two parties of a test that get one address.
 TEST_CASE("addresses of one network differ and keep their numbers") {
   CHECK(own_network_host(1) != own_network_host(2));
   CHECK(own_network_host(1) == own_network_host(1));
--- a/tests/programs/confirmed_departures_test.cpp
+++ b/tests/programs/confirmed_departures_test.cpp
@@ -154,7 +154,7 @@
                    std::chrono::milliseconds(500)));
 }
 
-// A server that drains may decide to stay.
+// Guards against a server that decides to stay and gets no requests any more.
 TEST_CASE("a leaving server that reports ready again is announced") {
   test_application();
   control_group group;
