Read memory_mb and max_fds in every program

Control and mstep-router could not be told what their machine has; the gateway knew memory_mb only. Nothing but the gateway's old check uses them yet. Without the settings the limits are the machine's.

--- a/tools/control/settings.cpp
+++ b/tools/control/settings.cpp
@@ -115,6 +115,7 @@
       read_choice(map, "log_level", "info", {"debug", "info", "warning", "error"}));
   out.log_file = read_string(map, "log_file", "");
   out.operators = read_operators(map);
+  out.limits = io::read_process_limits(map);
   out.tls = io::parse_tls(map);
   out.zone = read_string(map, "zone", "");
   // The values, the regions of the zones, aren't used.
--- a/tools/control/settings.h
+++ b/tools/control/settings.h
@@ -3,6 +3,7 @@
 #include "marigoldstep/group_repair.h"
 #include "marigoldstep/io/control_client.h"
 #include "marigoldstep/io/logging.h"
+#include "marigoldstep/io/process_limits.h"
 #include "marigoldstep/io/tls.h"
 #include "marigoldstep/yaml_reader.h"
 
@@ -48,6 +49,7 @@
   std::optional<repair_settings> repair;
   // Size of the log in bytes that triggers a snapshot.
   std::size_t snapshot_bytes = 64U << 20U;
+  io::process_limits limits;
   io::tls_files tls;
   std::vector<operator_account> operators; // empty: every client that can connect is one
 };
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -183,7 +183,7 @@
   settings_.dispatch = settings.dispatch;
   settings_.dispatch.routers = retries.routers;
   settings_.stop_time = settings.stop_time;
-  settings_.memory_bytes = settings.memory_bytes;
+  settings_.limits = settings.limits;
   retries.limits = settings.retries;
   links_.set_seeds(io::hosts_of(settings.seeds));
 }
@@ -256,8 +256,9 @@
 }
 
 void gateway::handle_request(io::http_connection& from, io::http_request request) {
-  if (settings_.memory_bytes > 0 && caller_listener_.buffered_bytes() >
-                                        settings_.memory_bytes / buffer_memory_divisor) {
+  if (settings_.limits.memory_bytes > 0 &&
+      caller_listener_.buffered_bytes() >
+          settings_.limits.memory_bytes / buffer_memory_divisor) {
     from.respond(io::http_status::unavailable,
                  {platform::make_retry_after_field(milliseconds(500))},
                  "out of memory\n");
--- a/tools/gateway/settings.cpp
+++ b/tools/gateway/settings.cpp
@@ -23,8 +23,6 @@
 } // namespace
 
 gateway_settings parse_gateway_settings(yaml_mapping& map) {
-  constexpr std::int64_t max_memory_mb = 1 << 20;
-  constexpr std::size_t bytes_per_mb = 1U << 20U;
   // In report intervals: tolerates three lost reports and a fourth that is late.
   constexpr int silence_report_count = 4;
   // Highest load of a server as a multiple of the mean.
@@ -52,9 +50,7 @@
       read_number(map, "most_load_factor", default_load_factor, 1, 100);
   out.stop_time = std::chrono::duration_cast<milliseconds>(
       std::chrono::duration<double>(read_number(map, "stop_time_s", 8, 0, 600)));
-  out.memory_bytes =
-      bytes_per_mb *
-      static_cast<std::size_t>(read_integer(map, "memory_mb", 0, 0, max_memory_mb));
+  out.limits = io::read_process_limits(map);
   out.link_bytes_per_ms = static_cast<std::uint32_t>(
       bytes_per_ms_per_mbps * read_number(map, "link_mbps", 0, 0, max_mbps));
   out.log_level = io::parse_log_level(
--- a/tools/gateway/settings.h
+++ b/tools/gateway/settings.h
@@ -3,6 +3,7 @@
 #include "marigoldstep/dispatch.h"
 #include "marigoldstep/io/control_client.h"
 #include "marigoldstep/io/logging.h"
+#include "marigoldstep/io/process_limits.h"
 #include "marigoldstep/retry_share.h"
 #include "marigoldstep/yaml_reader.h"
 
@@ -22,8 +23,8 @@
   std::vector<io::endpoint> seeds; // control processes to connect to at startup
   retry_limits retries;
   dispatch_limits dispatch;
-  milliseconds stop_time{8000};        // from SIGTERM to SIGKILL
-  std::size_t memory_bytes = 0;        // limit of this process; 0: unlimited
+  milliseconds stop_time{8000}; // from SIGTERM to SIGKILL
+  io::process_limits limits;
   std::uint32_t link_bytes_per_ms = 0; // bandwidth of this VM; 0: serves no reads
   io::log_level log_level = io::log_level::info;
 };
--- a/tools/router/settings.cpp
+++ b/tools/router/settings.cpp
@@ -72,6 +72,7 @@
   out.log_level =
       read_choice(map, "log_level", out.log_level, {"debug", "info", "warning", "error"});
   out.log_file = read_string(map, "log_file", out.log_file);
+  out.process = io::read_process_limits(map);
   out.limits = parse_limits(read_mapping(map, "limits"));
   return out;
 }
--- a/tools/router/settings.h
+++ b/tools/router/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marigoldstep/io/control_client.h"
+#include "marigoldstep/io/process_limits.h"
 #include "marigoldstep/yaml_reader.h"
 
 #include <string>
@@ -35,6 +36,7 @@
   std::string log_level = "info";
   std::string log_file; // empty for standard error
   router_limits limits;
+  io::process_limits process;
 
   friend bool operator==(const router_settings&, const router_settings&) = default;
 };
