--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -19,9 +19,13 @@
 // A routing configuration of the given version: /safe/, /once/, /stream/, /resume/,
 // /open/ and /prompt/ lead to service "s"; /open/ needs no API key, and requests to
 // /prompt/ describe their prompts.
-inline std::string
-routing_text(std::uint64_t version,
-             const std::string& services = R"({"name":"s","max_conns":50})") {
+inline const std::string default_services = R"({"name":"s","max_conns":50})";
+inline const std::string default_limits =
+    R"({"header_bytes":2000,"body_bytes":3000000,"header_timeout_ms":400,)"
+    R"("idle_timeout_ms":5000})";
+inline std::string routing_text(std::uint64_t version,
+                                const std::string& services = default_services,
+                                const std::string& limits = default_limits) {
   const auto route = [](const std::string& name, const std::string& type,
                         const std::string& more) {
     return R"({"name":")" + name + R"(","host":"h","path_prefix":"/)" + name +
@@ -35,10 +39,8 @@
          route("resume", "streaming", R"(,"can_resume":true)") + "," +
          route("open", "safe", R"(,"public":true)") + "," +
          route("prompt", "streaming", R"(,"can_resume":true,"sticky":true)") +
-         R"(],"services":[)" + services +
-         R"(],)"
-         R"("limits":{"header_bytes":2000,"body_bytes":3000000,"header_timeout_ms":400,)"
-         R"("idle_timeout_ms":5000},"tenants":[{"name":"w","api_keys":["KEY"]},)"
+         R"(],"services":[)" + services + R"(],"limits":)" + limits +
+         R"(,"tenants":[{"name":"w","api_keys":["KEY"]},)"
          R"({"name":"v","api_keys":["KEY2"]}]})";
 }
 
@@ -55,8 +57,9 @@
     };
   }
 
-  std::uint64_t version = 1;                               // 0: no configuration yet
-  std::string services = R"({"name":"s","max_conns":50})"; // of the configuration
+  std::uint64_t version = 1;               // 0: no configuration yet
+  std::string services = default_services; // of the configuration
+  std::string limits = default_limits;     // of the configuration
   std::vector<announced_server> servers;
   // Announces all servers but the first as silent, so that the gateway tries the first
   // one first. Among servers that are not silent it chooses at random.
@@ -110,7 +113,7 @@
     } else if (frame->body.AsFetchRouting() != nullptr) {
       wire::RoutingTextT text;
       text.version = version;
-      text.packed_text = io::compress_text(routing_text(version, services));
+      text.packed_text = io::compress_text(routing_text(version, services, limits));
       to.send(wire::encode_link(std::move(text)));
     } else if (const auto* request = frame->body.AsConfirmVersion()) {
       if (confirms_versions) {
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -50,6 +50,8 @@
   [[nodiscard]] marigoldstep::io::endpoint address() const {
     return {"127.0.0.1", server_.serverPort()};
   }
+  // Makes the script of a request instead, if set.
+  std::function<server_script(const std::string& request)> make_script;
   // Complete requests as received, head and body.
   std::vector<std::string> requests;
   // Connections that were closed, by either side.
@@ -82,6 +84,10 @@
       requests.push_back(input.substr(0, size));
       input.erase(0, size);
       const auto n = requests.size() - 1;
+      if (make_script) {
+        scripts_.resize(n);
+        scripts_.push_back(make_script(requests[n]));
+      }
       if (n < scripts_.size()) {
         run(socket, n, 0);
       }
