--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -24,6 +24,7 @@
 #include "marigoldstep/load_limit.h"
 #include "marigoldstep/log_record.h"
 #include "marigoldstep/membership.h"
+#include "marigoldstep/memory_budget.h"
 #include "marigoldstep/operators.h"
 #include "marigoldstep/placement.h"
 #include "marigoldstep/questionnaire.h"
