Bound what the requests of all clients hold in sum

What callers saw: a process ended, out of memory, while clients sent bodies short of their end; and 503 for ordinary callers, till the crowd's requests timed out. Cause: nothing bounded the sum while bodies were read (the gateway looked at it only once a request was whole, control and admin ports never, mstep-router had two sums and reset whoever met the limit), and what refused refused the newcomers, not those that filled the memory. Sizes were counted, not capacities.

One sum for each process, over all listeners, from memory_mb: each connection records what it has allocated, an incomplete request gives way when the sum is full, gets 503 with Retry-After (nothing has run) and frees its memory at once. What runs is never taken back. A body grows by no more than its declared length needs. mstep-router's relays count in the same sum, with their copy on the link to the agent; limits.max_buffered_bytes stays an upper bound of it. Large allocations are mapped, so that freed bodies return to the system.

--- a/include/marigoldstep/error.h
+++ b/include/marigoldstep/error.h
@@ -57,6 +57,7 @@
   bad_setting,
   internal_error,
   not_implemented,
+  memory_full,
 };
 
 // Stable machine-readable name, sent to callers in the field "code".
--- a/include/marigoldstep/io/admin_server.h
+++ b/include/marigoldstep/io/admin_server.h
@@ -28,6 +28,9 @@
   std::function<void(http_connection& from, std::string_view path, std::string body)>
       on_post;
 
+  // Shares the memory that clients of the process may use, and shows its metrics. Call it
+  // before start().
+  void use_memory(std::shared_ptr<request_memory> memory);
   // Listens on host:port; port 0 picks a free one.
   std::error_code start(const std::string& host, std::uint16_t port);
   [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
--- a/include/marigoldstep/io/http_connection.h
+++ b/include/marigoldstep/io/http_connection.h
@@ -2,6 +2,7 @@
 
 #include "marigoldstep/error.h"
 #include "marigoldstep/io/http_parser.h"
+#include "marigoldstep/io/request_memory.h"
 #include "marigoldstep/types.h"
 
 #include <QObject>
@@ -9,7 +10,10 @@
 #include <QTcpSocket>
 
 #include <functional>
+#include <limits>
+#include <memory>
 #include <set>
+#include <unordered_set>
 
 namespace marigoldstep::io {
 
@@ -26,8 +30,6 @@
   milliseconds header_timeout{3000};
   milliseconds idle_timeout{15'000}; // between requests
   std::size_t max_connections = 2000;
-  // Of incomplete requests on all connections; a connection that exceeds it is reset.
-  std::optional<std::size_t> max_buffered_bytes;
   // Whether a request may follow before the response to the one before it. If not, the
   // connection closes after that response and the later request isn't read.
   bool allows_pipelining = true;
@@ -40,21 +42,29 @@
   std::string body;
 };
 
+// The Retry-After header, which has whole seconds (RFC 9110, section 10.2.3). Rounded up,
+// since clients would come back too early otherwise.
+http_field make_retry_after_field(milliseconds delay);
+
+// The response that names the error in plain text.
+http_rejection default_rejection(errc code);
+
 // The server's side of one connection. Reads one request at a time, and the next only
 // after the response was written. Deletes itself after on_closed.
 class http_connection : public QObject {
 public:
-  http_connection(QTcpSocket* socket, const http_server_limits& limits, QObject* parent);
+  http_connection(QTcpSocket* socket, const http_server_limits& limits,
+                  std::shared_ptr<request_memory> memory, QObject* parent);
 
   std::function<void(http_connection&, http_request)> on_request;
   // Either side closed the connection; a response in progress cannot be finished.
   std::function<void()> on_closed;
-  // Makes the response to a request that can't be read; unset: its text is the error's
-  // name.
-  std::function<http_rejection(errc)> make_rejection;
-  // The bytes of the request being read changed in number. Returns whether they may be
-  // kept.
-  std::function<bool(std::size_t before, std::size_t now)> on_buffered;
+  // The connection was closed and is going to be deleted.
+  std::function<void()> on_gone;
+  // Makes the response to a request that can't be read in full; unset: its text is the
+  // error's name. retry_after is set for errc::memory_full.
+  std::function<http_rejection(errc, std::optional<milliseconds> retry_after)>
+      make_rejection;
   // Some queued output was passed to the operating system.
   std::function<void()> on_drained;
 
@@ -81,9 +91,8 @@
   // Whether the client has closed its end, also if the event loop has yet to report it.
   [[nodiscard]] bool has_client_left() const;
   [[nodiscard]] std::size_t queued_bytes() const;
-  [[nodiscard]] std::size_t buffered_bytes() const {
-    return body_.size() + input_.size();
-  }
+  // Identifies what the connection holds in the memory of the process's clients.
+  [[nodiscard]] std::uint64_t hold_id() const { return held_.id(); }
 
 private:
   enum class phase { idle, reading, responding, lingering, closed };
@@ -94,7 +103,12 @@
   void record_progress(std::size_t n);
   void send_continue();
   void reject(std::error_code ec);
-  [[nodiscard]] bool report_buffered();
+  // Releases what was read of a request that won't be handled.
+  void drop_request();
+  void give_way(reclaim_reason why);
+  void discard_read_ahead();
+  void update_hold();
+  [[nodiscard]] memory_hold current_hold() const;
   void end_response();
   void linger();
   void handle_closed();
@@ -104,14 +118,19 @@
 
   QTcpSocket* socket_;
   const http_server_limits& limits_;
+  held_memory held_;
   http_parser parser_;
   std::string input_;
   std::string body_;
+  std::size_t head_bytes_ = 0; // of the request being read
   phase phase_ = phase::idle;
   time_point phase_since_; // or, while a body arrives, of its latest 16 kB
   bool has_head_ = false;
-  std::size_t bytes_since_ = 0;    // of the body since then
-  std::size_t reported_bytes_ = 0; // in the last call of on_buffered
+  std::size_t bytes_since_ = 0; // of the body since then
+  // The beginning of the request, or the end of the response before it.
+  time_point held_since_;
+  bool has_served_ = false;    // a request
+  bool is_discarding_ = false; // what follows the request in progress
   bool begun_ = false;
   bool chunked_ = false;
   bool ends_with_connection_ = false; // the body of the response in progress
@@ -129,8 +148,12 @@
   explicit http_listener(QObject* parent);
 
   http_server_limits limits;
+  // Shared by all listeners of the process; set it before listen().
+  std::shared_ptr<request_memory> memory = std::make_shared<request_memory>();
   std::function<void(http_connection&, http_request)> on_request;
-  std::function<http_rejection(errc)> make_rejection; // see http_connection
+  // See http_connection.
+  std::function<http_rejection(errc, std::optional<milliseconds> retry_after)>
+      make_rejection;
 
   std::error_code listen(const std::string& host, std::uint16_t port);
   [[nodiscard]] std::uint16_t port() const;
@@ -141,8 +164,6 @@
   [[nodiscard]] std::size_t connections() const { return open_.size(); }
   // Connections with a response in progress.
   [[nodiscard]] std::size_t busy_connections() const;
-  // Bytes of requests buffered in memory.
-  [[nodiscard]] std::size_t buffered_bytes() const { return buffered_bytes_; }
 
 private:
   void accept();
@@ -151,7 +172,7 @@
 
   QTcpServer server_;
   std::set<http_connection*> open_;
-  std::size_t buffered_bytes_ = 0;
+  std::unordered_set<std::uint64_t> hold_ids_; // of open_
   time_point limit_logged_at_{};
   bool closing_ = false;
 };
--- a/include/marigoldstep/io/http_parser.h
+++ b/include/marigoldstep/io/http_parser.h
@@ -34,6 +34,9 @@
   std::optional<std::uint64_t> length; // of the body, if declared
 };
 
+// Bytes that a head occupies in memory.
+std::size_t allocated_bytes(const http_head& head);
+
 // Value of the first field of that name, ignoring case; null when there is none.
 const std::string* find_field(const http_head& head, std::string_view name);
 
--- a/src/error.cpp
+++ b/src/error.cpp
@@ -84,6 +84,8 @@
       {errc::internal_error, "internal_error", "internal error"},
       {errc::not_implemented, "not_implemented",
        "the method or a transfer coding is not implemented"},
+      {errc::memory_full, "memory_full",
+       "the memory for requests is full; the request was not run"},
   };
   return table;
 }
@@ -125,7 +127,7 @@
 }
 
 errc errc_from_number(unsigned number) {
-  constexpr auto last = static_cast<unsigned>(errc::not_implemented);
+  constexpr auto last = static_cast<unsigned>(errc::memory_full);
   return number > last ? errc::internal_error : static_cast<errc>(number);
 }
 
--- a/src/io/admin_server.cpp
+++ b/src/io/admin_server.cpp
@@ -23,6 +23,11 @@
   };
 }
 
+void admin_server::use_memory(std::shared_ptr<request_memory> memory) {
+  listener_.memory = std::move(memory);
+  listener_.memory->register_metrics(*registry_);
+}
+
 std::error_code admin_server::start(const std::string& host, std::uint16_t port) {
   return listener_.listen(host, port);
 }
@@ -31,6 +36,7 @@
   if (before_collect) {
     before_collect();
   }
+  listener_.memory->update_metrics();
   const prometheus::TextSerializer serializer;
   return serializer.Serialize(registry_->Collect());
 }
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -8,9 +8,11 @@
 #include <QHostAddress>
 #include <QTimer>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstdio>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace marigoldstep::io {
@@ -27,6 +29,10 @@
 constexpr qint64 read_buffer_bytes = 1 << 16;
 constexpr int accept_backlog = 512;
 constexpr auto limit_log_interval = milliseconds(1000);
+// Less of what follows a request in progress may stay also while memory is scarce.
+constexpr std::size_t min_discarded_bytes = 4U << 10U;
+// A larger buffer isn't kept between requests.
+constexpr std::size_t max_kept_buffer_bytes = 4U << 10U;
 
 unsigned status_of(std::error_code ec) {
   if (ec == errc::message_too_large) {
@@ -35,10 +41,38 @@
   if (ec == errc::not_implemented) {
     return http_status::not_implemented;
   }
+  if (ec == errc::memory_full) {
+    return http_status::unavailable;
+  }
   return ec == errc::body_too_large ? http_status::content_too_large
                                     : http_status::bad_request;
 }
 
+// Appends a piece. Allocates at most as much again as is used, and no more than max_bytes
+// need, since clients decide how large a body becomes.
+void append_within(std::string& body, std::string piece, std::uint64_t max_bytes) {
+  if (body.empty()) {
+    body = std::move(piece);
+    return;
+  }
+  const auto needed = body.size() + piece.size();
+  if (needed > body.capacity()) {
+    std::string grown;
+    grown.reserve(std::max<std::size_t>(
+        needed, std::min<std::uint64_t>(2 * body.capacity(), max_bytes)));
+    grown += body;
+    body = std::move(grown);
+  }
+  body += piece;
+}
+
+std::size_t unread_in_kernel(const QTcpSocket& socket) {
+  int n = 0;
+  return ::ioctl(static_cast<int>(socket.socketDescriptor()), FIONREAD, &n) == 0
+             ? static_cast<std::size_t>(n)
+             : 0;
+}
+
 // Without a reset the client takes a body that ends with its connection for whole.
 void reset_on_close(const QTcpSocket& socket) {
   const linger reset{1, 0};
@@ -50,10 +84,21 @@
 
 } // namespace
 
+http_field make_retry_after_field(milliseconds delay) {
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(delay);
+  return {"Retry-After", std::to_string(seconds.count())};
+}
+
+http_rejection default_rejection(errc code) {
+  return {status_of(make_error_code(code)), {}, std::string(name(code)) + "\n"};
+}
+
 http_connection::http_connection(QTcpSocket* socket, const http_server_limits& limits,
-                                 QObject* parent)
+                                 std::shared_ptr<request_memory> memory, QObject* parent)
     : QObject(parent), socket_(socket), limits_(limits),
-      parser_(http_role::request, limits.message), phase_since_(io::now()) {
+      held_(std::move(memory), [this](reclaim_reason why) { give_way(why); }),
+      parser_(http_role::request, limits.message), phase_since_(io::now()),
+      held_since_(phase_since_) {
   socket_->setParent(this);
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   socket_->setReadBufferSize(read_buffer_bytes);
@@ -70,11 +115,13 @@
   connect(socket_, &QTcpSocket::bytesWritten, this, [this](qint64) {
     if (phase_ == phase::idle || phase_ == phase::lingering) {
       phase_since_ = io::now(); // the client still reads the last response
+      update_hold();
     }
     if (on_drained) {
       on_drained();
     }
   });
+  update_hold();
   QMetaObject::invokeMethod(
       this, [this] { read(); }, Qt::QueuedConnection);
 }
@@ -88,6 +135,9 @@
     return;
   }
   if (phase_ == phase::responding) {
+    if (is_discarding_) {
+      socket_->readAll();
+    }
     return; // pipelined requests stay in the socket
   }
   const auto chunk = socket_->readAll();
@@ -102,35 +152,118 @@
   if (phase_ == phase::idle) {
     phase_ = phase::reading;
     phase_since_ = io::now();
+    held_since_ = phase_since_;
   }
   std::error_code ec;
   const auto n = parser_.feed(input_, ec);
   input_.erase(0, n);
-  body_ += parser_.take_body();
+  if (input_.empty() && input_.capacity() > max_kept_buffer_bytes) {
+    input_ = std::string();
+  }
+  append_within(body_, parser_.take_body(),
+                parser_.head().length.value_or(limits_.message.body_bytes.value_or(
+                    std::numeric_limits<std::uint64_t>::max())));
   record_progress(n);
   if (ec) {
     reject(ec);
-  } else if (parser_.is_done()) {
+    return;
+  }
+  if (parser_.is_done()) {
     handle_request();
-  } else if (!report_buffered()) {
-    log_event(log_level::warning, "request_buffers_full",
-              {{"client", socket_->peerAddress().toString().toStdString()}});
-    abort();
-  } else if (parser_.has_head()) {
+    return;
+  }
+  update_hold();
+  if (phase_ == phase::reading && parser_.has_head()) {
     send_continue();
   }
 }
 
-bool http_connection::report_buffered() {
-  const auto n = phase_ == phase::closed ? 0 : buffered_bytes();
-  const auto before = std::exchange(reported_bytes_, n);
-  return !on_buffered || on_buffered(before, n);
+memory_hold http_connection::current_hold() const {
+  memory_hold out;
+  if (phase_ == phase::closed) {
+    return out;
+  }
+  out.connections = 1;
+  out.since = held_since_;
+  const auto queued = queued_bytes();
+  const auto read_ahead = static_cast<std::size_t>(socket_->bytesAvailable());
+  out.bytes = queued + read_ahead + input_.capacity() + body_.capacity() + head_bytes_;
+  switch (phase_) {
+  case phase::idle:
+    out.kind = queued > 0    ? hold_kind::unread
+               : has_served_ ? hold_kind::idle
+                             : hold_kind::incomplete;
+    break;
+  case phase::reading:
+    out.kind = hold_kind::incomplete;
+    break;
+  case phase::responding:
+    out.kind = hold_kind::running;
+    // The kernel holds bytes only once the socket's own buffer is full.
+    out.bytes += read_ahead >= read_buffer_bytes ? unread_in_kernel(*socket_) : 0;
+    break;
+  case phase::lingering:
+  case phase::closed:
+    out.kind = hold_kind::unread;
+    break;
+  }
+  return out;
+}
+
+void http_connection::update_hold() {
+  static_cast<void>(held_.set(current_hold()));
+}
+
+void http_connection::drop_request() {
+  input_ = std::string();
+  body_ = std::string();
+  head_bytes_ = 0;
+  has_head_ = false;
+  parser_ = http_parser(http_role::request, limits_.message);
+}
+
+// Ends a request that has not arrived in full, or a response that is read slowly.
+void http_connection::give_way(reclaim_reason why) {
+  const auto held = current_hold();
+  log_event(
+      log_level::warning, "request_given_up",
+      {{"client", socket_->peerAddress().toString().toStdString()},
+       {"reason", std::string(name(why))},
+       {"phase", phase_ == phase::reading ? "incomplete" : "waiting for the client"},
+       {"bytes", std::to_string(held.bytes)},
+       {"age_ms", std::to_string((io::now() - held.since).count())}});
+  if (phase_ == phase::reading) {
+    reject(errc::memory_full);
+    if (why == reclaim_reason::memory) {
+      return;
+    }
+  }
+  abort();
+}
+
+// Frees what follows the request in progress. It won't be handled: the connection closes
+// after the response.
+void http_connection::discard_read_ahead() {
+  const auto n = static_cast<std::size_t>(socket_->bytesAvailable()) + input_.size();
+  if (n < min_discarded_bytes || is_discarding_) {
+    return;
+  }
+  log_event(log_level::warning, "read_ahead_discarded",
+            {{"client", socket_->peerAddress().toString().toStdString()},
+             {"bytes", std::to_string(n)}});
+  is_discarding_ = true;
+  close_after_ = true;
+  input_ = std::string();
+  socket_->readAll();
 }
 
 // Gives a body that arrives steadily the time that it needs.
 void http_connection::record_progress(std::size_t n) {
   const bool is_first = parser_.has_head() && !has_head_;
   has_head_ = parser_.has_head();
+  if (is_first) {
+    head_bytes_ = allocated_bytes(parser_.head());
+  }
   bytes_since_ = has_head_ ? bytes_since_ + n : 0;
   if (is_first || bytes_since_ >= min_body_bytes) {
     phase_since_ = io::now();
@@ -149,9 +282,10 @@
 
 void http_connection::handle_request() {
   http_request request{parser_.head(), std::move(body_)};
-  body_.clear();
-  static_cast<void>(report_buffered());
+  body_ = std::string();
+  head_bytes_ = 0;
   has_head_ = false;
+  has_served_ = true;
   phase_ = phase::responding;
   begun_ = false;
   continue_sent_ = false;
@@ -159,12 +293,15 @@
   close_after_ = close_after_ || !request.head.keep_alive;
   version_ = request.head.version;
   parser_ = http_parser(http_role::request, limits_.message);
+  update_hold();
   if (on_request) {
     on_request(*this, std::move(request));
   }
 }
 
 void http_connection::reject(std::error_code ec) {
+  const auto held_bytes = current_hold().bytes;
+  drop_request();
   phase_ = phase::responding;
   close_after_ = true;
   const auto code = ec.category() == marigoldstep_category()
@@ -173,12 +310,16 @@
   log_event(log_level::warning, "request_rejected",
             {{"client", socket_->peerAddress().toString().toStdString()},
              {"error", std::string(name(code))}});
-  if (make_rejection) {
-    const auto rejection = make_rejection(code);
-    respond(rejection.status, rejection.fields, rejection.body);
-  } else {
-    respond(status_of(ec), {}, std::string(name(code)) + "\n");
+  std::optional<milliseconds> retry_after;
+  if (code == errc::memory_full) {
+    retry_after = held_.memory().retry_delay(held_bytes);
+  }
+  auto rejection =
+      make_rejection ? make_rejection(code, retry_after) : default_rejection(code);
+  if (!make_rejection && retry_after) {
+    rejection.fields.push_back(make_retry_after_field(*retry_after));
   }
+  respond(rejection.status, rejection.fields, rejection.body);
 }
 
 void http_connection::write_head(unsigned status, const std::vector<http_field>& fields) {
@@ -275,11 +416,16 @@
   begun_ = false;
   has_no_body_ = false;
   phase_since_ = io::now();
+  held_since_ = phase_since_;
   if (close_after_) {
     linger();
     return;
   }
   phase_ = phase::idle;
+  update_hold();
+  if (phase_ != phase::idle) {
+    return; // the response was given up
+  }
   if (input_.empty() && socket_->bytesAvailable() == 0) {
     return;
   }
@@ -304,6 +450,12 @@
 void http_connection::linger() {
   phase_ = phase::lingering;
   phase_since_ = io::now();
+  held_since_ = phase_since_;
+  input_ = std::string();
+  update_hold();
+  if (phase_ == phase::closed) {
+    return;
+  }
   socket_->flush();
   if (socket_->bytesToWrite() == 0) {
     ::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR);
@@ -330,10 +482,15 @@
 }
 
 void http_connection::tick(time_point now) {
+  if (phase_ == phase::responding && held_.memory().is_scarce()) {
+    discard_read_ahead();
+  }
+  update_hold();
   const auto age = now - phase_since_;
   if (phase_ == phase::idle && age > limits_.idle_timeout) {
     linger();
   } else if (phase_ == phase::reading && age > limits_.header_timeout) {
+    drop_request();
     phase_ = phase::responding;
     close_after_ = true;
     respond(http_status::request_timeout, {}, "request timeout\n");
@@ -363,7 +520,11 @@
     return;
   }
   phase_ = phase::closed;
-  static_cast<void>(report_buffered());
+  drop_request();
+  update_hold();
+  if (on_gone) {
+    on_gone();
+  }
   if (on_closed) {
     on_closed();
   }
@@ -424,15 +585,16 @@
       socket->deleteLater();
       continue;
     }
-    auto* connection = new http_connection(socket, limits, this);
+    auto* connection = new http_connection(socket, limits, memory, this);
     open_.insert(connection);
-    connect(connection, &QObject::destroyed, this,
-            [this, connection] { open_.erase(connection); });
-    connection->make_rejection = make_rejection;
-    connection->on_buffered = [this](std::size_t before, std::size_t n) {
-      buffered_bytes_ = buffered_bytes_ - before + n;
-      return !limits.max_buffered_bytes || buffered_bytes_ <= *limits.max_buffered_bytes;
+    hold_ids_.insert(connection->hold_id());
+    const auto forget = [this, connection, id = connection->hold_id()] {
+      open_.erase(connection);
+      hold_ids_.erase(id);
     };
+    connect(connection, &QObject::destroyed, this, forget);
+    connection->on_gone = forget;
+    connection->make_rejection = make_rejection;
     connection->on_request = [this](http_connection& from, http_request request) {
       if (on_request) {
         on_request(from, std::move(request));
--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -187,6 +187,19 @@
                     [](char a, char b) { return lower(a) == lower(b); });
 }
 
+std::size_t allocated_bytes(const http_head& head) {
+  const auto text_bytes = [](const std::string& it) {
+    // Short texts need no allocation.
+    return it.capacity() < sizeof(std::string) / 2 ? 0 : it.capacity() + 1;
+  };
+  auto n = head.fields.capacity() * sizeof(http_field) + text_bytes(head.method) +
+           text_bytes(head.target);
+  for (const auto& it : head.fields) {
+    n += text_bytes(it.name) + text_bytes(it.value);
+  }
+  return n;
+}
+
 const std::string* find_field(const http_head& head, std::string_view name) {
   const auto it =
       std::find_if(head.fields.begin(), head.fields.end(),
--- a/src/io/program.cpp
+++ b/src/io/program.cpp
@@ -1,6 +1,7 @@
 #include "marigoldstep/io/program.h"
 
 #include "marigoldstep/io/logging.h"
+#include "marigoldstep/io/request_memory.h"
 #include "marigoldstep/io/tls.h"
 
 #include <QCoreApplication>
@@ -184,6 +185,7 @@
   if (options.done) {
     return options;
   }
+  limit_retained_memory();
   // Qt's own event loop polls the same sockets, with less bookkeeping for each.
   qputenv("QT_NO_GLIB", "1");
   const bool valid = load_settings(options.config_path, parse);
--- a/tools/control/api.cpp
+++ b/tools/control/api.cpp
@@ -57,6 +57,11 @@
   };
 }
 
+void api::use_memory(std::shared_ptr<io::request_memory> memory) {
+  memory->check_request_size(max_body_bytes);
+  listener_.memory = std::move(memory);
+}
+
 std::error_code api::listen(const io::endpoint& address) {
   const auto ec = listener_.listen(address.host, address.port);
   port_ = listener_.port();
--- a/tools/control/api.h
+++ b/tools/control/api.h
@@ -15,6 +15,8 @@
 public:
   api(replica& group, link_service& links, QObject* parent);
 
+  // Of the process; set it before listen().
+  void use_memory(std::shared_ptr<io::request_memory> memory);
   // The port must be the same on every control process, since redirects use it.
   std::error_code listen(const io::endpoint& address);
   void stop();
--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -95,6 +95,9 @@
   control::replica group(settings, nullptr);
   control::service service(group, settings.operators, nullptr);
   io::admin_server admin(nullptr);
+  const auto memory = std::make_shared<io::request_memory>();
+  memory->set_limits(settings.limits);
+  admin.use_memory(memory);
   ec = service.listen(settings.listen);
   if (!ec) {
     ec = admin.start(settings.admin.host, settings.admin.port);
@@ -115,6 +118,7 @@
   std::unique_ptr<direct_services> direct;
   if (settings.api.port != 0) {
     direct = std::make_unique<direct_services>(group, settings);
+    direct->api.use_memory(memory);
     ec = direct->start(settings);
     if (ec) {
       std::cerr << program << ": cannot listen: " << ec.message() << "\n";
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -38,8 +38,17 @@
 constexpr auto stop_accept_window = milliseconds(2500);
 // Minimum time between a request's timeout and the stop deadline.
 constexpr auto stop_margin = milliseconds(300);
-// Buffered requests may take one part in this many of the process's memory limit.
-constexpr std::size_t buffer_memory_divisor = 4;
+// Of a request's body, queued for a server that reads slowly.
+constexpr std::size_t max_queued_body_bytes = 256U << 10U;
+
+// The default response, with the delay in the form that callers understand.
+io::http_rejection make_rejection(errc code, std::optional<milliseconds> retry_after) {
+  auto out = io::default_rejection(code);
+  if (retry_after) {
+    out.fields.push_back(platform::make_retry_after_field(*retry_after));
+  }
+  return out;
+}
 
 } // namespace
 
@@ -53,6 +62,10 @@
              this),
       caller_listener_(this), readiness_listener_(this), report_receiver_(links_, this),
       routing_reader_(links_) {
+  memory->set_limits(settings_.limits);
+  caller_listener_.memory = readiness_listener_.memory = memory;
+  report_receiver_.use_memory(memory);
+  caller_listener_.make_rejection = make_rejection;
   retries.limits = settings_.retries;
   crashes.on_crash = [this](const announced_server& server, const auto& ended) {
     handle_crash(server, ended);
@@ -184,6 +197,7 @@
   settings_.dispatch.routers = retries.routers;
   settings_.stop_time = settings.stop_time;
   settings_.limits = settings.limits;
+  memory->set_limits(settings_.limits);
   retries.limits = settings.retries;
   links_.set_seeds(io::hosts_of(settings.seeds));
 }
@@ -256,13 +270,17 @@
 }
 
 void gateway::handle_request(io::http_connection& from, io::http_request request) {
-  if (settings_.limits.memory_bytes > 0 &&
-      caller_listener_.buffered_bytes() >
-          settings_.limits.memory_bytes / buffer_memory_divisor) {
-    from.respond(io::http_status::unavailable,
-                 {platform::make_retry_after_field(milliseconds(500))},
-                 "out of memory\n");
-    io::log_event(io::log_level::warning, "request_refused", {{"reason", "memory"}});
+  const auto needed = io::allocated_bytes(request.head) + request.body.capacity() +
+                      std::min(request.body.size(), max_queued_body_bytes);
+  if (!memory->make_room(needed)) {
+    const auto retry_after = memory->retry_delay(needed);
+    io::log_event(io::log_level::warning, "request_refused",
+                  {{"reason", "memory"},
+                   {"bytes", std::to_string(needed)},
+                   {"used", std::to_string(memory->used())},
+                   {"retry_after_ms", std::to_string(retry_after.count())}});
+    const auto rejection = make_rejection(errc::memory_full, retry_after);
+    from.respond(rejection.status, rejection.fields, rejection.body);
     return;
   }
   auto* it = new relay(*this, from, std::move(request));
@@ -285,6 +303,7 @@
                                      limits.body_bytes};
   caller_listener_.limits.header_timeout = limits.header_timeout;
   caller_listener_.limits.idle_timeout = limits.idle_timeout;
+  memory->check_request_size(limits.body_bytes);
   metrics.routing_version.Set(static_cast<double>(version));
   io::log_event(io::log_level::info, "routing_applied",
                 {{"version", std::to_string(version)},
--- a/tools/gateway/gateway.h
+++ b/tools/gateway/gateway.h
@@ -75,6 +75,9 @@
   // Number of idle connections to keep to a server of the service.
   [[nodiscard]] std::size_t idle_connections(const std::string& service,
                                              const std::string& server) const;
+  // Of the clients of all listeners of the process.
+  const std::shared_ptr<io::request_memory> memory =
+      std::make_shared<io::request_memory>();
   server_directory directory;
   dispatch_state dispatch;
   retry_share retries;
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -19,6 +19,7 @@
   io::start_logging(program, settings.node_id, settings.log_level, io::log_to_stdout);
   io::admin_server admin(nullptr);
   gateway::gateway gateway(settings, admin.registry(), nullptr);
+  admin.use_memory(gateway.memory);
   admin.is_ready = [&] { return gateway.is_ready(); };
   auto ec = gateway.start();
   if (!ec) {
--- a/tools/gateway/report_receiver.h
+++ b/tools/gateway/report_receiver.h
@@ -22,6 +22,10 @@
   // A read of the routing configuration arrived, which shares the port with the reports.
   std::function<void(io::http_connection&)> on_read;
 
+  // Of the process; set it before listen().
+  void use_memory(std::shared_ptr<io::request_memory> memory) {
+    listener_.memory = std::move(memory);
+  }
   std::error_code listen(const std::string& host, std::uint16_t port);
   // Stops accepting reports, so that servers report to control again.
   void stop();
--- a/tools/router/caller_response.cpp
+++ b/tools/router/caller_response.cpp
@@ -43,7 +43,7 @@
   int status;
 };
 
-constexpr std::array<status_entry, 27> statuses = {{
+constexpr std::array<status_entry, 28> statuses = {{
     {errc::bad_request, 400},
     {errc::body_too_large, 413},
     {errc::unknown_workspace, 403},
@@ -71,6 +71,7 @@
     {errc::unknown_attempt, 404},
     {errc::attempt_expired, 410},
     {errc::not_implemented, 501},
+    {errc::memory_full, 503},
 }};
 
 } // namespace
@@ -83,6 +84,14 @@
   return it == statuses.end() ? bad_gateway : it->status;
 }
 
+std::vector<io::http_field> make_problem_fields(const outcome& result) {
+  std::vector<io::http_field> fields = {{"Content-Type", problem_media_type}};
+  if (result.retry_after.count() > 0) {
+    fields.push_back(io::make_retry_after_field(result.retry_after));
+  }
+  return fields;
+}
+
 std::string make_problem(const outcome& result, const std::string& request_id) {
   const auto code = errc_from_number(static_cast<unsigned>(result.error.value()));
   const auto text = [](std::string_view it) {
@@ -130,14 +139,8 @@
   if (!is_open()) {
     return;
   }
-  std::vector<io::http_field> fields = {{"Content-Type", problem_media_type},
-                                        {"X-Marigoldstep-Request-Id", request_id}};
-  if (result.retry_after.count() > 0) {
-    // The header has a resolution of one second. Rounded up, because callers would
-    // otherwise retry too early.
-    const auto seconds = (result.retry_after.count() + 999) / 1000;
-    fields.push_back({"Retry-After", std::to_string(seconds)});
-  }
+  auto fields = make_problem_fields(result);
+  fields.push_back({"X-Marigoldstep-Request-Id", request_id});
   connection_->http->respond(static_cast<unsigned>(http_status(result)), fields,
                              make_problem(result, request_id));
 }
--- a/tools/router/caller_response.h
+++ b/tools/router/caller_response.h
@@ -13,6 +13,8 @@
 // empty.
 inline constexpr const char* problem_media_type = "application/problem+json";
 std::string make_problem(const outcome& result, const std::string& request_id);
+// The headers of a problem document.
+std::vector<io::http_field> make_problem_fields(const outcome& result);
 
 // Ids sent to the caller as response headers.
 struct response_ids {
--- a/tools/router/caller_server.cpp
+++ b/tools/router/caller_server.cpp
@@ -17,22 +17,23 @@
   return not_run(code == errc::malformed_message ? errc::bad_request : code);
 }
 
-io::http_rejection make_rejection(errc code) {
-  const auto result = rejection_outcome(code);
-  return {static_cast<unsigned>(http_status(result)),
-          {{"Content-Type", problem_media_type}},
+io::http_rejection make_rejection(errc code, std::optional<milliseconds> retry_after) {
+  auto result = rejection_outcome(code);
+  result.retry_after = retry_after.value_or(result.retry_after);
+  return {static_cast<unsigned>(http_status(result)), make_problem_fields(result),
           make_problem(result, "")};
 }
 
 } // namespace
 
-caller_server::caller_server(const router_limits& limits, QObject* parent)
+caller_server::caller_server(const router_limits& limits,
+                             std::shared_ptr<io::request_memory> memory, QObject* parent)
     : QObject(parent), listener_(this) {
+  listener_.memory = std::move(memory);
   listener_.limits.message = {max_header_bytes, default_max_body_bytes};
   listener_.limits.header_timeout = limits.caller_idle_timeout;
   listener_.limits.idle_timeout = limits.caller_idle_timeout;
   listener_.limits.max_connections = limits.max_connections;
-  listener_.limits.max_buffered_bytes = limits.max_buffered_bytes;
   listener_.limits.allows_pipelining = false;
   listener_.make_rejection = make_rejection;
   listener_.on_request = [this](io::http_connection& from, const io::http_request& it) {
--- a/tools/router/caller_server.h
+++ b/tools/router/caller_server.h
@@ -29,7 +29,8 @@
 // one before it isn't run.
 class caller_server : public QObject {
 public:
-  caller_server(const router_limits& limits, QObject* parent);
+  caller_server(const router_limits& limits, std::shared_ptr<io::request_memory> memory,
+                QObject* parent);
   ~caller_server() override;
   caller_server(const caller_server&) = delete;
   caller_server& operator=(const caller_server&) = delete;
--- a/tools/router/relay.cpp
+++ b/tools/router/relay.cpp
@@ -49,6 +49,15 @@
   return out;
 }
 
+// Bytes that a start message occupies in memory.
+std::size_t allocated_bytes(const wire::StartAttemptT& start) {
+  auto n = start.body.capacity() + start.path.capacity();
+  for (const auto& it : start.headers) {
+    n += sizeof(it) + sizeof(*it) + it->name.capacity() + it->value.capacity();
+  }
+  return n;
+}
+
 std::unique_ptr<wire::AttemptId> wire_id(const attempt_id& id) {
   return std::make_unique<wire::AttemptId>(wire::to_wire(id));
 }
@@ -64,22 +73,23 @@
 }
 
 relay::relay(router& owner, relay_job job, caller_response response)
-    : owner_(owner), job_(std::move(job)), response_(response) {
+    : owner_(owner), job_(std::move(job)), response_(response),
+      start_bytes_(allocated_bytes(job_.start)), held_(owner.memory()) {
   state_.repeatable = job_.request.repeatable;
   deadline_ = job_.received_at + job_.request.deadline;
   last_progress_at_ = job_.received_at;
 }
 
-// Updates the owner's total with the memory used by this request.
-void relay::update_buffered_bytes() {
-  const auto n = finished_ ? 0 : job_.start.body.size() + buffered_.size();
-  owner_.subtract_buffered(accounted_bytes_);
-  owner_.add_buffered(n);
-  accounted_bytes_ = n;
+// Updates what this request holds: the request, its copy on the link to the agent until a
+// response shows that it was read, and the response.
+void relay::update_hold() {
+  const std::size_t copies = link_ != nullptr && head_ == nullptr ? 2 : 1;
+  const auto n = finished_ ? 0 : copies * start_bytes_ + buffered_.capacity();
+  static_cast<void>(held_.set({hold_kind::running, n, 0, job_.received_at}));
 }
 
 void relay::begin() {
-  update_buffered_bytes();
+  update_hold();
   owner_.record_first_attempt();
   try_next_server();
 }
@@ -166,7 +176,7 @@
   server_incarnation_ = server.incarnation;
   head_.reset();
   buffered_.clear();
-  update_buffered_bytes();
+  update_hold();
   acknowledged_ = 0;
   has_server_error_ = false;
   wait_until(deadline_);
@@ -302,13 +312,13 @@
   const bool is_error = head_ != nullptr && head_->status >= first_error_status;
   const bool streams = is_resume_ || (job_.request.stream && !is_error);
   return !streams && buffered_.size() <= max_buffered_response_bytes &&
-         !owner_.is_buffer_full();
+         !owner_.memory()->is_scarce();
 }
 
 void relay::forward_data(byte_view data) {
   if (!state_.response_forwarded) {
     buffered_.append(as_text(data));
-    update_buffered_bytes();
+    update_hold();
     if (!may_buffer_response()) {
       begin_response();
     }
@@ -328,9 +338,10 @@
   // No other attempt can follow, so the request is no longer needed.
   buffered_ = {};
   job_.start = {};
+  start_bytes_ = 0;
   head_.reset();
   tried_ = {};
-  update_buffered_bytes();
+  update_hold();
   last_progress_at_ = io::now();
   wait_until(last_progress_at_ + owner_.limits().caller_stall_timeout);
 }
--- a/tools/router/relay.h
+++ b/tools/router/relay.h
@@ -69,7 +69,7 @@
   void handle_end(const wire::AttemptEndT& end);
   void forward_data(byte_view data);
   void begin_response();
-  void update_buffered_bytes();
+  void update_hold();
   void acknowledge(std::uint64_t step);
   template <typename Body> void send_about_attempt(Body body);
   void finish_response();
@@ -91,9 +91,9 @@
   incarnation server_incarnation_ = 0; // from the membership view
   incarnation agent_incarnation_ = 0;  // to which the start message was written
   std::unique_ptr<wire::AttemptHeadT> head_;
-  std::string buffered_; // response bytes not forwarded yet
-  // Size of the body and buffered_, as counted by the owner.
-  std::size_t accounted_bytes_ = 0;
+  std::string buffered_;    // response bytes not forwarded yet
+  std::size_t start_bytes_; // allocated by job_.start
+  io::held_memory held_;
   std::vector<tried_server> tried_;
   outcome last_refusal_;
   time_point deadline_{};
--- a/tools/router/relay_end.cpp
+++ b/tools/router/relay_end.cpp
@@ -184,7 +184,7 @@
     return;
   }
   finished_ = true;
-  update_buffered_bytes();
+  update_hold();
   detach_link();
   const auto verdict = name(result.result);
   owner_.metrics().count_request(verdict, code);
--- a/tools/router/router.cpp
+++ b/tools/router/router.cpp
@@ -15,6 +15,12 @@
 // Older contacts are no evidence that a suspect server is alive.
 constexpr auto contact_lifetime = milliseconds(1500);
 
+std::shared_ptr<io::request_memory> make_memory(const router_settings& settings) {
+  auto out = std::make_shared<io::request_memory>();
+  out->set_limits(settings.process, settings.limits.max_buffered_bytes);
+  return out;
+}
+
 bool is_alive(const membership_view& view, const std::string& node_id) {
   auto it = view.servers.find(node_id);
   return it != view.servers.end() && it->second.state != server_state::dead;
@@ -38,7 +44,9 @@
 router::router(const router_settings& settings, QObject* parent)
     : QObject(parent), settings_(settings),
       session_(settings.control, wire::NodeRole::router, settings.node_id, this),
-      admin_(this), callers_(settings.limits, this), metrics_(admin_.registry()) {
+      memory_(make_memory(settings)), admin_(this),
+      callers_(settings.limits, memory_, this), metrics_(admin_.registry()) {
+  admin_.use_memory(memory_);
   retry_budget_.refilled_at = io::now();
   summary_.started_at = io::now();
   callers_.on_request = [this](const io::http_request& request,
@@ -145,6 +153,7 @@
 
 void router::handle_configuration(const std::shared_ptr<const configuration>& config) {
   callers_.set_max_body_bytes(config->limits.max_body_bytes + body_allowance_bytes);
+  memory_->check_request_size(config->limits.max_body_bytes);
   newest_version_ = std::max(newest_version_, config->version);
   const auto running = relays_;
   for (const auto& [key, it] : running) {
--- a/tools/router/router.h
+++ b/tools/router/router.h
@@ -42,11 +42,9 @@
                               std::span<const tried_server> tried);
   static void log_choice(const std::string& request_id, unsigned attempt,
                          const server_choice& found);
-  // Track the memory used by request bodies and buffered responses, in bytes.
-  void add_buffered(std::size_t n) { buffered_bytes_ += n; }
-  void subtract_buffered(std::size_t n) { buffered_bytes_ -= n; }
-  [[nodiscard]] bool is_buffer_full() const {
-    return buffered_bytes_ > settings_.limits.max_buffered_bytes;
+  // Of the clients of all listeners of the process.
+  [[nodiscard]] const std::shared_ptr<io::request_memory>& memory() const {
+    return memory_;
   }
   void record_first_attempt();
   bool take_retry();
@@ -78,6 +76,7 @@
 
   router_settings settings_;
   io::node_session session_;
+  std::shared_ptr<io::request_memory> memory_;
   io::admin_server admin_;
   caller_server callers_;
   router_metrics metrics_;
@@ -93,7 +92,6 @@
       suspect_contacts_; // suspect servers and when they last sent a frame
   QTimer wakeup_timer_;
   std::uint64_t newest_version_ = 0;
-  std::uint64_t buffered_bytes_ = 0;
   bool stopping_ = false;
   time_point stop_deadline_{};
 };
--- a/tools/router/router_calls.cpp
+++ b/tools/router/router_calls.cpp
@@ -16,6 +16,12 @@
 // Maximum wait for an agent that does not respond to a resume.
 constexpr auto resume_deadline = milliseconds(10'000);
 
+// The request as it arrived, and the message with its copy for the agent.
+std::size_t needed_bytes(const io::http_request& request) {
+  constexpr std::size_t copies = 3;
+  return copies * (request.body.capacity() + io::allocated_bytes(request.head));
+}
+
 outcome cancel_outcome(const io::control_result& result) {
   const auto* reply = result.reply ? result.reply->body.AsClaimReply() : nullptr;
   if (reply == nullptr) {
@@ -104,8 +110,11 @@
     refuse(connection, request_id, not_run(errc::no_configuration, busy_retry_after));
   } else if (stopping_ && kind != call_kind::resume) {
     refuse(connection, request_id, not_run(errc::server_draining, busy_retry_after));
-  } else if (relays_.size() >= settings_.limits.max_requests || is_buffer_full()) {
+  } else if (relays_.size() >= settings_.limits.max_requests) {
     refuse(connection, request_id, not_run(errc::queue_full, busy_retry_after));
+  } else if (const auto needed = needed_bytes(request); !memory_->make_room(needed)) {
+    refuse(connection, request_id,
+           not_run(errc::memory_full, memory_->retry_delay(needed)));
   } else if (kind == call_kind::resume) {
     handle_resume(request, connection, std::move(request_id));
   } else if (kind == call_kind::cancel) {
--- a/tools/router/settings.h
+++ b/tools/router/settings.h
@@ -12,9 +12,9 @@
 struct router_limits {
   std::uint32_t max_connections = 20'000; // open connections from callers
   std::uint32_t max_requests = 12'000;    // requests in progress
-  // Total size in bytes of the request bodies and buffered responses of all requests
-  // in progress. Above it new requests are refused, and responses are forwarded in
-  // chunks instead of being buffered.
+  // Most that requests and responses may take of the process's memory, in bytes. Where
+  // it is used up, incomplete and then new requests are refused, and responses are
+  // forwarded in chunks instead of being buffered.
   std::uint64_t max_buffered_bytes = 256U << 20U;
   // Time within which a caller must send a complete request on a new or idle connection.
   milliseconds caller_idle_timeout{30'000};
