Read no further request while responses or requests are waiting

What callers saw: a process that grows without bound. Cause: after each response the connection read all that its socket held, on top of what it had read and not handled yet, and wrote further responses behind those that the client didn't read. One client that sends requests faster than they are answered, or reads no response, fills the memory.

More is read only once the requests that were read are handled, and no request is taken while over 64 KiB of responses are unread.

--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -29,6 +29,8 @@
 constexpr qint64 read_buffer_bytes = 1 << 16;
 constexpr int accept_backlog = 512;
 constexpr auto limit_log_interval = milliseconds(1000);
+// The next request isn't read while more of earlier responses is unread.
+constexpr std::size_t max_unread_bytes = 64U << 10U;
 // Less of what follows a request in progress may stay also while memory is scarce.
 constexpr std::size_t min_discarded_bytes = 4U << 10U;
 // A larger buffer isn't kept between requests.
@@ -117,6 +119,9 @@
       phase_since_ = io::now(); // the client still reads the last response
       update_hold();
     }
+    if (phase_ == phase::idle && socket_->bytesToWrite() == 0) {
+      read(); // a request may have waited for this
+    }
     if (on_drained) {
       on_drained();
     }
@@ -140,6 +145,16 @@
     }
     return; // pipelined requests stay in the socket
   }
+  if (phase_ == phase::idle && queued_bytes() > max_unread_bytes) {
+    return;
+  }
+  if (phase_ == phase::idle && !input_.empty()) {
+    // More is read only once the requests that were read are handled.
+    read_request();
+    if (phase_ != phase::reading) {
+      return;
+    }
+  }
   const auto chunk = socket_->readAll();
   input_.append(chunk.constData(), static_cast<std::size_t>(chunk.size()));
   read_request();
