Bound clients' connections by max_fds and the process's memory

Cause: 2,000 connections for each listener whatever max_fds says, and each program has several listeners; at the limit newcomers were refused, so a crowd that holds connections open kept ordinary callers out. Unread bytes in the kernel had no bound of ours.

The connections of all listeners are counted in one sum.

--- a/include/marigoldstep/io/http_connection.h
+++ b/include/marigoldstep/io/http_connection.h
@@ -29,7 +29,8 @@
   // its body.
   milliseconds header_timeout{3000};
   milliseconds idle_timeout{15'000}; // between requests
-  std::size_t max_connections = 2000;
+  // Of this listener; those of all listeners are limited by request_memory.
+  std::size_t max_connections = std::numeric_limits<std::size_t>::max();
   // Whether a request may follow before the response to the one before it. If not, the
   // connection closes after that response and the later request isn't read.
   bool allows_pipelining = true;
@@ -167,6 +168,7 @@
 
 private:
   void accept();
+  void limit_receive_buffer();
   void log_limit_reached();
   void tick();
 
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -557,11 +557,23 @@
 
 std::error_code http_listener::listen(const std::string& host, std::uint16_t port) {
   if (server_.listen(QHostAddress(QString::fromStdString(host)), port)) {
+    limit_receive_buffer();
     return {};
   }
   return std::make_error_code(std::errc::address_not_available);
 }
 
+// Accepted sockets inherit the limit. Without one a client could fill megabytes of the
+// kernel's memory.
+void http_listener::limit_receive_buffer() {
+  const int n = static_cast<int>(memory->limits().receive_buffer_bytes);
+  if (::setsockopt(static_cast<int>(server_.socketDescriptor()), SOL_SOCKET, SO_RCVBUF,
+                   &n, sizeof(n)) != 0) {
+    log_event(log_level::warning, "receive_buffer_not_limited",
+              {{"port", std::to_string(port())}, {"errno", std::to_string(errno)}});
+  }
+}
+
 std::uint16_t http_listener::port() const {
   return server_.serverPort();
 }
@@ -594,7 +606,10 @@
 
 void http_listener::accept() {
   while (auto* socket = server_.nextPendingConnection()) {
-    if (open_.size() >= limits.max_connections) {
+    const bool has_room = memory->make_connection_room(
+        open_.size(), limits.max_connections,
+        [this](std::uint64_t id) { return hold_ids_.contains(id); });
+    if (!has_room) {
       log_limit_reached();
       socket->abort();
       socket->deleteLater();
