Let a client that is refused for want of memory read the refusal

What callers saw: a reset in place of 503 and Retry-After, which promises nothing, so a request that may run only once is not sent again. Cause: a second after the refusal the connection was closed, also while the client was still sending the rest of its body. Now it is read and discarded for up to the header timeout, as long as it keeps coming.

--- a/include/marigoldstep/io/http_connection.h
+++ b/include/marigoldstep/io/http_connection.h
@@ -132,6 +132,7 @@
   time_point held_since_;
   bool has_served_ = false;    // a request
   bool is_discarding_ = false; // what follows the request in progress
+  bool is_refused_ = false;    // the last request, for want of memory
   bool begun_ = false;
   bool chunked_ = false;
   bool ends_with_connection_ = false; // the body of the response in progress
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -119,8 +119,9 @@
       phase_since_ = io::now(); // the client still reads the last response
       update_hold();
     }
-    if (phase_ == phase::idle && socket_->bytesToWrite() == 0) {
-      read(); // a request may have waited for this
+    const bool has_input = !input_.empty() || socket_->bytesAvailable() > 0;
+    if (phase_ == phase::idle && socket_->bytesToWrite() == 0 && has_input) {
+      read(); // the request waited for this
     }
     if (on_drained) {
       on_drained();
@@ -136,7 +137,13 @@
     return;
   }
   if (phase_ == phase::lingering) {
-    socket_->readAll();
+    const bool has_more = !socket_->readAll().isEmpty();
+    const auto now = io::now();
+    // A client that is still sending a request that was refused for want of memory reads
+    // the response afterwards.
+    if (has_more && is_refused_ && now - held_since_ < limits_.header_timeout) {
+      phase_since_ = now;
+    }
     return;
   }
   if (phase_ == phase::responding) {
@@ -327,6 +334,7 @@
              {"error", std::string(name(code))}});
   std::optional<milliseconds> retry_after;
   if (code == errc::memory_full) {
+    is_refused_ = true;
     retry_after = held_.memory().retry_delay(held_bytes);
   }
   auto rejection =
