Hold the body of a relayed request once

Cause: the relay, the connection to the server and its socket each held the whole body, and no sum counted a request once it was whole.

The relay keeps the body, and the connection writes it as the server reads it, with 256 KiB queued at most.

--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -53,8 +53,10 @@
   backend_connection(endpoint target, milliseconds connect_timeout, QObject* parent);
 
   // Sends a request as soon as the connection is open. The callbacks below stay
-  // until the exchange ended. is_head_request: the response has no body.
-  void send(std::string request, bool is_head_request);
+  // until the exchange ended. is_head_request: the response has no body. body follows the
+  // request; it is written as the server reads it, and has to stay valid until the
+  // exchange has ended.
+  void send(std::string request, bool is_head_request, std::string_view body = {});
 
   // Whether to close the connection soon after the server's machine stops responding,
   // which also limits how long the server may leave a request unread. Set before it is
@@ -78,6 +80,8 @@
 
   [[nodiscard]] const endpoint& target() const { return target_; }
   [[nodiscard]] bool is_open() const { return state_ == state::open; }
+  // Bytes held for the server: what is queued for it, and what came from it.
+  [[nodiscard]] std::size_t held_bytes() const;
   [[nodiscard]] bool is_first_exchange() const { return exchange_count_ <= 1; }
   // Whether another request may follow: the last response was complete, no bytes came
   // after it, and the whole request was written. Not after a HEAD request: a second
@@ -95,13 +99,18 @@
   enum class state { connecting, open, closed };
 
   void handle_connected();
-  void write(const std::string& request);
+  void write(std::string_view text);
+  // Writes the request and as much of the body as may be queued.
+  void write_request();
+  void write_body();
   void read();
   void read_response();
   void handle_end();
   void fail(exchange_failure why);
   void end_exchange();
   void log_unexpected_bytes(std::string_view when, std::size_t n) const;
+  // Forgets the rest of a request whose exchange has ended.
+  void drop_unsent();
   void clear_callbacks();
   [[nodiscard]] bool was_closed_orderly() const;
 
@@ -109,7 +118,9 @@
   detail::file_descriptor duplicate_fd_; // of the socket, for responses without a length
   endpoint target_;
   http_parser parser_;
-  std::string request_; // sent once connected
+  std::string request_;          // sent once connected
+  std::string_view unsent_body_; // of the current request
+  bool is_request_whole_ = true; // whether all of the last request was written
   std::string input_;
   state state_ = state::connecting;
   bool busy_ = false;
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -26,6 +26,13 @@
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
 constexpr qint64 read_buffer_bytes = 1 << 16;
+// Bytes of the kernel's, for what a server sends while its caller doesn't read.
+constexpr int receive_buffer_bytes = 1 << 16;
+// Smaller bodies are written together with the head.
+constexpr std::size_t small_body_bytes = 16U << 10U;
+// Of a larger body, for a server that reads slowly.
+constexpr qint64 max_queued_bytes = 256 << 10;
+constexpr std::size_t body_piece_bytes = 64U << 10U;
 // Lower numbers are none of HTTP.
 constexpr unsigned first_status = 100;
 // Interim responses and responses to other requests that may precede a response, and the
@@ -93,6 +100,7 @@
   socket_->setReadBufferSize(read_buffer_bytes);
   connect(socket_, &QTcpSocket::connected, this, [this] { handle_connected(); });
   connect(socket_, &QTcpSocket::readyRead, this, [this] { read(); });
+  connect(socket_, &QTcpSocket::bytesWritten, this, [this](qint64) { write_body(); });
   connect(socket_, &QTcpSocket::disconnected, this, [this] {
     if (!is_writing_) {
       handle_end();
@@ -132,6 +140,8 @@
   }
   state_ = state::open;
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  set_option(static_cast<int>(socket_->socketDescriptor()), SOL_SOCKET, SO_RCVBUF,
+             receive_buffer_bytes);
   if (detects_lost_peer) {
     enable_dead_peer_detection(*socket_);
   }
@@ -140,21 +150,47 @@
     return;
   }
   if (busy_) {
-    write(request_);
-    request_.clear();
+    write_request();
   }
 }
 
 // A failure is reported later, since the sender may not expect a callback.
-void backend_connection::write(const std::string& request) {
+void backend_connection::write(std::string_view text) {
   is_writing_ = true;
-  socket_->write(request.data(), static_cast<qint64>(request.size()));
+  socket_->write(text.data(), static_cast<qint64>(text.size()));
   socket_->flush();
   is_writing_ = false;
 }
 
-void backend_connection::send(std::string request, bool is_head_request) {
+void backend_connection::write_request() {
+  if (unsent_body_.size() <= small_body_bytes) {
+    request_ += unsent_body_;
+    unsent_body_ = {};
+  }
+  write(request_);
+  request_ = std::string();
+  write_body();
+}
+
+void backend_connection::write_body() {
+  while (!unsent_body_.empty() && state_ == state::open && !is_writing_ &&
+         socket_->bytesToWrite() < max_queued_bytes) {
+    const auto piece = unsent_body_.substr(0, body_piece_bytes);
+    unsent_body_.remove_prefix(piece.size());
+    write(piece);
+  }
+}
+
+std::size_t backend_connection::held_bytes() const {
+  return request_.capacity() + input_.capacity() +
+         static_cast<std::size_t>(socket_->bytesToWrite() + socket_->bytesAvailable());
+}
+
+void backend_connection::send(std::string request, bool is_head_request,
+                              std::string_view body) {
   busy_ = true;
+  is_request_whole_ = true;
+  unsent_body_ = body;
   is_head_request_ = is_head_request;
   head_reported_ = false;
   skipping_ = false;
@@ -164,11 +200,10 @@
   ++exchange_count_;
   parser_ = http_parser(http_role::response, {}, !is_head_request);
   duplicate_fd_ = detail::file_descriptor();
+  request_ = std::move(request);
   if (state_ == state::open) {
-    write(request);
-  } else if (state_ == state::connecting) {
-    request_ = std::move(request);
-  } else {
+    write_request();
+  } else if (state_ != state::connecting) {
     QMetaObject::invokeMethod(
         this, [this] { fail(exchange_failure::not_connected); }, Qt::QueuedConnection);
   }
@@ -289,6 +324,7 @@
 // The callbacks are cleared first, because on_done may send the next request.
 void backend_connection::end_exchange() {
   busy_ = false;
+  drop_unsent();
   const auto done = std::move(on_done);
   clear_callbacks();
   if (done) {
@@ -340,6 +376,7 @@
     return;
   }
   busy_ = false;
+  drop_unsent();
   const auto failed = std::move(on_failed);
   clear_callbacks();
   if (failed) {
@@ -350,10 +387,17 @@
 void backend_connection::abort() {
   clear_callbacks();
   busy_ = false;
+  drop_unsent();
   state_ = state::closed;
   socket_->abort();
 }
 
+void backend_connection::drop_unsent() {
+  is_request_whole_ = unsent_body_.empty();
+  unsent_body_ = {};
+  request_ = std::string();
+}
+
 void backend_connection::clear_callbacks() {
   may_send = nullptr;
   on_head = nullptr;
@@ -369,7 +413,7 @@
 
 bool backend_connection::is_reusable() const {
   return state_ == state::open && request_ids_.size() < max_exchanges && !busy_ &&
-         keep_alive_ && !is_head_request_ && input_.empty() &&
+         keep_alive_ && !is_head_request_ && is_request_whole_ && input_.empty() &&
          socket_->bytesAvailable() == 0 && socket_->bytesToWrite() == 0;
 }
 
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -46,7 +46,9 @@
 
 relay::relay(gateway& owner, io::http_connection& caller, io::http_request request)
     : QObject(&owner), owner_(owner), caller_(&caller), request_(std::move(request)),
-      table_(owner.table()), started_at_(io::now()) {
+      request_bytes_(request_.body.capacity() + io::allocated_bytes(request_.head)),
+      held_(owner.memory), table_(owner.table()), started_at_(io::now()) {
+  update_hold();
   caller.on_closed = [this] { handle_caller_disconnect(); };
   caller.on_drained = [this] { handle_drained(); };
   deadline_timer_.setSingleShot(true);
@@ -62,6 +64,16 @@
   release_attempt(false);
 }
 
+// A server may be running the request, so that what it holds is not taken back.
+void relay::update_hold() {
+  auto n = request_bytes_ + held_events_.capacity();
+  if (attempt_) {
+    n += attempt_->body.capacity() + attempt_->events.partial.capacity() +
+         attempt_->connection->held_bytes();
+  }
+  static_cast<void>(held_.set({hold_kind::running, n, 0, started_at_}));
+}
+
 milliseconds relay::time_left() const {
   return state_.deadline - io::now();
 }
@@ -249,8 +261,10 @@
   use_limits(owner_.dispatch, server, io::now());
   auto* connection = it.connection;
   attempt_ = std::move(it);
-  connection->send(platform::make_backend_request(request_.head, request_.body, added),
-                   request_.head.method == "HEAD");
+  connection->send(
+      platform::make_backend_request(request_.head, request_.body.size(), added),
+      request_.head.method == "HEAD", request_.body);
+  update_hold();
 }
 
 // A new connection for a HEAD request, since the second response to an earlier request
@@ -355,6 +369,7 @@
     return; // the body of another kind of response can't continue it
   }
   it.body += piece;
+  update_hold();
   if (it.body.size() <= max_buffered_response_bytes) {
     return;
   }
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -70,6 +70,7 @@
   void end_attempt(attempt_end end);
   void apply_step(relay_step step, attempt_end end, const attempt& last);
   void release_attempt(bool reusable);
+  void update_hold();
   void record_stream_part();
   void record_cancelled();
   void handle_caller_disconnect();
@@ -94,6 +95,8 @@
   gateway& owner_;
   QPointer<io::http_connection> caller_;
   io::http_request request_;
+  std::size_t request_bytes_; // allocated
+  io::held_memory held_;
   call_metadata call_;
   std::shared_ptr<const routing_table> table_; // in force when the request arrived
   const route* route_ = nullptr;
--- a/tools/gateway/relay_end.cpp
+++ b/tools/gateway/relay_end.cpp
@@ -251,6 +251,7 @@
     owner_.pool.discard(attempt_->connection);
   }
   attempt_.reset();
+  update_hold();
 }
 
 // The server may have begun to run the request, and may crash under it.
