Limit requests at readiness and admin ports

Cause: ports whose requests have no body, or one of some hundred bytes, took 4 MB for each connection, and 2,000 connections. Now 16 KiB at readiness ports, 64 KiB at admin ports, and 64 connections each, so that no crowd there takes the connections of callers. The users' provider sends no body; an agent's orders take a few hundred bytes.

--- a/src/io/admin_server.cpp
+++ b/src/io/admin_server.cpp
@@ -13,11 +13,17 @@
   to.respond(status, {{"Content-Type", type}}, body);
 }
 
+// Orders take a few hundred bytes; other requests have no body.
+constexpr std::uint64_t max_body_bytes = 64U << 10U;
+constexpr std::size_t max_connections = 64;
+
 } // namespace
 
 admin_server::admin_server(QObject* parent)
     : QObject(parent), listener_(this),
       registry_(std::make_shared<prometheus::Registry>()) {
+  listener_.limits.message.body_bytes = max_body_bytes;
+  listener_.limits.max_connections = max_connections;
   listener_.on_request = [this](http_connection& from, http_request request) {
     serve(from, std::move(request));
   };
--- a/tools/gateway/gateway.cpp
+++ b/tools/gateway/gateway.cpp
@@ -38,6 +38,9 @@
 constexpr auto stop_accept_window = milliseconds(2500);
 // Minimum time between a request's timeout and the stop deadline.
 constexpr auto stop_margin = milliseconds(300);
+// A readiness check has no body.
+constexpr std::uint64_t max_readiness_body_bytes = 16U << 10U;
+constexpr std::size_t max_readiness_connections = 64;
 // Of a request's body, queued for a server that reads slowly.
 constexpr std::size_t max_queued_body_bytes = 256U << 10U;
 
@@ -66,6 +69,8 @@
   caller_listener_.memory = readiness_listener_.memory = memory;
   report_receiver_.use_memory(memory);
   caller_listener_.make_rejection = make_rejection;
+  readiness_listener_.limits.message.body_bytes = max_readiness_body_bytes;
+  readiness_listener_.limits.max_connections = max_readiness_connections;
   retries.limits = settings_.retries;
   crashes.on_crash = [this](const announced_server& server, const auto& ended) {
     handle_crash(server, ended);
