Open small crowds in the soak

28 clients at a time send bodies of legal size short of their end to a random gateway or control process, while faults go on; no process may hold more than the memory_mb of its settings (96 and 128 MB). The random numbers are its own, so that the other faults of a seed stay the same.

--- a/tests/soak/soak_processes.py
+++ b/tests/soak/soak_processes.py
@@ -1,11 +1,13 @@
 """Daemons of the soak test: their settings files, starts and signals."""
 import asyncio
 import json
+import os
 import signal
 import subprocess
 import time
 
 UNDISTURBED_S = 3.0
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 # A signal may arrive before main() installs its handler, as a trace of seed 1 showed.
 MIN_SIGNAL_AGE_S = 0.2
 
@@ -59,5 +61,13 @@
             await asyncio.sleep(0.05)
         return self.child.poll() is not None
 
+    def memory_mb(self):
+        """Resident memory; 0 once the process has ended."""
+        try:
+            with open(f"/proc/{self.child.pid}/statm") as it:
+                return int(it.read().split()[1]) * PAGE_BYTES >> 20
+        except (OSError, IndexError):
+            return 0
+
     def is_undisturbed(self):
         return self.child.poll() is None and time.monotonic() - self.last_disturbed > UNDISTURBED_S
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -13,6 +13,7 @@
 
 from soak_callers import KEY, Callers
 from soak_control_faults import ControlFaults
+from soak_crowds import MEMORY_MB, Crowds
 from soak_departures import Departures
 from soak_operator import MAX_APPLY_S, Operator
 from soak_processes import MIN_SIGNAL_AGE_S, UNDISTURBED_S, Process
@@ -63,7 +64,7 @@
         self.counts = {"control": self.control_count, "gateways": self.gateway_count} | dict.fromkeys(
             ["calm_reads", "unread", "series", "silenced", "cut_off", "erased", "replaced", "asked", "answered",
              "refused", "failed", "faults", "versions", "handed_over", "leaving", "backoffs", "cut", "left",
-             "resumed", "killed_all", "departed", "delayed", "cold_starts", "cold_arrivals", "second_at_once", "second_idle", "second_next", "second_nameless"], 0)
+             "resumed", "killed_all", "departed", "delayed", "crowds", "peak_mb", "cold_starts", "cold_arrivals", "second_at_once", "second_idle", "second_next", "second_nameless"], 0)
         self.stopping = False
         self.leaving_told = {}  # by gateway and server: when a response said that it leaves
         self.drain_s = 0.5
@@ -73,6 +74,7 @@
         self.network = Network(self.random)
         self.versions = Versions(self)
         self.departures = Departures(self)
+        self.crowds = Crowds(self)
         self.started_servers = []  # those that have ended included
 
     def record_run(self, request, server, last_event):
@@ -125,7 +127,7 @@
         self.gateways = [Process(self, "gateway", f"127.78.0.{i + 1}", {
             **self.common_settings(seeds), "node_id": f"g{i}", "zone": "z", "host": f"127.78.0.{i + 1}",
             "listen": f"127.78.0.{i + 1}:{self.front_port}", "listen_ready": f"127.78.0.{i + 1}:{self.front_port + 1}",
-            "stop_time_s": STOP_TIME_S,
+            "stop_time_s": STOP_TIME_S, "memory_mb": MEMORY_MB["gateway"],
             "retry_budget": {"ratio": 0.2, "extra": 60, "window_s": 10}}) for i in range(self.gateway_count)]
 
     def common_settings(self, seeds):
@@ -142,7 +144,8 @@
         return Process(self, "control", host, {
             **self.common_settings(seeds), "node_id": f"c{i}", "host": host, "listen_host": listen_host,
             "api": f"{listen_host}:{self.api_port}", "data_dir": str(self.folder / f"data{i}"),
-            "first_start": first_start, "log_file": "-", "tolerated_losses": self.tolerated_losses, **link_settings})
+            "first_start": first_start, "log_file": "-", "tolerated_losses": self.tolerated_losses,
+            "memory_mb": MEMORY_MB["control"], **link_settings})
 
     async def call(self, host, method, target, body="", limit_s=2.0, port=None, extra_headers=""):
         """Returns (status, body); status 0 without a complete response. Follows redirects."""
@@ -308,7 +311,7 @@
                                             or await self.callers.send_request(self.gateways[0]) != 200):
             await asyncio.sleep(0.2)
         tasks = [asyncio.create_task(self.callers.run()) for _ in range(8)]
-        tasks += [operator, asyncio.create_task(self.watch_versions())]
+        tasks += [operator, asyncio.create_task(self.watch_versions()), asyncio.create_task(self.crowds.run())]
         await self.inject_faults()
         await self.settle_and_check()
         for it in await asyncio.gather(*tasks, return_exceptions=True):
