--- a/include/marigoldstep/io/request_memory.h
+++ b/include/marigoldstep/io/request_memory.h
@@ -39,8 +39,9 @@
   // Adds a peer that holds nothing yet. take_back has to reduce what the peer holds, and
   // is not called while the hold is of the kind running.
   std::uint64_t add(reclaim take_back);
-  // Records what a peer holds. If that is too much, takes back what others hold or, last,
-  // what this peer holds. Returns false if nothing more could be taken back.
+  // Records what a peer holds. If the sum is too much then, takes back as
+  // find_reclaimable() says, which may concern this peer as well. Returns false if
+  // nothing more could be taken back.
   bool set(std::uint64_t id, const memory_hold& hold);
   void remove(std::uint64_t id);
 
--- a/tests/programs/client_crowd.h
+++ b/tests/programs/client_crowd.h
@@ -247,10 +247,23 @@
   std::thread thread_;
 };
 
-// Crowds whose requests begin with this head, which has no fields about the body yet, and
-// may have bodies up to max_body bytes and heads up to max_head bytes.
-inline std::vector<crowd_kind> crowd_kinds(const std::string& head, std::size_t max_body,
-                                           std::size_t max_head) {
+// Requests one after the other, none of whose responses the client reads.
+inline crowd_kind unread_responses(const std::string& request) {
+  constexpr std::size_t bytes = 4U << 20U;
+  return {"unread responses", "", request, bytes / request.size(), "", 0, false};
+}
+
+// Connections whose requests stay in their head.
+inline crowd_kind many_connections(const std::string& head) {
+  return {"many connections", head, "", 0, "", 0, true, 500};
+}
+
+// All kinds of crowds. Their requests begin with this head, which has no fields about the
+// body yet, and may have bodies up to max_body bytes and heads up to max_head bytes. A
+// GET of unread_path is answered at once.
+inline std::vector<crowd_kind> crowd_kinds(const std::string& head,
+                                           const std::string& unread_path,
+                                           std::size_t max_body, std::size_t max_head) {
   constexpr std::size_t piece = 64U << 10U;
   constexpr std::size_t endless_factor = 4;
   const auto sized = [&](std::size_t n) {
@@ -285,20 +298,11 @@
       {"whole", sized(max_body), text, max_body / piece, ""},
       {"many fields", head + fields + "Content-Length: 9\r\n\r\n", "", 0, "x", 0, true,
        300},
+      unread_responses("GET " + unread_path + " HTTP/1.1\r\nHost: h\r\n\r\n"),
+      many_connections(head),
   };
 }
 
-// Requests one after the other, none of whose responses the client reads.
-inline crowd_kind unread_responses(const std::string& request) {
-  constexpr std::size_t bytes = 4U << 20U;
-  return {"unread responses", "", request, bytes / request.size(), "", 0, false};
-}
-
-// Connections whose requests stay in their head.
-inline crowd_kind many_connections(const std::string& head) {
-  return {"many connections", head, "", 0, "", 0, true, 500};
-}
-
 // The seconds that a response's Retry-After names; unset without one.
 inline std::optional<double> retry_after(const std::string& response) {
   const std::string field = "Retry-After: ";
--- a/tests/programs/control_crowd_test.cpp
+++ b/tests/programs/control_crowd_test.cpp
@@ -63,24 +63,17 @@
   program_process program_;
 };
 
-std::vector<crowd_kind> kinds_of(const std::string& unread_path) {
-  auto out = crowd_kinds(head, max_body, max_head);
-  out.push_back(unread_responses("GET " + unread_path + " HTTP/1.1\r\nHost: h\r\n\r\n"));
-  out.push_back(many_connections(head));
-  return out;
-}
-
 } // namespace
 
 TEST_CASE("a control process bears crowds at its port for operators and servers") {
-  const auto kinds = kinds_of("/v1/Config.Read");
+  const auto kinds = crowd_kinds(head, "/v1/Config.Read", max_body, max_head);
   const auto i = GENERATE_COPY(range(std::size_t{0}, kinds.size()));
   control_process it;
   check_crowd(it.target(it.api(), "/v1/Config.Read", it.text()), kinds[i], clients);
 }
 
 TEST_CASE("a control process bears crowds at its admin port") {
-  const auto kinds = kinds_of("/metrics");
+  const auto kinds = crowd_kinds(head, "/metrics", max_body, max_head);
   const auto i = GENERATE_COPY(range(std::size_t{0}, kinds.size()));
   control_process it;
   check_crowd(it.target(it.admin(), "/healthz", "\r\n\r\nok"), kinds[i], clients);
--- a/tests/programs/gateway_crowd_test.cpp
+++ b/tests/programs/gateway_crowd_test.cpp
@@ -96,17 +96,10 @@
     "Marigoldstep-Deadline-Ms: 30000\r\nAuthorization: Bearer KEY\r\n";
 const std::string other_head = "POST /x HTTP/1.1\r\nHost: h\r\n";
 
-std::vector<crowd_kind> kinds_of(const std::string& head, const std::string& path) {
-  auto out = crowd_kinds(head, max_body, max_head);
-  out.push_back(unread_responses("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"));
-  out.push_back(many_connections(head));
-  return out;
-}
-
 } // namespace
 
 TEST_CASE("a gateway bears crowds at its port for callers") {
-  const auto kinds = kinds_of(caller_head, "/nowhere");
+  const auto kinds = crowd_kinds(caller_head, "/nowhere", max_body, max_head);
   const auto i = GENERATE_COPY(range(std::size_t{0}, kinds.size()));
   gateway_process it;
   const auto results = check_crowd(it.caller_target(), kinds[i], clients);
@@ -122,14 +115,14 @@
 }
 
 TEST_CASE("a gateway bears crowds at its port for readiness checks") {
-  const auto kinds = kinds_of(other_head, "/nowhere");
+  const auto kinds = crowd_kinds(other_head, "/nowhere", max_body, max_head);
   const auto i = GENERATE_COPY(range(std::size_t{0}, kinds.size()));
   gateway_process it;
   check_crowd(it.target(it.readiness(), "/v1/ready", "HTTP/1.1 200 "), kinds[i], clients);
 }
 
 TEST_CASE("a gateway bears crowds at its port for servers' reports") {
-  const auto kinds = kinds_of(other_head, "/nowhere");
+  const auto kinds = crowd_kinds(other_head, "/nowhere", max_body, max_head);
   const auto i = GENERATE_COPY(range(std::size_t{0}, kinds.size()));
   gateway_process it;
   check_crowd(it.target(it.fleet_port(io::fleet_port::reports), "/x", "no such call"),
@@ -137,7 +130,7 @@
 }
 
 TEST_CASE("a gateway bears crowds at its admin port") {
-  const auto kinds = kinds_of(other_head, "/metrics");
+  const auto kinds = crowd_kinds(other_head, "/metrics", max_body, max_head);
   const auto i = GENERATE_COPY(range(std::size_t{0}, kinds.size()));
   gateway_process it;
   check_crowd(it.target(it.fleet_port(io::fleet_port::metrics), "/healthz", "\r\n\r\nok"),
--- a/tests/programs/router_crowd_test.cpp
+++ b/tests/programs/router_crowd_test.cpp
@@ -85,26 +85,20 @@
   std::unique_ptr<program_process> program_;
 };
 
-std::vector<crowd_kind> kinds_of(const std::string& head, const std::string& path) {
-  auto out = crowd_kinds(head, max_body, max_head);
-  out.push_back(unread_responses("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"));
-  out.push_back(many_connections(head));
-  return out;
-}
-
 } // namespace
 
 TEST_CASE("mstep-router bears crowds at its port for callers") {
-  const auto kinds = kinds_of("POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\n"
-                              "X-Marigoldstep-Workspace: w\r\n",
-                              "/nowhere");
+  const auto kinds = crowd_kinds("POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\n"
+                                 "X-Marigoldstep-Workspace: w\r\n",
+                                 "/nowhere", max_body, max_head);
   const auto i = GENERATE_COPY(range(std::size_t{0}, kinds.size()));
   router_process it;
   check_crowd(it.caller_target(), kinds[i], clients);
 }
 
 TEST_CASE("mstep-router bears crowds at its admin port") {
-  const auto kinds = kinds_of("POST /x HTTP/1.1\r\nHost: r\r\n", "/metrics");
+  const auto kinds =
+      crowd_kinds("POST /x HTTP/1.1\r\nHost: r\r\n", "/metrics", max_body, max_head);
   const auto i = GENERATE_COPY(range(std::size_t{0}, kinds.size()));
   router_process it;
   check_crowd(it.admin_target(), kinds[i], clients);
