Test that a large body is written as its server reads it

A connection to a server that reads nothing holds at most 400 KiB of a body of 16 MiB, which then arrives whole; and one whose response came before the whole request is not used again.

--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -165,3 +165,75 @@
   CHECK(server.requests.empty());
   pool.discard(connection);
 }
+
+namespace {
+
+constexpr std::size_t large_body_bytes = 16U << 20U; // more than socket buffers hold
+
+std::string large_request_head() {
+  return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+         std::to_string(large_body_bytes) + "\r\n\r\n";
+}
+
+// A server that reads nothing before it is told to.
+struct waiting_server {
+  QCoreApplication& application = test_application();
+  QTcpServer listener;
+  QTcpSocket* socket = nullptr;
+  std::string received;
+
+  waiting_server() {
+    REQUIRE(listener.listen(QHostAddress::LocalHost, 0));
+    QObject::connect(&listener, &QTcpServer::newConnection, &listener, [this] {
+      socket = listener.nextPendingConnection();
+      socket->setReadBufferSize(1);
+    });
+  }
+  [[nodiscard]] endpoint address() const { return {"127.0.0.1", listener.serverPort()}; }
+  void read_all() {
+    socket->setReadBufferSize(0);
+    wait_until([&] {
+      received += socket->readAll().toStdString();
+      return received.size() >= large_request_head().size() + large_body_bytes;
+    });
+  }
+};
+
+} // namespace
+
+// Guards against copies of large requests, held for servers that read slowly.
+TEST_CASE("a body is written as the server reads it, and arrives whole") {
+  constexpr std::size_t max_held_bytes = 400U << 10U;
+  waiting_server server;
+  backend_pool pool(nullptr);
+  exchange_result result;
+  std::string body(large_body_bytes, 'x');
+  body.back() = 'y';
+  auto* connection = pool.acquire(server.address(), "r1");
+  connection->detects_lost_peer = false; // it would end the connection of such a server
+  record_events(*connection, result);
+  connection->send(large_request_head(), false, body);
+  REQUIRE(wait_until([&] { return server.socket != nullptr; }));
+  run_event_loop(std::chrono::milliseconds(300));
+  CHECK(connection->held_bytes() <= max_held_bytes);
+  server.read_all();
+  CHECK(server.received == large_request_head() + body);
+  pool.discard(connection);
+}
+
+// Guards against the rest of a body that the server takes for the next request.
+TEST_CASE("a connection is not reused if the response came before the whole request") {
+  waiting_server server;
+  backend_pool pool(nullptr);
+  exchange_result result;
+  const std::string body(large_body_bytes, 'x');
+  auto* connection = pool.acquire(server.address(), "r1");
+  record_events(*connection, result);
+  connection->send(large_request_head(), false, body);
+  REQUIRE(wait_until([&] { return server.socket != nullptr; }));
+  server.socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(wait_until([&] { return result.ended(); }));
+  CHECK(result.done);
+  CHECK_FALSE(connection->is_reusable());
+  pool.discard(connection);
+}
