Let the clock decide when a request's time is over

Change: deadline_timer calls its function only once the monotonic clock has reached the deadline.

The scripted server of the tests pauses by a precise timer now: a coarse one ended its responses up to 5% early or late itself.

--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marigoldstep/io/control_client.h"
+#include "marigoldstep/io/deadline_timer.h"
 #include "marigoldstep/io/http_parser.h"
 #include "marigoldstep/types.h"
 
@@ -115,6 +116,7 @@
   [[nodiscard]] bool was_closed_orderly() const;
 
   QTcpSocket* socket_;
+  deadline_timer connect_timer_;
   detail::file_descriptor duplicate_fd_; // of the socket, for responses without a length
   endpoint target_;
   http_parser parser_;
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -95,8 +95,9 @@
 
 backend_connection::backend_connection(endpoint target, milliseconds connect_timeout,
                                        QObject* parent)
-    : QObject(parent), socket_(new QTcpSocket(this)), target_(std::move(target)),
-      parser_(http_role::response, {}) {
+    : QObject(parent), socket_(new QTcpSocket(this)),
+      connect_timer_([this] { fail(exchange_failure::not_connected); }),
+      target_(std::move(target)), parser_(http_role::response, {}) {
   socket_->setReadBufferSize(read_buffer_bytes);
   connect(socket_, &QTcpSocket::connected, this, [this] { handle_connected(); });
   connect(socket_, &QTcpSocket::readyRead, this, [this] { read(); });
@@ -125,11 +126,7 @@
                      ? exchange_failure::refused
                      : exchange_failure::not_connected);
           });
-  QTimer::singleShot(connect_timeout, this, [this] {
-    if (state_ == state::connecting) {
-      fail(exchange_failure::not_connected);
-    }
-  });
+  connect_timer_.start(connect_timeout);
   socket_->connectToHost(QHostAddress(QString::fromStdString(target_.host)),
                          target_.port);
 }
@@ -139,6 +136,7 @@
     return;
   }
   state_ = state::open;
+  connect_timer_.stop();
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   set_option(static_cast<int>(socket_->socketDescriptor()), SOL_SOCKET, SO_RCVBUF,
              receive_buffer_bytes);
--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -23,15 +23,17 @@
 inline const std::string default_limits =
     R"({"header_bytes":2000,"body_bytes":3000000,"header_timeout_ms":400,)"
     R"("idle_timeout_ms":5000})";
+constexpr auto default_route_timeout = milliseconds(800);
 inline std::string routing_text(std::uint64_t version,
                                 const std::string& services = default_services,
-                                const std::string& limits = default_limits) {
-  const auto route = [](const std::string& name, const std::string& type,
-                        const std::string& more) {
+                                const std::string& limits = default_limits,
+                                milliseconds route_timeout = default_route_timeout) {
+  const auto route = [route_timeout](const std::string& name, const std::string& type,
+                                     const std::string& more) {
     return R"({"name":")" + name + R"(","host":"h","path_prefix":"/)" + name +
-           R"(/","type":")" + type +
-           R"(","timeout_ms":800,"target_latency_ms":300,"service":"s","max_attempts":2)" +
-           more + "}";
+           R"(/","type":")" + type + R"(","timeout_ms":)" +
+           std::to_string(route_timeout.count()) +
+           R"(,"target_latency_ms":300,"service":"s","max_attempts":2)" + more + "}";
   };
   return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
          route("safe", "safe", "") + "," + route("once", "unsafe", "") + "," +
@@ -60,6 +62,7 @@
   std::uint64_t version = 1;               // 0: no configuration yet
   std::string services = default_services; // of the configuration
   std::string limits = default_limits;     // of the configuration
+  milliseconds route_timeout = default_route_timeout;
   std::vector<announced_server> servers;
   // Announces all servers but the first as silent, so that the gateway tries the first
   // one first. Among servers that are not silent it chooses at random.
@@ -113,7 +116,8 @@
     } else if (frame->body.AsFetchRouting() != nullptr) {
       wire::RoutingTextT text;
       text.version = version;
-      text.packed_text = io::compress_text(routing_text(version, services, limits));
+      text.packed_text =
+          io::compress_text(routing_text(version, services, limits, route_timeout));
       to.send(wire::encode_link(std::move(text)));
     } else if (const auto* request = frame->body.AsConfirmVersion()) {
       if (confirms_versions) {
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -118,7 +118,7 @@
         socket->flush();
         break;
       case server_step::kind::pause:
-        QTimer::singleShot(it.milliseconds, socket,
+        QTimer::singleShot(it.milliseconds, Qt::PreciseTimer, socket,
                            [this, socket, n, step] { run(socket, n, step); });
         return;
       case server_step::kind::close:
--- a/tools/agent/backend_call.cpp
+++ b/tools/agent/backend_call.cpp
@@ -55,6 +55,9 @@
                            milliseconds idle_timeout, QObject* parent)
     : QObject(parent),
       connection_(new io::backend_connection(backend, idle_timeout, this)),
+      idle_timeout_(idle_timeout), idle_timer_([this] {
+        end(backend_result::timed_out, "the backend server is silent");
+      }),
       has_no_body_(request.method == "HEAD") {
   // The backend server runs on the same VM, and may read a large request slowly.
   connection_->detects_lost_peer = false;
@@ -63,10 +66,7 @@
   connection_->on_done = [this] { handle_done(); };
   connection_->on_failed = [this](io::exchange_failure why) { handle_failure(why); };
   connection_->send(to_text(request, backend), has_no_body_);
-  idle_timer_.setSingleShot(true);
-  connect(&idle_timer_, &QTimer::timeout, this,
-          [this] { end(backend_result::timed_out, "the backend server is silent"); });
-  idle_timer_.start(idle_timeout);
+  idle_timer_.start(idle_timeout_);
 }
 
 void backend_call::abort() {
@@ -76,7 +76,7 @@
 }
 
 void backend_call::handle_head(const io::http_head& from) {
-  idle_timer_.start();
+  idle_timer_.start(idle_timeout_);
   backend_head head;
   head.status = static_cast<std::uint16_t>(from.status);
   for (const auto& it : from.fields) {
@@ -103,7 +103,7 @@
 }
 
 void backend_call::handle_body(std::string_view piece) {
-  idle_timer_.start();
+  idle_timer_.start(idle_timeout_);
   if (is_event_stream_) {
     const auto n = read_piece(stream_end_, piece);
     piece = is_delimited_ ? piece : piece.substr(0, n);
--- a/tools/agent/backend_call.h
+++ b/tools/agent/backend_call.h
@@ -2,10 +2,9 @@
 
 #include "agent/stream_end.h"
 #include "marigoldstep/io/backend_pool.h"
+#include "marigoldstep/io/deadline_timer.h"
 #include "marigoldstep/wire.h"
 
-#include <QTimer>
-
 #include <functional>
 #include <string>
 #include <vector>
@@ -58,7 +57,8 @@
   void end(backend_result result, const std::string& detail);
 
   io::backend_connection* connection_;
-  QTimer idle_timer_;
+  milliseconds idle_timeout_;
+  io::deadline_timer idle_timer_;
   bool ended_ = false;
   bool has_no_body_;
   bool is_delimited_ = false; // the response's framing tells where its body ends
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -47,12 +47,11 @@
 relay::relay(gateway& owner, io::http_connection& caller, io::http_request request)
     : QObject(&owner), owner_(owner), caller_(&caller), request_(std::move(request)),
       request_bytes_(request_.body.capacity() + io::allocated_bytes(request_.head)),
-      held_(owner.memory), table_(owner.table()), started_at_(io::now()) {
+      held_(owner.memory), table_(owner.table()),
+      deadline_timer_([this] { handle_timeout(); }), started_at_(io::now()) {
   update_hold();
   caller.on_closed = [this] { handle_caller_disconnect(); };
   caller.on_drained = [this] { handle_drained(); };
-  deadline_timer_.setSingleShot(true);
-  connect(&deadline_timer_, &QTimer::timeout, this, [this] { handle_timeout(); });
 }
 
 relay::~relay() {
@@ -119,7 +118,7 @@
       std::min(call_.deadline.value_or(route_->timeout), route_->timeout);
   state_.deadline = started_at_ + allowed;
   last_event_ = call_.last_event;
-  deadline_timer_.start(std::max(milliseconds(0), time_left()) + deadline_slack);
+  deadline_timer_.start(state_.deadline + deadline_slack);
   record_request(owner_.retries, service_, started_at_);
   if (resumes_stream()) {
     find_version();
--- a/tools/gateway/relay.h
+++ b/tools/gateway/relay.h
@@ -2,11 +2,11 @@
 
 #include "gateway/gateway.h"
 #include "marigoldstep/event_splitter.h"
+#include "marigoldstep/io/deadline_timer.h"
 #include "marigoldstep/relay_policy.h"
 
 #include <QObject>
 #include <QPointer>
-#include <QTimer>
 
 #include <optional>
 #include <string>
@@ -121,7 +121,7 @@
     settled
   } origin_record_ = origin_record::none;
   std::string held_events_;
-  QTimer deadline_timer_;
+  io::deadline_timer deadline_timer_;
   time_point started_at_{};
   bool waits_for_gateway_ = false;
   bool done_ = false;
--- a/tools/load/http_exchange.cpp
+++ b/tools/load/http_exchange.cpp
@@ -42,6 +42,7 @@
 http_exchange::http_exchange(http_request request, milliseconds idle_timeout,
                              QObject* parent)
     : QObject(parent), request_(std::move(request)), socket_(this),
+      idle_timeout_(idle_timeout), idle_timer_([this] { finish(); }),
       parser_(std::make_unique<parser_state>()) {
   parser_->parser.eager(true);
   parser_->parser.body_limit(max_body_bytes);
@@ -49,9 +50,7 @@
   connect(&socket_, &QTcpSocket::readyRead, this, [this] { read_response(); });
   connect(&socket_, &QTcpSocket::errorOccurred, this,
           [this](QAbstractSocket::SocketError) { on_connection_end(); });
-  connect(&idle_timer_, &QTimer::timeout, this, [this] { finish(); });
-  idle_timer_.setSingleShot(true);
-  idle_timer_.start(idle_timeout);
+  idle_timer_.start(idle_timeout_);
   // Deferred to the event loop: a refused connection reports its error from within
   // connectToHost, before the owner has set its callbacks.
   QMetaObject::invokeMethod(
@@ -77,7 +76,7 @@
   if (done_) {
     return;
   }
-  idle_timer_.start();
+  idle_timer_.start(idle_timeout_);
   input_ += socket_.readAll();
   auto& parser = parser_->parser;
   while (!input_.isEmpty() && !parser.is_done()) {
--- a/tools/load/http_exchange.h
+++ b/tools/load/http_exchange.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "load/checker.h"
+#include "marigoldstep/io/deadline_timer.h"
 
 #include <QTcpSocket>
-#include <QTimer>
 
 #include <functional>
 #include <memory>
@@ -47,7 +47,8 @@
 
   http_request request_;
   QTcpSocket socket_;
-  QTimer idle_timer_;
+  milliseconds idle_timeout_;
+  io::deadline_timer idle_timer_;
   std::unique_ptr<parser_state> parser_;
   QByteArray input_;
   bool sent_ = false;
--- a/tools/load/runner.cpp
+++ b/tools/load/runner.cpp
@@ -18,12 +18,9 @@
 
 runner::runner(load_settings settings, QObject* parent)
     : QObject(parent),
-      settings_(std::move(settings)), callers_{std::mt19937_64(settings_.seed), {}} {
-  run_limit_timer_.setSingleShot(true);
-  grace_timer_.setSingleShot(true);
-  connect(&run_limit_timer_, &QTimer::timeout, this, [this] { stop_early(); });
-  connect(&grace_timer_, &QTimer::timeout, this, [this] { stop_waiting(); });
-}
+      settings_(std::move(settings)), callers_{std::mt19937_64(settings_.seed), {}},
+      run_limit_timer_([this] { stop_early(); }),
+      grace_timer_([this] { stop_waiting(); }) {}
 
 void runner::start() {
   started_ = std::chrono::steady_clock::now();
--- a/tools/load/runner.h
+++ b/tools/load/runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "load/report.h"
+#include "marigoldstep/io/deadline_timer.h"
 
 #include <deque>
 
@@ -52,8 +53,8 @@
   std::uint64_t remaining_requests_ = 0;
   bool stopped_ = false; // no further requests are started
   std::uint32_t reads_left_ = 0;
-  QTimer run_limit_timer_;
-  QTimer grace_timer_;
+  io::deadline_timer run_limit_timer_;
+  io::deadline_timer grace_timer_;
   std::chrono::steady_clock::time_point started_;
 };
 
--- a/tools/router/agent_link.cpp
+++ b/tools/router/agent_link.cpp
@@ -30,16 +30,15 @@
 } // namespace
 
 agent_link::agent_link(agent_address address, std::string router_id, QObject* parent)
-    : QObject(parent), address_(std::move(address)), router_id_(std::move(router_id)) {
-  timer_.setSingleShot(true);
-  connect(&timer_, &QTimer::timeout, this, [this] {
-    if (connection_ == nullptr) {
-      connect_now();
-    } else if (!ready_) {
-      drop_connection();
-      handle_closed();
-    }
-  });
+    : QObject(parent), address_(std::move(address)), router_id_(std::move(router_id)),
+      timer_([this] {
+        if (connection_ == nullptr) {
+          connect_now();
+        } else if (!ready_) {
+          drop_connection();
+          handle_closed();
+        }
+      }) {
   connect(&liveness_timer_, &QTimer::timeout, this, [this] { check_liveness(); });
 }
 
@@ -64,7 +63,7 @@
   if (ready_) {
     watch_liveness();
     handler.on_link_ready(agent_incarnation_);
-  } else if (connection_ == nullptr && !timer_.isActive()) {
+  } else if (connection_ == nullptr && !timer_.is_active()) {
     connect_now();
   }
 }
@@ -136,7 +135,7 @@
   }
   constexpr unsigned max_shift = 8;
   const auto delay = initial_reconnect_delay * (1 << std::min(failures_, max_shift));
-  if (connection_ == nullptr && !timer_.isActive()) {
+  if (connection_ == nullptr && !timer_.is_active()) {
     timer_.start(std::min<milliseconds>(delay, max_reconnect_delay));
   }
 }
--- a/tools/router/agent_link.h
+++ b/tools/router/agent_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marigoldstep/io/deadline_timer.h"
 #include "marigoldstep/io/framed_connection.h"
 #include "marigoldstep/wire.h"
 
@@ -89,7 +90,7 @@
   bool ready_ = false; // the agent's Hello was received
   incarnation agent_incarnation_ = 0;
   bool acknowledges_ = false; // the agent acknowledges bytes while none are due
-  QTimer timer_;
+  io::deadline_timer timer_;
   QTimer liveness_timer_;
   time_point heard_at_{};            // when the latest bytes were noticed
   std::uint64_t bytes_received_ = 0; // at that time
