Let a server leave a large body unread without losing its request

A request with a large body got 502 after 1.5 s, within its time, if its server was alive but had not read on: exchange_failed why=closed.

Cause: TCP_USER_TIMEOUT, set to 1.5 s to notice lost machines, also ends a connection whose peer acknowledges every probe but has no room for data.

Change: while a body of over 16 kB is sent, the gateway looks itself, by TCP_INFO every 250 ms, and takes a machine for lost once it has owed an acknowledgement for 1.5 s. Smaller requests keep the kernel's timeout.

--- a/include/marigoldstep.h
+++ b/include/marigoldstep.h
@@ -26,6 +26,7 @@
 #include "marigoldstep/membership.h"
 #include "marigoldstep/memory_budget.h"
 #include "marigoldstep/operators.h"
+#include "marigoldstep/peer_watch.h"
 #include "marigoldstep/placement.h"
 #include "marigoldstep/questionnaire.h"
 #include "marigoldstep/raft.h"
--- a/include/marigoldstep/io/backend_pool.h
+++ b/include/marigoldstep/io/backend_pool.h
@@ -3,6 +3,7 @@
 #include "marigoldstep/io/control_client.h"
 #include "marigoldstep/io/deadline_timer.h"
 #include "marigoldstep/io/http_parser.h"
+#include "marigoldstep/peer_watch.h"
 #include "marigoldstep/types.h"
 
 #include <QObject>
@@ -59,9 +60,8 @@
   // exchange has ended.
   void send(std::string request, bool is_head_request, std::string_view body = {});
 
-  // Whether to close the connection soon after the server's machine stops responding,
-  // which also limits how long the server may leave a request unread. Set before it is
-  // open.
+  // Whether to close the connection soon after the server's machine stops acknowledging.
+  // The server may leave a request unread meanwhile. Set before it is open.
   bool detects_lost_peer = true;
 
   // Asked before a request is written to a connection that was still being opened when
@@ -104,6 +104,8 @@
   // Writes the request and as much of the body as may be queued.
   void write_request();
   void write_body();
+  // Looks for a lost machine while the server may leave a large body unread.
+  void watch_peer();
   void read();
   void read_response();
   void handle_end();
@@ -117,6 +119,9 @@
 
   QTcpSocket* socket_;
   deadline_timer connect_timer_;
+  deadline_timer watch_timer_;
+  peer_watch watch_;
+  bool is_watched_ = false;              // in place of the kernel's timeout
   detail::file_descriptor duplicate_fd_; // of the socket, for responses without a length
   endpoint target_;
   http_parser parser_;
--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -20,7 +20,8 @@
 
 // Closes a connection when sent bytes stay unacknowledged this long, as for a peer
 // that vanished without a reset.
-constexpr int user_timeout_ms = 1500;
+constexpr auto lost_peer_timeout = milliseconds(1500);
+constexpr auto watch_interval = milliseconds(250);
 // Detects a vanished peer while waiting for a response.
 constexpr int keepalive_idle_s = 1;
 constexpr int keepalive_interval_s = 1;
@@ -58,13 +59,30 @@
 
 void enable_dead_peer_detection(QTcpSocket& socket) {
   const int fd = static_cast<int>(socket.socketDescriptor());
-  set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
   set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
   set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
   set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
   set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
 }
 
+// The kernel's timeout also ends a connection whose server acknowledges but leaves a body
+// unread, so that a large body needs another one.
+void set_kernel_timeout(QTcpSocket& socket, milliseconds timeout) {
+  set_option(static_cast<int>(socket.socketDescriptor()), IPPROTO_TCP, TCP_USER_TIMEOUT,
+             static_cast<int>(timeout.count()));
+}
+
+std::optional<transport_state> read_transport_state(const QTcpSocket& socket) {
+  struct tcp_info info {};
+  socklen_t n = sizeof(info);
+  if (::getsockopt(static_cast<int>(socket.socketDescriptor()), IPPROTO_TCP, TCP_INFO,
+                   &info, &n) != 0) {
+    return std::nullopt;
+  }
+  return transport_state{info.tcpi_unacked > 0 || info.tcpi_probes > 0,
+                         milliseconds(info.tcpi_last_ack_recv)};
+}
+
 } // namespace
 
 detail::file_descriptor::~file_descriptor() {
@@ -97,7 +115,8 @@
                                        QObject* parent)
     : QObject(parent), socket_(new QTcpSocket(this)),
       connect_timer_([this] { fail(exchange_failure::not_connected); }),
-      target_(std::move(target)), parser_(http_role::response, {}) {
+      watch_timer_([this] { watch_peer(); }), target_(std::move(target)),
+      parser_(http_role::response, {}) {
   socket_->setReadBufferSize(read_buffer_bytes);
   connect(socket_, &QTcpSocket::connected, this, [this] { handle_connected(); });
   connect(socket_, &QTcpSocket::readyRead, this, [this] { read(); });
@@ -142,6 +161,7 @@
              receive_buffer_bytes);
   if (detects_lost_peer) {
     enable_dead_peer_detection(*socket_);
+    set_kernel_timeout(*socket_, lost_peer_timeout);
   }
   if (busy_ && may_send && !may_send()) {
     fail(exchange_failure::withheld);
@@ -165,9 +185,33 @@
     request_ += unsent_body_;
     unsent_body_ = {};
   }
+  const bool has_large_body = !unsent_body_.empty();
+  if (detects_lost_peer && has_large_body != is_watched_) {
+    is_watched_ = has_large_body;
+    set_kernel_timeout(*socket_, is_watched_ ? milliseconds(0) : lost_peer_timeout);
+  }
   write(request_);
   request_ = std::string();
   write_body();
+  if (is_watched_) {
+    watch_ = {io::now()};
+    watch_timer_.start(watch_interval);
+  }
+}
+
+void backend_connection::watch_peer() {
+  if (!busy_ || state_ != state::open) {
+    return;
+  }
+  const auto seen = read_transport_state(*socket_);
+  if (seen && is_peer_lost(watch_, *seen, io::now(), lost_peer_timeout)) {
+    log_event(log_level::info, "server_machine_lost",
+              {{"server", target_.host + ":" + std::to_string(target_.port)},
+               {"unacknowledged_ms", std::to_string(lost_peer_timeout.count())}});
+    fail(exchange_failure::closed);
+    return;
+  }
+  watch_timer_.start(watch_interval);
 }
 
 void backend_connection::write_body() {
--- a/tests/programs/gateway_deadline_test.cpp
+++ b/tests/programs/gateway_deadline_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "early_server.h"
 #include "gateway_fixture.h"
 
 // Whether requests and streams keep all the time that they were promised.
@@ -56,3 +57,26 @@
     CHECK(callers[i]->wait_for(i % 2 == 0 ? "\r\n" + last_chunk : "whole"));
   }
 }
+
+// Guards against a connection that is given up while its server is alive but busy: bytes
+// that the server's machine acknowledges are no sign of its loss.
+TEST_CASE("a server may leave a large body unread for a while") {
+  constexpr auto timeout = milliseconds(8000);
+  constexpr std::size_t body_bytes = 2'900'000;
+  const auto pause = std::chrono::milliseconds(GENERATE(2500, 5000));
+  test::early_server busy;
+  busy.read_pause = pause;
+  busy.response.text = response_text("whole");
+  gateway_fixture it(server_scripts(1));
+  set_route_timeout(it, timeout);
+  auto& server = it.control.servers[0];
+  server.port = busy.address().port;
+  server.started = 2;
+  it.control.broadcast_servers();
+  REQUIRE(wait_until(
+      [&] { return it.subject->directory.entries.at("s0").server.port == server.port; }));
+  test_caller caller(it.address);
+  caller.send(request_text("POST", "/once/", "r1", "", std::string(body_bytes, 'u')));
+  CHECK(caller.wait_for("whole"));
+  CHECK(caller.received.starts_with("HTTP/1.1 200 "));
+}
