Tell callers "not run" only with proof

Cause: whether a request may have run was known, but the status was chosen without it. Gateways passed on any error response of a server; mstep-router forwarded any complete response through an agent, and gave its own errors a status by their code whatever the verdict.

Change: 408, 421, 429 and 503 of a server without proof end an attempt as unproven_refusal, which may have run and is never passed on; callers get 502. mstep-router does not forward such responses, and http_status() keeps these statuses to the verdict not_run. Agents read a server's proof, which frees the claim and lets the router try another server.

The property test of relay_policy_test has the new end as well.

--- a/include/marigoldstep/error.h
+++ b/include/marigoldstep/error.h
@@ -58,6 +58,7 @@
   internal_error,
   not_implemented,
   memory_full,
+  server_refused,
 };
 
 // Stable machine-readable name, sent to callers in the field "code".
--- a/include/marigoldstep/relay_policy.h
+++ b/include/marigoldstep/relay_policy.h
@@ -48,10 +48,14 @@
   withheld,      // nothing was sent: the server closed itself to requests meanwhile
   not_run,       // the server refused it or did not run it
   wrong_server,  // another server has the address
-  failed,        // the server ran it and responded with a server error
-  broken,        // it may have run; there was no usable response
+  failed,        // the server ran it and responded with an error that may be passed on
+  // The server may have run it, and responded with a status that promises the contrary.
+  unproven_refusal,
+  broken, // it may have run; there was no usable response
 };
 std::string_view name(attempt_end end);
+// Whether the server may have run the request of an attempt that ended so.
+bool may_have_run(attempt_end end);
 
 enum class relay_step {
   try_again,
--- a/src/error.cpp
+++ b/src/error.cpp
@@ -86,6 +86,8 @@
        "the method or a transfer coding is not implemented"},
       {errc::memory_full, "memory_full",
        "the memory for requests is full; the request was not run"},
+      {errc::server_refused, "server_refused",
+       "the backend server refused the request and did not run it"},
   };
   return table;
 }
@@ -127,7 +129,7 @@
 }
 
 errc errc_from_number(unsigned number) {
-  constexpr auto last = static_cast<unsigned>(errc::memory_full);
+  constexpr auto last = static_cast<unsigned>(errc::server_refused);
   return number > last ? errc::internal_error : static_cast<errc>(number);
 }
 
--- a/src/relay_policy.cpp
+++ b/src/relay_policy.cpp
@@ -16,6 +16,8 @@
     return "wrong_server";
   case attempt_end::failed:
     return "failed";
+  case attempt_end::unproven_refusal:
+    return "unproven_refusal";
   case attempt_end::broken:
     return "broken";
   }
@@ -36,6 +38,11 @@
   return "answer_unknown";
 }
 
+bool may_have_run(attempt_end end) {
+  return end == attempt_end::failed || end == attempt_end::unproven_refusal ||
+         end == attempt_end::broken;
+}
+
 namespace detail {
 
 void count_end(request_progress& state, attempt_end end) {
@@ -46,8 +53,7 @@
   } else {
     ++state.sent;
   }
-  state.may_have_run =
-      state.may_have_run || end == attempt_end::failed || end == attempt_end::broken;
+  state.may_have_run = state.may_have_run || may_have_run(end);
 }
 
 bool has_attempts_left(const request_progress& state, time_point now) {
--- a/tests/programs/agent_test.cpp
+++ b/tests/programs/agent_test.cpp
@@ -160,6 +160,49 @@
   CHECK(fixture.control->count_claims(wire::ClaimKind::release) == 1);
 }
 
+// Guards against a refusal that counts as a run, which keeps the call from being sent
+// again, and against a server's error that counts as a refusal although the call ran.
+TEST_CASE("only a server's proof makes a response mean that the call did not run") {
+  struct refusal {
+    QByteArray status;
+    QByteArray fields;
+    std::string result;
+  };
+  const QByteArray proof = "Marigoldstep-Not-Executed: 1\r\n";
+  const std::vector<refusal> refusals = {{"503 X", proof, "not_run/server_refused"},
+                                         {"429 X", proof, "not_run/server_refused"},
+                                         {"408 X", proof, "not_run/server_refused"},
+                                         {"421 X", "", "not_run/server_refused"},
+                                         {"503 X", "", "completed/ok"},
+                                         {"429 X", "", "completed/ok"},
+                                         {"408 X", "", "completed/ok"},
+                                         {"500 X", "", "completed/ok"},
+                                         {"200 OK", proof, "completed/ok"}};
+  agent_fixture fixture;
+  auto& node = fixture.start();
+  const bool repeatable = GENERATE(true, false);
+  for (const auto& it : refusals) {
+    CAPTURE(it.status.toStdString(), it.fields.toStdString(), repeatable);
+    fixture.backend->on_call = [&it](fake_backend::call& call) {
+      fake_backend::write(call,
+                          "HTTP/1.1 " + it.status + "\r\n" + it.fields +
+                              "Content-Length: 4\r\n\r\nbody",
+                          true);
+    };
+    fixture.control->claims.clear();
+    fake_router router(node.port());
+    const auto id = io::make_attempt_id();
+    router.send(repeatable ? router.make_start(id)
+                           : router.make_non_repeatable_start(id));
+    REQUIRE(router.wait_for_end());
+    CHECK(router.last_result() == it.result);
+    const bool is_refused = it.result != "completed/ok";
+    CHECK((router.status == 0) == is_refused);
+    const auto releases = fixture.control->count_claims(wire::ClaimKind::release);
+    CHECK(releases == (is_refused && !repeatable ? 1 : 0));
+  }
+}
+
 // Guards against a call without a granted claim, and against a wrong verdict for any
 // claim outcome of the control group.
 TEST_CASE("a non-repeatable call runs only with a granted claim") {
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -37,6 +37,19 @@
   }
 }
 
+// Guards against a server's 503 that reaches a caller although the request ran (REFUSED).
+TEST_CASE("a status that promises \"not run\" without proof is never passed on") {
+  for (const auto kind : {route_kind::once, route_kind::stream, route_kind::repeatable,
+                          route_kind::resumable_stream}) {
+    auto state = make_state(kind, 1);
+    CHECK(step_after(state, attempt_end::unproven_refusal) == relay_step::answer_unknown);
+    CHECK(state.may_have_run);
+    auto with_retry = make_state(kind, 2);
+    CHECK(step_after(with_retry, attempt_end::unproven_refusal) ==
+          (is_repeatable(kind) ? relay_step::try_again : relay_step::answer_unknown));
+  }
+}
+
 TEST_CASE("a request that certainly did not run may be sent again") {
   auto state = make_state(route_kind::once, 2);
   CHECK(step_after(state, attempt_end::not_run) == relay_step::try_again);
@@ -94,11 +107,11 @@
     bool may_have_run = false;
     std::uint32_t sent = 0;
     for (int i = 0; i < 20; ++i) {
-      const auto end = *rc::gen::element(attempt_end::not_connected, attempt_end::not_run,
-                                         attempt_end::wrong_server, attempt_end::failed,
-                                         attempt_end::broken);
-      may_have_run =
-          may_have_run || end == attempt_end::failed || end == attempt_end::broken;
+      const auto end = *rc::gen::element(
+          attempt_end::not_connected, attempt_end::not_run, attempt_end::wrong_server,
+          attempt_end::failed, attempt_end::unproven_refusal, attempt_end::broken);
+      may_have_run = may_have_run || end == attempt_end::failed ||
+                     end == attempt_end::unproven_refusal || end == attempt_end::broken;
       sent +=
           end == attempt_end::not_connected || end == attempt_end::wrong_server ? 0 : 1;
       const auto step = step_after(state, end, *rc::gen::arbitrary<bool>());
--- a/tools/agent/attempt_end.cpp
+++ b/tools/agent/attempt_end.cpp
@@ -93,6 +93,13 @@
   dispatch();
 }
 
+// The head alone proves a refusal, so the rest of the response isn't read.
+void attempt_runner::handle_refusal(attempt& it, const backend_head& head) {
+  stop_call(it);
+  release_and_end(it, not_run(errc::server_refused, head.retry_after),
+                  "refused with status " + std::to_string(head.status));
+}
+
 void attempt_runner::handle_call_end(const attempt_id& id, backend_result result,
                                      const std::string& detail) {
   auto* it = store_.find(id);
--- a/tools/agent/attempt_runner.cpp
+++ b/tools/agent/attempt_runner.cpp
@@ -310,6 +310,10 @@
   it.call = backend_.start(make_call(it));
   it.call->on_head = [this, id = it.id](const backend_head& head) {
     auto* known = store_.find(id);
+    if (head.is_refusal) {
+      handle_refusal(*known, head);
+      return;
+    }
     known->head = head;
     known->has_head = true;
     store_.send_head_and_data(*known);
--- a/tools/agent/attempt_runner.h
+++ b/tools/agent/attempt_runner.h
@@ -76,6 +76,7 @@
   void deliver_stored_response(attempt& it, const wire::StoredAnswerT& stored);
   void call_backend(attempt& it);
   void handle_data(const attempt_id& id, byte_view chunk);
+  void handle_refusal(attempt& it, const backend_head& head);
   void handle_call_end(const attempt_id& id, backend_result result,
                        const std::string& detail);
   void handle_complete_response(attempt& it);
--- a/tools/agent/backend_call.cpp
+++ b/tools/agent/backend_call.cpp
@@ -1,5 +1,8 @@
 #include "agent/backend_call.h"
 
+#include "marigoldstep/io/http_status.h"
+#include "platform/messages.h"
+
 #include <algorithm>
 #include <array>
 #include <string_view>
@@ -79,6 +82,9 @@
   idle_timer_.start(idle_timeout_);
   backend_head head;
   head.status = static_cast<std::uint16_t>(from.status);
+  const auto metadata = platform::parse_response_head(from);
+  head.is_refusal = metadata.not_run && from.status >= io::http_status::redirect;
+  head.retry_after = metadata.backoff.value_or(milliseconds(0));
   for (const auto& it : from.fields) {
     if (!is_own_header(it.name) && !io::is_hop_by_hop(from, it.name)) {
       wire::HeaderT header;
--- a/tools/agent/backend_call.h
+++ b/tools/agent/backend_call.h
@@ -23,6 +23,9 @@
 struct backend_head {
   std::uint16_t status = 0;
   std::vector<wire::HeaderT> headers; // without hop-by-hop headers
+  // The server states that it did not run the request, and for how long it wants none.
+  bool is_refusal = false;
+  milliseconds retry_after{0};
 };
 
 enum class backend_result {
--- a/tools/gateway/relay_end.cpp
+++ b/tools/gateway/relay_end.cpp
@@ -18,6 +18,11 @@
 // For connections whose server states no keep-alive timeout.
 constexpr auto default_idle_timeout = milliseconds(4000);
 
+// Whether the attempt ended with a response of a server that may have run the request.
+bool is_error_response(attempt_end end) {
+  return end == attempt_end::failed || end == attempt_end::unproven_refusal;
+}
+
 std::string to_text(milliseconds value) {
   return std::to_string(value.count());
 }
@@ -66,6 +71,9 @@
   if (it.metadata.not_run) {
     return attempt_end::not_run;
   }
+  if (io::http_status::promises_not_run(it.head.status)) {
+    return attempt_end::unproven_refusal;
+  }
   const bool is_success =
       it.head.status >= io::http_status::ok && it.head.status < io::http_status::redirect;
   return is_success ? attempt_end::broken : attempt_end::failed;
@@ -75,7 +83,7 @@
   if (!is_forwardable_response()) {
     const auto end = classify_response();
     const bool is_server_error = attempt_->head.status >= io::http_status::server_error;
-    if (end == attempt_end::failed && !is_server_error) {
+    if (is_error_response(end) && !is_server_error) {
       // A client error doesn't count as a failure of the server.
       record_response(owner_.dispatch, attempt_->server.id, false, io::now());
     }
@@ -164,7 +172,7 @@
   const bool answered = last.has_head && end != attempt_end::broken;
   if (end == attempt_end::not_connected || end == attempt_end::broken) {
     record_broken_connection(owner_.dispatch, last.server.id, now);
-  } else if (end == attempt_end::failed &&
+  } else if (is_error_response(end) &&
              last.head.status >= io::http_status::server_error) {
     record_response(owner_.dispatch, last.server.id, true, now);
   } else if (end == attempt_end::not_run) {
--- a/tools/router/caller_response.cpp
+++ b/tools/router/caller_response.cpp
@@ -1,5 +1,7 @@
 #include "router/caller_response.h"
 
+#include "marigoldstep/io/http_status.h"
+
 #include <QJsonDocument>
 #include <QJsonObject>
 
@@ -43,7 +45,7 @@
   int status;
 };
 
-constexpr std::array<status_entry, 28> statuses = {{
+constexpr std::array<status_entry, 29> statuses = {{
     {errc::bad_request, 400},
     {errc::body_too_large, 413},
     {errc::unknown_workspace, 403},
@@ -72,6 +74,7 @@
     {errc::attempt_expired, 410},
     {errc::not_implemented, 501},
     {errc::memory_full, 503},
+    {errc::server_refused, 503},
 }};
 
 } // namespace
@@ -81,7 +84,13 @@
   const auto it = std::find_if(
       statuses.begin(), statuses.end(),
       [&result](const status_entry& entry) { return result.error == entry.code; });
-  return it == statuses.end() ? bad_gateway : it->status;
+  if (it == statuses.end()) {
+    return bad_gateway;
+  }
+  const bool is_false =
+      result.result != verdict::not_run &&
+      io::http_status::promises_not_run(static_cast<unsigned>(it->status));
+  return is_false ? bad_gateway : it->status;
 }
 
 std::vector<io::http_field> make_problem_fields(const outcome& result) {
--- a/tools/router/relay.cpp
+++ b/tools/router/relay.cpp
@@ -1,6 +1,7 @@
 #include "router/relay.h"
 
 #include "marigoldstep/io/clock.h"
+#include "marigoldstep/io/http_status.h"
 #include "marigoldstep/io/logging.h"
 #include "router/router.h"
 
@@ -315,7 +316,15 @@
          !owner_.memory()->is_scarce();
 }
 
+bool relay::has_unproven_refusal() const {
+  return head_ != nullptr && io::http_status::promises_not_run(head_->status);
+}
+
 void relay::forward_data(byte_view data) {
+  if (has_unproven_refusal()) {
+    acknowledge(acknowledge_step_bytes);
+    return;
+  }
   if (!state_.response_forwarded) {
     buffered_.append(as_text(data));
     update_hold();
--- a/tools/router/relay.h
+++ b/tools/router/relay.h
@@ -80,6 +80,9 @@
   void finish_request(const outcome& result, std::string_view code);
   [[nodiscard]] response_ids make_response_ids() const;
   [[nodiscard]] bool may_buffer_response() const;
+  // Whether the backend server ran the request and responded with a status that promises
+  // the contrary. Such a response is not forwarded.
+  [[nodiscard]] bool has_unproven_refusal() const;
   wire::AttemptHeadT& ensure_head();
 
   router& owner_;
--- a/tools/router/relay_end.cpp
+++ b/tools/router/relay_end.cpp
@@ -95,6 +95,11 @@
 }
 
 void relay::finish_response() {
+  if (has_unproven_refusal()) {
+    acknowledge(1);
+    send_error(may_have_run(errc::server_failed));
+    return;
+  }
   if (state_.response_forwarded) {
     response_.end();
   } else {
