Refuse responses whose status is out of range

No part of a response looked whole to a caller. But the numbers 600 and 999 were passed on as a server's answers; 000 and 099 were refused already.

Cause: only numbers below 100 were malformed.

Change: so are those above 599 (RFC 9110, section 15).

--- a/src/io/backend_pool.cpp
+++ b/src/io/backend_pool.cpp
@@ -34,8 +34,9 @@
 // Of a larger body, for a server that reads slowly.
 constexpr qint64 max_queued_bytes = 256 << 10;
 constexpr std::size_t body_piece_bytes = 64U << 10U;
-// Lower numbers are none of HTTP.
+// Other numbers are no status codes (RFC 9110, section 15).
 constexpr unsigned first_status = 100;
+constexpr unsigned last_status = 599;
 // Interim responses and responses to other requests that may precede a response, and the
 // bytes of their bodies.
 constexpr unsigned max_skipped_responses = 100;
@@ -292,7 +293,7 @@
       }
       return;
     }
-    if (parser_.head().status < first_status) {
+    if (parser_.head().status < first_status || parser_.head().status > last_status) {
       fail(exchange_failure::malformed);
       return;
     }
--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -67,6 +67,16 @@
   CHECK(result.failure == exchange_failure::malformed);
 }
 
+// Guards against a number that is no status code and reaches a caller as an answer
+// (MIXED).
+TEST_CASE("an exchange fails if the response's status is out of range") {
+  const std::string status = GENERATE("000", "099", "600", "999");
+  const auto result =
+      exchange({write_text("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok")});
+  CHECK(result.failure == exchange_failure::malformed);
+  CHECK(result.statuses.empty());
+}
+
 TEST_CASE("an interim response does not end the exchange") {
   const auto result = exchange({write_text(
       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")});
--- a/tests/programs/program_process.h
+++ b/tests/programs/program_process.h
@@ -13,8 +13,10 @@
 // A program of this project as a process of its own.
 class program_process {
 public:
-  // Starts the program with these settings, and waits until it has started.
-  program_process(const std::string& name, const std::string& settings) {
+  // Starts the program with these settings, and waits for the log line with which it has
+  // started.
+  program_process(const std::string& name, const std::string& settings,
+                  const std::string& first_line = "event=started") {
     test_application();
     const auto path = folder_.filePath("settings.yaml");
     QFile file(path);
@@ -25,7 +27,7 @@
     process_.start(QString::fromStdString(MARIGOLDSTEP_BIN_DIR "/" + name),
                    {"--config", path});
     INFO(settings);
-    const bool has_started = wait_for_log("event=started");
+    const bool has_started = wait_for_log(first_line);
     INFO(log());
     REQUIRE(has_started);
   }
