Require keys when a configuration has an empty list of workspaces

Cause: whether a request needs a key was decided by whether the list has entries, which mixes up "no list" and "an empty list".

Change: routing_config::requires_keys says whether the configuration contains the list.

--- a/include/marigoldstep/routing.h
+++ b/include/marigoldstep/routing.h
@@ -90,6 +90,9 @@
   std::vector<route> routes;
   std::vector<routed_service> services;
   std::vector<routed_workspace> workspaces;
+  // Whether requests need the key of a workspace, but for public routes. Without any
+  // workspace no key is valid then.
+  bool requires_keys = false;
   caller_limits limits;
 
   friend bool operator==(const routing_config&, const routing_config&) = default;
--- a/tests/platform_messages_test.cpp
+++ b/tests/platform_messages_test.cpp
@@ -71,6 +71,23 @@
   CHECK(config.workspaces[1].priority == -1);
 }
 
+// Guards against a configuration whose last workspace is taken away, which opened every
+// route to everybody (ROUTE).
+TEST_CASE("a configuration with a list of workspaces requires keys, also an empty one") {
+  const std::string list =
+      R"([{"name": "w", "api_keys": ["k"], "priority": 2}, {"name": "v", "api_keys": []}])";
+  const auto requires_keys = [](const std::string& text) {
+    std::string problem;
+    const auto config = platform::parse_routing_config(text, problem);
+    CHECK(problem.empty());
+    return config.requires_keys;
+  };
+  CHECK(requires_keys(valid_routing));
+  CHECK(requires_keys(replace_once(valid_routing, list, "[]")));
+  CHECK_FALSE(requires_keys(replace_once(valid_routing, list, "null")));
+  CHECK_FALSE(requires_keys(replace_once(valid_routing, "tenants", "other")));
+}
+
 TEST_CASE("requests of an unknown route type are not retried") {
   std::string problem;
   const auto config = platform::parse_routing_config(
--- a/tests/programs/gateway_fixture.h
+++ b/tests/programs/gateway_fixture.h
@@ -24,10 +24,13 @@
     R"({"header_bytes":2000,"body_bytes":3000000,"header_timeout_ms":400,)"
     R"("idle_timeout_ms":5000})";
 constexpr auto default_route_timeout = milliseconds(800);
+inline const std::string default_tenants =
+    R"([{"name":"w","api_keys":["KEY"]},{"name":"v","api_keys":["KEY2"]}])";
 inline std::string routing_text(std::uint64_t version,
                                 const std::string& services = default_services,
                                 const std::string& limits = default_limits,
-                                milliseconds route_timeout = default_route_timeout) {
+                                milliseconds route_timeout = default_route_timeout,
+                                const std::string& tenants = default_tenants) {
   const auto route = [route_timeout](const std::string& name, const std::string& type,
                                      const std::string& more) {
     return R"({"name":")" + name + R"(","host":"h","path_prefix":"/)" + name +
@@ -41,9 +44,8 @@
          route("resume", "streaming", R"(,"can_resume":true)") + "," +
          route("open", "safe", R"(,"public":true)") + "," +
          route("prompt", "streaming", R"(,"can_resume":true,"sticky":true)") +
-         R"(],"services":[)" + services + R"(],"limits":)" + limits +
-         R"(,"tenants":[{"name":"w","api_keys":["KEY"]},)"
-         R"({"name":"v","api_keys":["KEY2"]}]})";
+         R"(],"services":[)" + services + R"(],"limits":)" + limits + R"(,"tenants":)" +
+         tenants + "}";
 }
 
 // A leading control process that serves one routing configuration.
@@ -63,6 +65,7 @@
   std::string services = default_services; // of the configuration
   std::string limits = default_limits;     // of the configuration
   milliseconds route_timeout = default_route_timeout;
+  std::string tenants = default_tenants; // of the configuration
   std::vector<announced_server> servers;
   // Announces all servers but the first as silent, so that the gateway tries the first
   // one first. Among servers that are not silent it chooses at random.
@@ -116,8 +119,8 @@
     } else if (frame->body.AsFetchRouting() != nullptr) {
       wire::RoutingTextT text;
       text.version = version;
-      text.packed_text =
-          io::compress_text(routing_text(version, services, limits, route_timeout));
+      text.packed_text = io::compress_text(
+          routing_text(version, services, limits, route_timeout, tenants));
       to.send(wire::encode_link(std::move(text)));
     } else if (const auto* request = frame->body.AsConfirmVersion()) {
       if (confirms_versions) {
--- a/tests/programs/gateway_test.cpp
+++ b/tests/programs/gateway_test.cpp
@@ -511,3 +511,23 @@
   CHECK(it.servers[0]->requests.size() == 1);
   CHECK(it.subject->metrics.request_ended("left").Value() == 1);
 }
+
+// Guards against keys that open every route once the last workspace is taken away
+// (ROUTE).
+TEST_CASE("without any workspace no key is valid, and public routes stay open") {
+  gateway_fixture it({{2, {write_text(response_text("served"))}}});
+  CHECK(starts_with_status(
+      send_request(it, request_text("GET", "/safe/", "r1"), "served"), "200"));
+  it.control.tenants = "[]";
+  ++it.control.version;
+  it.control.broadcast_status();
+  REQUIRE(wait_until(
+      [&] { return it.subject->table()->config.version == it.control.version; }));
+  for (const std::string key : {"KEY", "other"}) {
+    const auto request = request_text("GET", "/safe/", "r2", "", "", key);
+    CHECK(starts_with_status(send_request(it, request, "\r\n\r\n"), "401"));
+  }
+  CHECK(starts_with_status(
+      send_request(it, request_text("GET", "/open/", "r3"), "served"), "200"));
+  CHECK(it.servers[0]->requests.size() == 2);
+}
--- a/tools/gateway/relay.cpp
+++ b/tools/gateway/relay.cpp
@@ -137,7 +137,7 @@
     return false;
   }
   priority_ = route_->priority;
-  if (!route_->is_public && !table_->config.workspaces.empty()) {
+  if (!route_->is_public && table_->config.requires_keys) {
     const auto* workspace = find_workspace(*table_, call_.key);
     if (workspace == nullptr) {
       respond(io::http_status::unauthorized, "unknown key", std::nullopt);
