--- a/tools/agent/backend_call.h
+++ b/tools/agent/backend_call.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "agent/stream_end.h"
-#include "marigoldstep/io/backend_pool.h"
+#include "marigoldstep/io/backend_connection.h"
 #include "marigoldstep/io/deadline_timer.h"
 #include "marigoldstep/wire.h"
 
