--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -319,6 +319,41 @@
             time.sleep(1.2)
 
 
+class ProcessReplica(Replica):
+    """A replica that is a program of its own, called with IP, port and id, so that it can be
+    killed; this object reports it and records what it prints."""
+
+    def __init__(self, fleet, service, program, port=8080):
+        self.process = None
+        super().__init__(fleet, service, None, port=port + 1)
+        self.listener.close()
+        self.port = port
+        self.process = subprocess.Popen([sys.executable, str(program), self.ip, str(port), self.id],
+                                        stdin=subprocess.DEVNULL, stdout=subprocess.PIPE, text=True)
+        threading.Thread(target=self.copy_output, daemon=True).start()
+
+    def copy_output(self):
+        for line in self.process.stdout:
+            self.fleet.record.write(f"replica {self.id} {line.strip()}")
+
+    def accept(self):
+        pass
+
+    def report(self):
+        return self.process is not None and super().report()
+
+    def kill(self):
+        self.fleet.record.write(f"replica {self.id} is killed")
+        self.stopped = True
+        self.process.kill()
+
+    def stop(self):
+        super().stop()
+        if self.process:
+            self.process.kill()
+            self.process.wait()
+
+
 def answer_whole(replica, connection, line, headers, body):
     """Answers a fixed text with its length."""
     request = headers.get("marigoldstep-request-id", "")
