--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -324,7 +324,7 @@
     killed; this object reports it and records what it prints."""
 
     def __init__(self, fleet, service, program, port=8080):
-        self.process = None
+        self.process, self.printed = None, ""
         super().__init__(fleet, service, None, port=port + 1)
         self.listener.close()
         self.port = port
@@ -334,6 +334,7 @@
 
     def copy_output(self):
         for line in self.process.stdout:
+            self.printed += line
             self.fleet.record.write(f"replica {self.id} {line.strip()}")
 
     def accept(self):
