Don't take a failure of a review's script for a broken rule

Cause: Python ends with status 1 on an exception, which the cases use for a broken rule; a process could also be started anew while the fleet is ended.

Change: any exception ends a case with status 2, nothing starts once the fleet is ended, and a missing build is found before anything is made.

--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -87,6 +87,8 @@
                 "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0}, "contract_params": PARAMETERS}
 
     def start(self):
+        if self.fleet.stopped:
+            return
         template = (ROOT / "platform" / f"{self.role}.yaml.in").read_text()
         path = self.fleet.folder / self.name / "boot.json"
         path.write_text(render(template, self.settings()))
@@ -116,6 +118,9 @@
 
     def __init__(self, case_folder, gateways=2):
         self.record = Record(pathlib.Path(case_folder))
+        self.stopped = False
+        if not (ROOT / "target/bin/mstep-gateway").exists():
+            raise NotRun("the programs of the deploy file are not built")
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review3-"))
         self.control_port, self.front_port, self.ready_port, self.first_port = 8229, 8227, 8220, 7340
         self.net = self.find_free_net()
@@ -126,8 +131,6 @@
                          for i in range(gateways)]
         self.replicas = []
         self.last_ip = 100
-        if not (ROOT / "target/bin/mstep-gateway").exists():
-            raise NotRun("the programs of the deploy file are not built")
 
     def find_free_net(self):
         """A loopback network on whose first addresses all ports of the fleet are free."""
@@ -152,6 +155,7 @@
             it.start()
 
     def stop(self):
+        self.stopped = True
         for it in self.replicas:
             it.stop()
         for it in self.control + self.gateways:
@@ -381,10 +385,10 @@
     try:
         fleet = Fleet(folder)
         breaks = play(fleet)
-    except (NotRun, OSError) as ex:
+    except Exception as ex:  # any failure of the script itself says nothing about the rule
         if fleet:
-            fleet.record.write(f"the case could not run: {ex}")
-        print(f"not run: {ex}")
+            fleet.record.write(f"the case could not run: {ex!r}")
+        print(f"not run: {ex!r}")
         sys.exit(EXIT_NOT_RUN)
     finally:
         if fleet:
