--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -359,6 +359,14 @@
             self.process.wait()
 
 
+def find_running(replicas, request):
+    """The one ProcessReplica that runs the request."""
+    found = [it for it in replicas if request in it.printed]
+    if len(found) != 1:
+        raise NotRun(f"{len(found)} replicas run the request")
+    return found[0]
+
+
 def answer_whole(replica, connection, line, headers, body):
     """Answers a fixed text with its length."""
     request = headers.get("marigoldstep-request-id", "")
